Contracts: packets, flow tokens, records, platform interface, engine events

The types every other part is written against, before the parts themselves: datagrams (CBOR) with at-most-once permits granted by the caller, sealed flow tokens that name the owner, self-checking records in two schemas side by side, the platform's HTTP interface, and the engine's typed events and actions.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Targets for people and CI. See README.md.
+GO ?= go
+
+.PHONY: build test format lint ci demo faults measure fuzz generate clean
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+# Lists files that the formatter would change, and fails if there are any.
+format:
+	@files=$$($(GO) tool gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$')); \
+	if [ -n "$$files" ]; then echo "not formatted:"; echo "$$files"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -exclude ./control/control.pb.go -exclude ./control/control.twirp.go ./...
+
+# Rewrites the generated code in control/; needs protoc and its two plugins.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative control/control.proto
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/instance/action.go
@@ -0,0 +1,121 @@
+package instance
+
+import (
+	"net/netip"
+
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// Action is something the daemon must do for the engine.
+type Action interface{ action() }
+
+// SendPacket sends a datagram to a caller.
+type SendPacket struct {
+	To     netip.AddrPort
+	Packet packet.Packet
+}
+
+// SendEnvelope sends a datagram to another instance's peer address.
+type SendEnvelope struct {
+	To       netip.AddrPort
+	Envelope packet.Envelope
+}
+
+// RunRequest sends work to an endpoint as one HTTP request and answers with
+// RunEnded. Host is the Host header.
+type RunRequest struct {
+	Run      uint64
+	Endpoint string // IP address and port
+	Host     string
+	Work     Work
+}
+
+// HandOver sends work to another instance's control address and answers with
+// HandOverEnded.
+type HandOver struct {
+	Run     uint64
+	Peer    string // name of the instance
+	Control string // its control address
+	Work    Work
+}
+
+// CancelRun gives up a RunRequest or HandOver. Its end is still reported.
+type CancelRun struct {
+	Run uint64
+}
+
+// AnswerPeer ends a PeerCalled.
+type AnswerPeer struct {
+	Call   uint64
+	Result Result
+}
+
+// ProbeEndpoint asks an endpoint's health and answers with ProbeEnded.
+type ProbeEndpoint struct {
+	Endpoint string
+	Host     string
+}
+
+// FetchObjects asks another instance for its records and answers with
+// ObjectsReceived.
+type FetchObjects struct {
+	Peer    string
+	Control string
+}
+
+// WriteStatus puts the instance's status on the platform.
+type WriteStatus struct {
+	Status record.Status
+}
+
+// Announce renews the instance's lease on the platform.
+type Announce struct {
+	Instance record.Instance
+}
+
+// Note reports a decision for logs and metrics. Decision and Reason are fixed
+// words; Subject names what it was about.
+type Note struct {
+	Decision string // refuse, adopt, retry, reroute, eject, ...
+	Reason   string
+	Service  string
+	Subject  string
+	Detail   string
+	Level    Level
+}
+
+// Level is how loud a Note is.
+type Level uint8
+
+// The levels of notes.
+const (
+	LevelDebug Level = iota
+	LevelInfo
+	LevelWarn
+)
+
+// Observe adds a value to a histogram of a service and class.
+type Observe struct {
+	Metric  string // name ending in its unit, such as run_ms
+	Service string
+	Class   packet.Class
+	Value   int64
+}
+
+// Stopped tells that the graceful shutdown is complete.
+type Stopped struct{}
+
+func (SendPacket) action()    {}
+func (SendEnvelope) action()  {}
+func (RunRequest) action()    {}
+func (HandOver) action()      {}
+func (CancelRun) action()     {}
+func (AnswerPeer) action()    {}
+func (ProbeEndpoint) action() {}
+func (FetchObjects) action()  {}
+func (WriteStatus) action()   {}
+func (Announce) action()      {}
+func (Note) action()          {}
+func (Observe) action()       {}
+func (Stopped) action()       {}
--- /dev/null
+++ b/instance/event.go
@@ -0,0 +1,138 @@
+package instance
+
+import (
+	"net/netip"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// Event is something that happened to the instance. Engine.Handle takes it in.
+type Event interface{ event() }
+
+// PacketReceived is a datagram from a caller, decoded.
+type PacketReceived struct {
+	From   netip.AddrPort
+	Packet packet.Packet
+}
+
+// EnvelopeReceived is a datagram from another instance, decoded. Packet is the
+// decoded Data, or nil for a heartbeat.
+type EnvelopeReceived struct {
+	From     netip.AddrPort
+	Envelope packet.Envelope
+	Packet   *packet.Packet
+}
+
+// Tick tells the engine the time; the daemon sends one every TickPeriod.
+type Tick struct{}
+
+// TickPeriod is the time between two Ticks, in milliseconds.
+const TickPeriod = 10 * clock.Millisecond
+
+// ObjectsReceived brings records from the platform or from a peer. Whole means
+// that Objects holds every operator record at Revision, so others are gone.
+type ObjectsReceived struct {
+	Objects  []record.Object
+	Revision uint64
+	Whole    bool
+	Source   string // "platform" or the peer's name
+}
+
+// InstancesListed brings the platform's lagging list of instances of the
+// instance's own data centre, or of all data centres.
+type InstancesListed struct {
+	Instances []record.Instance
+}
+
+// PlatformCalled tells whether the latest call to the platform was answered.
+type PlatformCalled struct {
+	Answered bool
+}
+
+// Work is one whole request on its way to a backend server.
+type Work struct {
+	Flow     uint64
+	Request  uint64
+	Service  string
+	Class    packet.Class
+	Once     bool
+	Nonce    uint64       // the caller's permit when Once
+	Deadline clock.Millis // when the answer is due, on the local clock
+	Body     []byte
+}
+
+// Outcome tells what became of a run.
+type Outcome uint8
+
+// The outcomes of a run.
+const (
+	OutcomeAnswered  Outcome = iota // the backend server answered; Status and Body are set
+	OutcomeNotRun                   // the request certainly did not run
+	OutcomeUnknown                  // the request may have run
+	OutcomeMisrouted                // the backend server does not serve the service (421); it did not run
+)
+
+// Result is the end of a run, here or at another instance.
+type Result struct {
+	Outcome Outcome
+	Status  int           // HTTP status when answered
+	Reason  packet.Reason // why, when not answered
+	Body    []byte
+	Detail  string // for logs
+	Drain   bool   // the backend server said that it is draining
+	Shed    bool   // the backend server said that it has no room
+	Silent  bool   // nothing came back although the connection stayed open
+	Dialled bool   // the connection could be opened
+}
+
+// RunEnded is the end of a RunRequest.
+type RunEnded struct {
+	Run    uint64
+	Result Result
+}
+
+// PeerCalled is work that another instance hands over. The daemon assigns Call
+// and expects one AnswerPeer for it.
+type PeerCalled struct {
+	Call uint64
+	Peer string
+	Work Work
+}
+
+// PeerCancelled tells that the other instance no longer wants the answer.
+type PeerCancelled struct {
+	Call uint64
+}
+
+// HandOverEnded is the end of a HandOver.
+type HandOverEnded struct {
+	Run    uint64
+	Result Result
+}
+
+// ProbeEnded is the end of a ProbeEndpoint. Answered means any HTTP answer.
+type ProbeEnded struct {
+	Endpoint string
+	Answered bool
+	Healthy  bool
+	Draining bool
+	Detail   string
+}
+
+// StopRequested starts the graceful shutdown.
+type StopRequested struct{}
+
+func (PacketReceived) event()   {}
+func (EnvelopeReceived) event() {}
+func (Tick) event()             {}
+func (ObjectsReceived) event()  {}
+func (InstancesListed) event()  {}
+func (PlatformCalled) event()   {}
+func (RunEnded) event()         {}
+func (PeerCalled) event()       {}
+func (PeerCancelled) event()    {}
+func (HandOverEnded) event()    {}
+func (ProbeEnded) event()       {}
+func (StopRequested) event()    {}
--- /dev/null
+++ b/packet/envelope.go
@@ -0,0 +1,68 @@
+package packet
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// MaxEnvelope is the largest datagram between entry instances, in bytes.
+const MaxEnvelope = 1500
+
+// MaxHops is how often a packet may be passed on between entry instances.
+const MaxHops = 3
+
+// Load is the queue state an instance attaches to the datagrams it sends to
+// other instances anyway. Instances never send a datagram for its sake alone.
+type Load struct {
+	Service uint64 `cbor:"1,keyasint,omitempty"` // token.Hash of the service
+	Free    uint16 `cbor:"2,keyasint,omitempty"` // idle slots of the endpoints it dispatches
+	Queued  uint16 `cbor:"3,keyasint,omitempty"` // requests waiting for a slot
+	Rate    uint32 `cbor:"4,keyasint,omitempty"` // learnt capacity, in short requests per 1000 s
+}
+
+// Envelope is one datagram between two entry instances: a caller's packet
+// passed on, or a heartbeat when Data is empty.
+type Envelope struct {
+	Sender      uint64         `cbor:"1,keyasint"`            // token.Hash of the sending instance
+	Incarnation uint64         `cbor:"2,keyasint"`            // start time of the sender's process, in ms
+	Caller      netip.AddrPort `cbor:"3,keyasint,omitempty"`  // where answers to Data go
+	Hops        uint8          `cbor:"4,keyasint,omitempty"`  // how often Data was passed on
+	Data        []byte         `cbor:"5,keyasint,omitempty"`  // the caller's datagram, unchanged
+	Beat        uint64         `cbor:"6,keyasint,omitempty"`  // heartbeat number
+	Reply       bool           `cbor:"7,keyasint,omitempty"`  // the heartbeat answers another
+	Leaving     bool           `cbor:"8,keyasint,omitempty"`  // the sender is stopping
+	Revision    uint64         `cbor:"9,keyasint,omitempty"`  // newest configuration the sender holds
+	Loads       []Load         `cbor:"10,keyasint,omitempty"` // at most maxLoads entries
+}
+
+const maxLoads = 8
+
+// EncodeEnvelope returns the datagram for e.
+func EncodeEnvelope(e Envelope) ([]byte, error) {
+	data, err := encoder.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode envelope")
+	}
+	if len(data) > MaxEnvelope {
+		return nil, errors.Wrapf(ErrTooLarge, "envelope has %d bytes, at most %d are allowed", len(data), MaxEnvelope)
+	}
+	return data, nil
+}
+
+// DecodeEnvelope reads and checks one datagram from another instance.
+func DecodeEnvelope(data []byte) (Envelope, error) {
+	var e Envelope
+	if err := decoder.Unmarshal(data, &e); err != nil {
+		return Envelope{}, errors.Wrapf(ErrMalformed, "decode envelope of %d bytes: %v", len(data), err)
+	}
+	switch {
+	case e.Sender == 0:
+		return Envelope{}, errors.Wrap(ErrMalformed, "envelope: sender is missing")
+	case len(e.Loads) > maxLoads:
+		return Envelope{}, errors.Wrapf(ErrMalformed, "envelope: %d loads, at most %d are allowed", len(e.Loads), maxLoads)
+	case len(e.Data) > 0 && !e.Caller.IsValid():
+		return Envelope{}, errors.Wrap(ErrMalformed, "envelope: caller is missing")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/packet/parts.go
@@ -0,0 +1,148 @@
+package packet
+
+import "math/bits"
+
+// CountParts returns the number of parts a body of size bytes travels in.
+func CountParts(size int) uint32 {
+	if size == 0 {
+		return 1
+	}
+	return uint32((size + MaxPayload - 1) / MaxPayload)
+}
+
+// PartOf returns the payload of one part of body.
+func PartOf(body []byte, part uint32) []byte {
+	from := int(part) * MaxPayload
+	to := min(from+MaxPayload, len(body))
+	return body[from:to]
+}
+
+// Assembly collects the parts of one request or answer. Memory for the body is
+// taken as parts arrive, never on the strength of a header alone.
+type Assembly struct {
+	Count uint32   // number of parts expected
+	Next  uint32   // all parts below are held
+	Size  int      // payload bytes held
+	parts [][]byte // grows with the highest part received
+}
+
+// NewAssembly returns an empty assembly of count parts.
+func NewAssembly(count uint32) *Assembly {
+	return &Assembly{Count: count}
+}
+
+// Add stores a copy of one part's payload and reports whether it was new.
+// Parts beyond the window Next+MaskParts are not stored.
+func (a *Assembly) Add(part uint32, payload []byte) bool {
+	if part >= a.Count || part < a.Next || part > a.Next+MaskParts {
+		return false
+	}
+	for uint32(len(a.parts)) <= part {
+		a.parts = append(a.parts, nil)
+	}
+	if a.parts[part] != nil {
+		return false
+	}
+	a.parts[part] = append(make([]byte, 0, len(payload)), payload...)
+	a.Size += len(payload)
+	for a.Next < uint32(len(a.parts)) && a.parts[a.Next] != nil {
+		a.Next++
+	}
+	return true
+}
+
+// Done reports whether every part is held.
+func (a *Assembly) Done() bool {
+	return a.Next == a.Count
+}
+
+// Mask returns the bits of held parts after Next, as in Packet.Mask.
+func (a *Assembly) Mask() uint64 {
+	var mask uint64
+	for i := range uint32(MaskParts) {
+		part := a.Next + 1 + i
+		if part < uint32(len(a.parts)) && a.parts[part] != nil {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+// Body joins the parts of a complete assembly.
+func (a *Assembly) Body() []byte {
+	body := make([]byte, 0, a.Size)
+	for _, p := range a.parts {
+		body = append(body, p...)
+	}
+	return body
+}
+
+// Window tracks which parts of a body the receiver holds, and which part to
+// send next. The zero value with Count set is ready to use.
+type Window struct {
+	Count uint32 // number of parts to send
+	Next  uint32 // all parts below are held by the receiver
+	Mask  uint64 // held parts after Next, as in Packet.Mask
+	Sent  uint32 // all parts below were sent at least once
+}
+
+// Update takes in an Ack or Got and reports whether it brought news.
+func (w *Window) Update(next uint32, mask uint64) bool {
+	if next > w.Count || next < w.Next {
+		return false
+	}
+	if next == w.Next && mask|w.Mask == w.Mask {
+		return false
+	}
+	if next == w.Next {
+		w.Mask |= mask
+	} else {
+		w.Next, w.Mask = next, mask
+	}
+	w.Sent = max(w.Sent, w.Next)
+	return true
+}
+
+// Done reports whether the receiver holds every part.
+func (w *Window) Done() bool {
+	return w.Next >= w.Count
+}
+
+// Fresh returns up to limit parts that were never sent and fit the window, and
+// counts them as sent.
+func (w *Window) Fresh(limit uint32) []uint32 {
+	end := min(w.Count, w.Next+min(limit, MaskParts))
+	var parts []uint32
+	for ; w.Sent < end; w.Sent++ {
+		parts = append(parts, w.Sent)
+	}
+	return parts
+}
+
+// Missing returns the parts that were sent and are not held by the receiver.
+func (w *Window) Missing() []uint32 {
+	var parts []uint32
+	for p := w.Next; p < w.Sent; p++ {
+		if p > w.Next && w.Mask&(1<<(p-w.Next-1)) != 0 {
+			continue
+		}
+		parts = append(parts, p)
+	}
+	return parts
+}
+
+// Holes returns the sent parts below the highest held one: those are likely
+// lost rather than under way.
+func (w *Window) Holes() []uint32 {
+	if w.Mask == 0 {
+		return nil
+	}
+	top := w.Next + uint32(bits.Len64(w.Mask))
+	var parts []uint32
+	for _, p := range w.Missing() {
+		if p < top {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
--- /dev/null
+++ b/record/instance.go
@@ -0,0 +1,70 @@
+package record
+
+import (
+	"fmt"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// StateLeaving marks an instance that is stopping.
+const StateLeaving = "leaving"
+
+// Instance describes one entry instance, as it announces itself to the platform
+// under a lease. The platform's list of instances lags behind.
+type Instance struct {
+	Name        string       `json:"name"`
+	Centre      string       `json:"centre"`      // name of its data centre
+	Packets     string       `json:"packets"`     // IP address and UDP port for callers' packets
+	Peers       string       `json:"peers"`       // IP address and UDP port for packets of other instances
+	Control     string       `json:"control"`     // IP address and TCP port of its twirp service
+	Size        float64      `json:"size"`        // share of work it can take relative to others
+	Incarnation clock.Millis `json:"incarnation"` // when its process started
+	State       string       `json:"state"`       // active or leaving
+	Schema      int          `json:"schema"`      // newest record schema it understands
+}
+
+// DecodeInstance reads and checks an instance record.
+func DecodeInstance(o Object) (Instance, error) {
+	var i Instance
+	if o.Schema != Schema2 {
+		return Instance{}, badSchema(o)
+	}
+	if err := decode(o, KindInstance, &i); err != nil {
+		return Instance{}, err
+	}
+	return i, i.check(o)
+}
+
+// EncodeInstance returns i as an object.
+func EncodeInstance(i Instance) (Object, error) {
+	return encode(KindInstance, i.Name, Schema2, i)
+}
+
+// Check reports the first fault of an instance, for lists that carry no object.
+func (i *Instance) Check() error {
+	return i.check(Object{Kind: KindInstance, Name: i.Name})
+}
+
+func (i *Instance) check(o Object) error {
+	if err := CheckName(i.Name); err != nil || i.Name != o.Name {
+		return invalid(o, "name", fmt.Sprintf("%q", i.Name), "not the object's name")
+	}
+	if err := CheckName(i.Centre); err != nil {
+		return invalid(o, "centre", fmt.Sprintf("%q", i.Centre), "not a name")
+	}
+	addresses := []struct{ field, address string }{
+		{"packets", i.Packets}, {"peers", i.Peers}, {"control", i.Control},
+	}
+	for _, a := range addresses {
+		if err := checkAddress(o, a.field, a.address); err != nil {
+			return err
+		}
+	}
+	if i.Size < minWeight || i.Size > maxWeight {
+		return invalid(o, "size", i.Size, "not within %v to %v", minWeight, maxWeight)
+	}
+	if i.State != StateActive && i.State != StateLeaving {
+		return invalid(o, "state", fmt.Sprintf("%q", i.State), "not one of active, leaving")
+	}
+	return nil
+}
--- /dev/null
+++ b/token/token.go
@@ -0,0 +1,158 @@
+// Package token seals and opens flow tokens.
+//
+// A flow token tells every entry instance where the packets of a flow belong,
+// so instances route established flows without agreeing on anything. The
+// instance that takes a flow seals a token under a key from its settings; the
+// caller sends it back with each packet.
+//
+// A token has a fixed layout of Size bytes: version, key number, flow, owner,
+// incarnation, data centre, service, backend server, issue time and a truncated
+// HMAC-SHA256. Names travel as 64-bit hashes (see Hash).
+//
+// # Usage
+//
+//	keys, err := token.NewKeys(1, map[uint8][]byte{1: secret})
+//	sealed := keys.Seal(token.Token{Flow: 7, Owner: token.Hash("entry-1")})
+//	opened, err := keys.Open(sealed, clock.Now())
+//	if errors.Is(err, token.ErrForged) { ... }
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// Layout of a sealed token, in bytes.
+const (
+	bodySize = 2 + 7*8
+	macSize  = 16
+	// Size is the length of every sealed token in bytes.
+	Size = bodySize + macSize
+)
+
+const layoutVersion = 1
+
+// Lifetime is how long a token is accepted after it was issued, in
+// milliseconds. Owners reissue tokens of live flows well before that.
+const Lifetime = 24 * clock.Hour
+
+// maxClockSkew is how far in the future an issue time may lie, since instances
+// do not share a clock.
+const maxClockSkew = 5 * clock.Minute
+
+// Errors returned by Open.
+var (
+	// ErrMalformed reports a token of wrong length or unknown version.
+	ErrMalformed = errors.New("token is malformed")
+	// ErrForged reports a token whose seal does not match any known key.
+	ErrForged = errors.New("token seal does not match")
+	// ErrExpired reports a token that was issued too long ago.
+	ErrExpired = errors.New("token has expired")
+	// ErrKey reports settings that hold no usable key.
+	ErrKey = errors.New("token key is not usable")
+)
+
+// Token is the opened form of a flow token.
+type Token struct {
+	Flow        uint64       // random identity of the flow
+	Owner       uint64       // Hash of the owning instance's name
+	Incarnation uint64       // start time of the owner's process, in ms
+	Centre      uint64       // Hash of the data centre's name
+	Service     uint64       // Hash of the service's name
+	Backend     uint64       // Hash of the backend server a flow is pinned to, or 0
+	Issued      clock.Millis // when the token was sealed
+}
+
+// Hash returns the 64-bit hash under which a name travels in tokens.
+func Hash(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// Keys seals tokens under one key and opens tokens sealed under any of its
+// keys, so that keys can be replaced while flows live on. It is safe for
+// concurrent use.
+type Keys struct {
+	current uint8
+	macs    map[uint8]*sync.Pool
+}
+
+// minKeySize is the shortest secret accepted, in bytes.
+const minKeySize = 16
+
+// NewKeys returns the key ring that seals under secrets[current].
+func NewKeys(current uint8, secrets map[uint8][]byte) (*Keys, error) {
+	k := &Keys{current: current, macs: make(map[uint8]*sync.Pool, len(secrets))}
+	for number, secret := range secrets {
+		if len(secret) < minKeySize {
+			return nil, errors.Wrapf(ErrKey, "key %d has %d bytes, at least %d are needed", number, len(secret), minKeySize)
+		}
+		k.macs[number] = &sync.Pool{New: func() any { return hmac.New(sha256.New, secret) }}
+	}
+	if k.macs[current] == nil {
+		return nil, errors.Wrapf(ErrKey, "current key %d is not among the %d keys", current, len(secrets))
+	}
+	return k, nil
+}
+
+// Seal returns the sealed form of t under the current key.
+func (k *Keys) Seal(t Token) []byte {
+	sealed := make([]byte, bodySize, Size)
+	sealed[0] = layoutVersion
+	sealed[1] = k.current
+	words := [...]uint64{t.Flow, t.Owner, t.Incarnation, t.Centre, t.Service, t.Backend, uint64(t.Issued)}
+	for i, w := range words {
+		binary.BigEndian.PutUint64(sealed[2+8*i:], w)
+	}
+	return k.appendMAC(sealed, k.current)
+}
+
+func (k *Keys) appendMAC(body []byte, number uint8) []byte {
+	pool := k.macs[number]
+	mac := pool.Get().(hash.Hash)
+	defer pool.Put(mac)
+	mac.Reset()
+	mac.Write(body)
+	var sum [sha256.Size]byte
+	return append(body, mac.Sum(sum[:0])[:macSize]...)
+}
+
+// Open checks the seal and age of a token.
+func (k *Keys) Open(sealed []byte, now clock.Millis) (Token, error) {
+	t, err := Peek(sealed)
+	if err != nil {
+		return Token{}, err
+	}
+	if k.macs[sealed[1]] == nil {
+		return Token{}, errors.WithStack(ErrForged)
+	}
+	body := make([]byte, bodySize, Size)
+	copy(body, sealed)
+	if !hmac.Equal(k.appendMAC(body, sealed[1]), sealed) {
+		return Token{}, errors.WithStack(ErrForged)
+	}
+	if now-t.Issued > Lifetime || t.Issued-now > maxClockSkew {
+		return Token{}, errors.WithStack(ErrExpired)
+	}
+	return t, nil
+}
+
+// Peek reads a token without checking its seal. Use it only to choose the
+// instance that will check the seal.
+func Peek(sealed []byte) (Token, error) {
+	if len(sealed) != Size || sealed[0] != layoutVersion {
+		return Token{}, errors.WithStack(ErrMalformed)
+	}
+	word := func(i int) uint64 { return binary.BigEndian.Uint64(sealed[2+8*i:]) }
+	return Token{
+		Flow: word(0), Owner: word(1), Incarnation: word(2), Centre: word(3),
+		Service: word(4), Backend: word(5), Issued: clock.Millis(word(6)),
+	}, nil
+}
