Stand-ins: platform, backend server and fabric, with faults switched while they run

The platform keeps a bounded history for watches and can serve reads from a state some revisions old. The backend server's listening socket can refuse, reset or go silent, for all connections or just those open.

--- /dev/null
+++ b/standin/gate.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// gate is the listening socket of a server whose connections can fail. It limits
+// the number of open connections and can be shut and opened again.
+type gate struct {
+	address string
+	limit   int // open connections
+	server  *http.Server
+
+	mu       sync.Mutex
+	listener net.Listener // nil while shut
+	conns    map[*gateConn]bool
+	reset    bool // reset new connections at once
+	silent   bool // new connections are silent
+}
+
+// openGate listens on an address and serves handler there.
+func openGate(address string, limit int, handler http.Handler) (*gate, error) {
+	g := &gate{address: address, limit: limit, conns: map[*gateConn]bool{}}
+	g.server = &http.Server{Handler: handler}
+	if err := g.open(); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// open starts listening unless it does already. The port chosen first is kept.
+func (g *gate) open() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", g.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", g.address)
+	}
+	g.address = l.Addr().String()
+	g.listener = l
+	go func() { _ = g.server.Serve(&gateListener{l, g}) }() // ends with the listener
+	return nil
+}
+
+// shut stops listening, so that connections are refused, and resets those open.
+func (g *gate) shut() {
+	g.mu.Lock()
+	if g.listener != nil {
+		g.listener.Close()
+		g.listener = nil
+	}
+	g.mu.Unlock()
+	g.resetOpen()
+}
+
+// resetOpen resets every open connection.
+func (g *gate) resetOpen() {
+	for _, c := range g.opened() {
+		c.reset()
+	}
+}
+
+// silenceOpen makes every open connection silent for good.
+func (g *gate) silenceOpen() {
+	for _, c := range g.opened() {
+		c.silent.Store(true)
+	}
+}
+
+func (g *gate) opened() []*gateConn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]*gateConn, 0, len(g.conns))
+	for c := range g.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// treat sets what happens to new connections.
+func (g *gate) treat(reset, silent bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reset, g.silent = reset, silent
+}
+
+// admit takes in a new connection, or returns nil after resetting it.
+func (g *gate) admit(conn net.Conn) *gateConn {
+	c := &gateConn{Conn: conn, gate: g}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reset || len(g.conns) >= g.limit || g.listener == nil {
+		c.reset()
+		return nil
+	}
+	c.silent.Store(g.silent)
+	g.conns[c] = true
+	return c
+}
+
+// gateListener hands the admitted connections to the server.
+type gateListener struct {
+	net.Listener
+	gate *gate
+}
+
+// Accept implements net.Listener.
+func (l *gateListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.admit(conn); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// gateConn is a connection that can go silent: it then takes in bytes, hands
+// none on and sends none.
+type gateConn struct {
+	net.Conn
+	gate   *gate
+	silent atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *gateConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *gateConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *gateConn) Close() error {
+	c.gate.mu.Lock()
+	delete(c.gate.conns, c)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// reset ends the connection without the usual farewell.
+func (c *gateConn) reset() {
+	if t, isTCP := c.Conn.(*net.TCPConn); isTCP {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Exit codes of Main.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// program is the name of the command in its messages.
+const program = "tanagerdock-standin"
+
+// verb is one stand-in as a program.
+type verb struct {
+	name    string
+	summary string
+	usage   string
+	// start parses the arguments and starts the stand-in.
+	start func(flags *flag.FlagSet, args []string) (running, error)
+}
+
+// verbs lists the stand-ins.
+var verbs = []verb{platformVerb, backendVerb, fabricVerb}
+
+// running is a started stand-in.
+type running struct {
+	listen  string
+	control string
+	close   func()
+}
+
+// errUsage reports a command line that cannot be understood.
+var errUsage = errors.New("usage")
+
+// Main runs the verb named by args until ctx ends, and returns the exit code.
+// When the stand-in is ready it prints one line to stdout:
+//
+//	ready listen=IP:PORT control=IP:PORT
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		printUsage(stderr)
+		return exitUsage
+	}
+	if args[0] == "help" || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
+		printUsage(stdout)
+		return exitDone
+	}
+	for _, v := range verbs {
+		if v.name == args[0] {
+			return v.run(ctx, args[1:], stdout, stderr)
+		}
+	}
+	fmt.Fprintf(stderr, "%s: verb %q does not exist; see %s help\n", program, args[0], program)
+	return exitUsage
+}
+
+func printUsage(w io.Writer) {
+	fmt.Fprintf(w, "Usage: %s VERB [FLAGS]\n\nRuns a stand-in for tests until it gets SIGTERM or SIGINT.\n\nVerbs:\n", program)
+	for _, v := range verbs {
+		fmt.Fprintf(w, "  %-10s %s\n", v.name, v.summary)
+	}
+	fmt.Fprintf(w, "\n%s VERB -help describes a verb.\n", program)
+}
+
+func (v *verb) run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet(v.name, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	r, err := v.start(flags, args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		v.printUsage(flags, stdout)
+		return exitDone
+	case errors.Is(err, errUsage):
+		fmt.Fprintf(stderr, "%s %s: %v; see %s %s -help\n", program, v.name, err, program, v.name)
+		return exitUsage
+	case err != nil:
+		fmt.Fprintf(stderr, "%s %s: %v\n", program, v.name, err)
+		return exitFailed
+	}
+	defer r.close()
+	fmt.Fprintf(stdout, "ready listen=%s control=%s\n", r.listen, r.control)
+	<-ctx.Done()
+	return exitDone
+}
+
+func (v *verb) printUsage(flags *flag.FlagSet, w io.Writer) {
+	fmt.Fprintf(w, "Usage: %s %s [FLAGS]\n\n%s\n\nFlags:\n", program, v.name, v.usage)
+	flags.SetOutput(w)
+	flags.PrintDefaults()
+}
+
+// parse parses flags and admits no further arguments.
+func parse(flags *flag.FlagSet, args []string) error {
+	err := flags.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		return errors.Wrap(errUsage, err.Error())
+	}
+	if err == nil && flags.NArg() > 0 {
+		return errors.Wrapf(errUsage, "argument %q is not a flag", flags.Arg(0))
+	}
+	return err
+}
+
+// listenHTTP serves a handler on an address until the returned server is
+// closed.
+func listenHTTP(address string, handler http.Handler) (string, *http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			fmt.Fprintf(os.Stderr, "%s: serve %s: %v\n", program, l.Addr(), err)
+		}
+	}()
+	return l.Addr().String(), server, nil
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// store holds the newest state of every record and the latest changes.
+type store struct {
+	revision uint64 // of the newest change
+	current  map[record.Key]record.Object
+	history  []record.Object // changes after oldest, by revision
+	oldest   uint64
+	base     map[record.Key]record.Object // the state at oldest
+	limit    int                          // of history
+}
+
+func newStore(limit int) store {
+	return store{current: map[record.Key]record.Object{}, base: map[record.Key]record.Object{}, limit: limit}
+}
+
+// commit gives o the next revision and makes it the newest state of its record.
+func (s *store) commit(o record.Object) record.Object {
+	s.revision++
+	o.Revision = s.revision
+	apply(s.current, o)
+	s.history = append(s.history, o)
+	if len(s.history) > s.limit {
+		first := s.history[0]
+		s.history = s.history[1:]
+		apply(s.base, first)
+		s.oldest = first.Revision
+	}
+	return o
+}
+
+func apply(state map[record.Key]record.Object, o record.Object) {
+	if o.Deleted {
+		delete(state, o.Key())
+		return
+	}
+	state[o.Key()] = o
+}
+
+// at returns the state at a revision from oldest on. It may not be changed.
+func (s *store) at(revision uint64) map[record.Key]record.Object {
+	if revision == s.revision {
+		return s.current
+	}
+	state := maps.Clone(s.base)
+	for _, o := range s.history {
+		if o.Revision <= revision {
+			apply(state, o)
+		}
+	}
+	return state
+}
+
+// changes returns the changes of some kinds after since, up to a revision.
+func (s *store) changes(kinds map[record.Kind]bool, since, until uint64) []record.Object {
+	list := []record.Object{}
+	first := since - s.oldest // one change a revision
+	for _, o := range s.history[min(first, uint64(len(s.history))):] {
+		if o.Revision <= until && kinds[o.Kind] {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// ofKind returns the objects of a kind, by name.
+func ofKind(state map[record.Key]record.Object, kind record.Kind) []record.Object {
+	list := []record.Object{}
+	for _, o := range state {
+		if o.Kind == kind {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b record.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
