entry: send work to backend servers at most once and map every failure to an outcome

Bytes that may have left are counted on the connection itself, so a failure is 'not run' only when nothing left.

--- /dev/null
+++ b/entry/run_test.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+)
+
+// readCases decodes a file of testdata.
+func readCases(t *testing.T, file string, to any) {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + file)
+	require.NoError(t, err)
+	require.NoError(t, yaml.UnmarshalWithOptions(data, to, yaml.Strict()))
+}
+
+// longTime is a deadline that no case reaches unless it hangs.
+const longTime = 20 * clock.Second
+
+type runCase struct {
+	Name     string
+	Body     *string
+	Size     int // bytes of body when Body is not set
+	Host     string
+	Deadline clock.Millis // ms from the start; 0 means longTime
+	Script   []string
+	Refuse   bool // nobody listens
+	Want     runWant
+}
+
+type runWant struct {
+	Outcome string
+	Status  int
+	Reason  string
+	Body    string
+	Silent  bool
+	Shed    bool
+	Drain   bool
+	Dialled bool
+	Reads   int64
+}
+
+var outcomes = map[string]instance.Outcome{
+	"answered":  instance.OutcomeAnswered,
+	"notrun":    instance.OutcomeNotRun,
+	"unknown":   instance.OutcomeUnknown,
+	"misrouted": instance.OutcomeMisrouted,
+}
+
+func (c *runCase) request(endpoint string, number uint64) instance.RunRequest {
+	body := []byte("a scan")
+	switch {
+	case c.Body != nil:
+		body = []byte(*c.Body)
+	case c.Size > 0:
+		body = bytes.Repeat([]byte("x"), c.Size)
+	}
+	host, deadline := "orders.example", longTime
+	if c.Host != "" {
+		host = c.Host
+	}
+	if c.Deadline != 0 {
+		deadline = c.Deadline
+	}
+	return instance.RunRequest{Run: number, Endpoint: endpoint, Host: host, Work: instance.Work{
+		Flow: 0xabc, Request: number, Service: "orders", Class: packet.ClassShort, Once: true,
+		Deadline: clock.Now() + deadline, Body: body,
+	}}
+}
+
+func (w *runWant) check(t *testing.T, got instance.Result, reads int64) {
+	t.Helper()
+	outcome, known := outcomes[w.Outcome]
+	require.True(t, known, "outcome %q", w.Outcome)
+	reason := w.Reason
+	if reason == "" {
+		reason = packet.ReasonNone.String()
+	}
+	require.Equal(t, outcome, got.Outcome, got.Detail)
+	require.Equal(t, reason, got.Reason.String(), got.Detail)
+	require.Equal(t, w.Status, got.Status)
+	require.Equal(t, w.Body, string(got.Body))
+	require.Equal(t, w.Silent, got.Silent, "silent: %s", got.Detail)
+	require.Equal(t, w.Shed, got.Shed, "shed")
+	require.Equal(t, w.Drain, got.Drain, "drain")
+	require.Equal(t, w.Dialled, got.Dialled, "dialled")
+	require.Equal(t, w.Reads, reads, "requests that arrived")
+}
+
+// scriptedServer follows a script on each connection.
+type scriptedServer struct {
+	listener net.Listener
+	script   []string
+	reads    atomic.Int64
+	release  chan struct{} // closed at the end of the test
+	mu       sync.Mutex
+	headers  []http.Header
+}
+
+func startScripted(t *testing.T, script []string) *scriptedServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &scriptedServer{listener: l, script: script, release: make(chan struct{})}
+	var connections sync.WaitGroup
+	connections.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		close(s.release)
+		_ = l.Close()
+		connections.Wait()
+	})
+	return s
+}
+
+func (s *scriptedServer) address() string { return s.listener.Addr().String() }
+
+func (s *scriptedServer) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for _, step := range s.script {
+		verb, text, _ := strings.Cut(step, " ")
+		switch verb {
+		case "read", "head":
+			if !s.take(in, verb == "read") {
+				return
+			}
+		case "write":
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		case "reset":
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case "close":
+			return
+		case "hang":
+			<-s.release
+		}
+	}
+}
+
+// take reads one request and reports whether there was one.
+func (s *scriptedServer) take(in *bufio.Reader, whole bool) bool {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return false
+	}
+	s.reads.Add(1)
+	s.mu.Lock()
+	s.headers = append(s.headers, req.Header)
+	s.mu.Unlock()
+	if whole {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	return err == nil
+}
+
+func TestRunAgainstFaults(t *testing.T) {
+	var cases struct{ Cases, Reused []runCase }
+	readCases(t, "run.yaml", &cases)
+	for _, c := range cases.Cases {
+		t.Run(c.Name, func(t *testing.T) {
+			s := startScripted(t, c.Script)
+			if c.Refuse {
+				require.NoError(t, s.listener.Close())
+			}
+			got := newRunner().run(context.Background(), c.request(s.address(), 1))
+			c.Want.check(t, got, s.reads.Load())
+		})
+	}
+}
+
+// A server that breaks a reused connection after it read a request must not get
+// that request again.
+func TestRunOnReusedConnection(t *testing.T) {
+	var cases struct{ Cases, Reused []runCase }
+	readCases(t, "run.yaml", &cases)
+	const first = "write HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, c := range cases.Reused {
+		t.Run(c.Name, func(t *testing.T) {
+			s := startScripted(t, append([]string{"read", first}, c.Script...))
+			r := newRunner()
+			start := runCase{}
+			require.Equal(t, instance.OutcomeAnswered, r.run(context.Background(), start.request(s.address(), 1)).Outcome)
+			got := r.run(context.Background(), c.request(s.address(), 2))
+			c.Want.check(t, got, s.reads.Load())
+		})
+	}
+}
+
+// A connection that the server closed while idle carried no byte of the next
+// request, or the end of that request is unknown; it is never sent twice.
+func TestRunOnConnectionClosedWhileIdle(t *testing.T) {
+	s := startScripted(t, []string{"read", "write HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "close"})
+	r := newRunner()
+	c := runCase{}
+	for i := range uint64(50) {
+		before := s.reads.Load()
+		got := r.run(context.Background(), c.request(s.address(), i+1))
+		arrived := s.reads.Load() - before
+		switch got.Outcome {
+		case instance.OutcomeAnswered:
+			require.EqualValues(t, 1, arrived)
+		case instance.OutcomeNotRun, instance.OutcomeUnknown:
+			require.Zero(t, arrived, got.Detail)
+		default:
+			t.Fatalf("outcome %d: %s", got.Outcome, got.Detail)
+		}
+	}
+}
+
+func TestRunCancelled(t *testing.T) {
+	s := startScripted(t, []string{"read", "hang"})
+	ctx, cancel := context.WithCancel(context.Background())
+	c := runCase{}
+	ended := make(chan instance.Result, 1)
+	go func() { ended <- newRunner().run(ctx, c.request(s.address(), 1)) }()
+	require.Eventually(t, func() bool { return s.reads.Load() == 1 }, 10*time.Second, time.Millisecond)
+	cancel()
+	got := <-ended
+	require.Equal(t, instance.OutcomeUnknown, got.Outcome)
+	require.False(t, got.Silent, "a cancelled run says nothing about the connection")
+}
+
+func TestRunCancelledBeforeSending(t *testing.T) {
+	s := startScripted(t, []string{"read", "hang"})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c := runCase{}
+	got := newRunner().run(ctx, c.request(s.address(), 1))
+	require.Equal(t, instance.OutcomeNotRun, got.Outcome)
+	require.Equal(t, packet.ReasonCancelled, got.Reason)
+	require.Zero(t, s.reads.Load())
+}
+
+func TestRunHeaders(t *testing.T) {
+	s := startScripted(t, []string{"read", "write HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+	c := runCase{}
+	newRunner().run(context.Background(), c.request(s.address(), 7))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Len(t, s.headers, 1)
+	h := s.headers[0]
+	require.Equal(t, "0000000000000abc-7", h.Get("X-Request-Id"))
+	require.Equal(t, "short", h.Get("X-Class"))
+	require.Equal(t, "true", h.Get("X-Once"))
+	require.NotEmpty(t, h.Get("X-Deadline-Ms"))
+	require.Empty(t, h.Get("Idempotency-Key"))
+	require.Empty(t, h.Get("Accept-Encoding"))
+}
+
+// An answer in chunks has no stated length, so the limit is found on the way.
+func TestRunBoundsChunkedAnswer(t *testing.T) {
+	server := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := make([]byte, 1<<20)
+		for range packet.MaxBody>>20 + 1 {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	defer server.Close()
+	c := runCase{}
+	got := newRunner().run(context.Background(), c.request(l.Addr().String(), 1))
+	require.Equal(t, instance.OutcomeUnknown, got.Outcome)
+	require.Contains(t, got.Detail, "too large")
+}
+
+func TestProbe(t *testing.T) {
+	var cases struct {
+		Cases []struct {
+			Name   string
+			Script []string
+			Refuse bool
+			Want   struct{ Answered, Healthy, Draining bool }
+		}
+	}
+	readCases(t, "probe.yaml", &cases)
+	for _, c := range cases.Cases {
+		t.Run(c.Name, func(t *testing.T) {
+			s := startScripted(t, c.Script)
+			if c.Refuse {
+				require.NoError(t, s.listener.Close())
+			}
+			got := newRunner().probe(context.Background(), instance.ProbeEndpoint{Endpoint: s.address(), Host: "orders.example"})
+			require.Equal(t, s.address(), got.Endpoint)
+			require.Equal(t, c.Want.Answered, got.Answered, got.Detail)
+			require.Equal(t, c.Want.Healthy, got.Healthy, got.Detail)
+			require.Equal(t, c.Want.Draining, got.Draining, got.Detail)
+		})
+	}
+}
