--- /dev/null
+++ b/entry/command.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/platform"
+)
+
+// Exit codes of the command.
+const (
+	exitDone  = 0
+	exitError = 1
+	exitUsage = 2
+)
+
+const program = "tanagerdock-entry"
+
+const usage = `Usage: tanagerdock-entry -settings FILE [-check]
+       tanagerdock-entry -version
+
+Runs one entry instance. Prints a line starting with "ready" to standard output
+when it takes packets, and logs to standard error. SIGTERM or SIGINT starts a
+graceful shutdown; a second one ends the process at once.
+
+`
+
+// Connect returns the platform at a URL.
+type Connect func(url string) platform.Platform
+
+// command is a parsed command line.
+type command struct {
+	settings string
+	check    bool
+	version  bool
+}
+
+func parseCommand(args []string, stderr io.Writer) (command, error) {
+	var c command
+	flags := flag.NewFlagSet(program, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() {
+		fmt.Fprint(stderr, usage)
+		flags.PrintDefaults()
+	}
+	flags.StringVar(&c.settings, "settings", "", "read settings from `FILE`")
+	flags.BoolVar(&c.check, "check", false, "print the settings in force as YAML and exit")
+	flags.BoolVar(&c.version, "version", false, "print the version and exit")
+	if err := flags.Parse(args); err != nil {
+		return c, err
+	}
+	if flags.NArg() > 0 {
+		return c, refuse(stderr, "argument %q is not expected", flags.Arg(0))
+	}
+	if c.settings == "" && !c.version {
+		return c, refuse(stderr, "flag -settings is missing")
+	}
+	return c, nil
+}
+
+func refuse(stderr io.Writer, format string, args ...any) error {
+	err := errors.Errorf(format, args...)
+	fmt.Fprintf(stderr, "%s: parse: %v\n%s", program, err, usage)
+	return err
+}
+
+// Main runs the command tanagerdock-entry and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer, connect Connect) int {
+	c, err := parseCommand(args, stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitDone
+	case err != nil:
+		return exitUsage
+	case c.version:
+		fmt.Fprintln(stdout, program, version())
+		return exitDone
+	}
+	verb := "run"
+	if c.check {
+		verb = "check"
+	}
+	if err := c.do(stdout, stderr, connect); err != nil {
+		fmt.Fprintf(stderr, "%s: %s: %v\n", program, verb, err)
+		return exitError
+	}
+	return exitDone
+}
+
+func version() string {
+	info, found := debug.ReadBuildInfo()
+	if !found {
+		return "(unknown)"
+	}
+	return info.Main.Version
+}
+
+func (c command) do(stdout, stderr io.Writer, connect Connect) error {
+	s, err := ReadSettings(c.settings)
+	if err != nil {
+		return err
+	}
+	keys, err := ReadKeys(s.Keyfile)
+	if err != nil {
+		return err
+	}
+	if c.check {
+		return printSettings(stdout, s)
+	}
+	d, err := Open(Options{
+		Settings: s, Keys: keys, Platform: connect(s.Platform), Log: newLogger(stderr, s.Log),
+	})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	fmt.Fprintln(stdout, d.Ready())
+	return runUntil(signals, d)
+}
+
+func printSettings(w io.Writer, s Settings) error {
+	data, err := s.YAML()
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(data)
+	return errors.Wrap(err, "print settings")
+}
+
+var levels = map[string]slog.Level{
+	LevelDebug: slog.LevelDebug,
+	LevelInfo:  slog.LevelInfo,
+	LevelWarn:  slog.LevelWarn,
+	LevelError: slog.LevelError,
+}
+
+func newLogger(w io.Writer, l Log) *slog.Logger {
+	options := &slog.HandlerOptions{Level: levels[l.Level]}
+	if l.Format == FormatJSON {
+		return slog.New(slog.NewJSONHandler(w, options))
+	}
+	return slog.New(slog.NewTextHandler(w, options))
+}
+
+// runUntil runs d until a graceful shutdown, which the first signal starts, is
+// complete or a second signal comes.
+func runUntil(signals <-chan os.Signal, d *Daemon) error {
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(context.Background()) }()
+	for received := 0; received < 2; {
+		select {
+		case err := <-ended:
+			return err
+		case <-signals:
+			received++
+			d.Stop()
+		}
+	}
+	return errors.WithStack(ErrInterrupted)
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"path"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/control"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// controlServer answers other instances. It implements control.Control.
+type controlServer struct {
+	daemon *Daemon
+}
+
+// serveControl serves the control address.
+func (d *Daemon) serveControl() *http.Server {
+	handler := control.NewControlServer(&controlServer{daemon: d})
+	s := newServer(d.countCalls(handler))
+	d.work.Go(func() { _ = s.Serve(d.controlSocket) })
+	return s
+}
+
+// countCalls counts calls and their bytes by method, and bounds what is read.
+func (d *Daemon) countCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		traffic := &d.counts.objects
+		if path.Base(r.URL.Path) == "Run" {
+			traffic = &d.counts.runs
+		}
+		traffic.countIn(int(max(r.ContentLength, 0)))
+		r.Body = http.MaxBytesReader(w, r.Body, maxRunMessage)
+		next.ServeHTTP(&countedWriter{ResponseWriter: w, traffic: traffic}, r)
+	})
+}
+
+// countedWriter counts the bytes of an answer.
+type countedWriter struct {
+	http.ResponseWriter
+	traffic *trafficCounts
+}
+
+// Write counts what was written.
+func (w *countedWriter) Write(data []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(data)
+	w.traffic.bytesOut.Inc(int64(n))
+	return n, err
+}
+
+// Run hands a peer's work to the engine and waits for its end. Work that the
+// engine never saw is answered as not run, never as an error, since the peer
+// takes every error for an unknown outcome.
+func (s *controlServer) Run(ctx context.Context, m *control.RunRequest) (*control.RunResult, error) {
+	if err := checkRunMessage(m); err != nil {
+		return runMessage(notRun(packet.ReasonMalformed, err.Error())), nil
+	}
+	d := s.daemon
+	reply := make(chan instance.Result, 1)
+	number := d.calls.Add(1)
+	called := instance.PeerCalled{Call: number, Peer: m.Peer, Work: workOf(m)}
+	if !d.send(input{event: called, reply: reply}) {
+		return runMessage(notRun(packet.ReasonStopping, "instance has stopped")), nil
+	}
+	select {
+	case result := <-reply:
+		return runMessage(result), nil
+	case <-ctx.Done():
+		d.send(input{event: instance.PeerCancelled{Call: number}})
+		return nil, twirp.NewError(twirp.Canceled, "the calling instance gave up")
+	case <-d.done:
+	}
+	// The engine's last answers were given before it ended.
+	select {
+	case result := <-reply:
+		return runMessage(result), nil
+	default:
+		return nil, twirp.NewError(twirp.Unavailable, "instance has stopped")
+	}
+}
+
+func checkRunMessage(m *control.RunRequest) error {
+	switch {
+	case record.CheckName(m.Peer) != nil:
+		return errors.Errorf("peer %q is not a name", m.Peer)
+	case m.Service == "" || len(m.Service) > packet.MaxService:
+		return errors.Errorf("service %q is not a name", m.Service)
+	case m.Class > uint32(packet.ClassLong):
+		return errors.Errorf("class %d is unknown", m.Class)
+	case m.Remaining <= 0 || m.Remaining > int64(record.MaxDeadline):
+		return errors.Errorf("remaining time %d is not within 1 to %d ms", m.Remaining, record.MaxDeadline)
+	case len(m.Body) > packet.MaxBody:
+		return errors.Errorf("body has %d bytes, at most %d are allowed", len(m.Body), packet.MaxBody)
+	}
+	return nil
+}
+
+func workOf(m *control.RunRequest) instance.Work {
+	return instance.Work{
+		Flow:     m.Flow,
+		Request:  m.Request,
+		Service:  m.Service,
+		Class:    packet.Class(m.Class),
+		Once:     m.Once,
+		Nonce:    m.Nonce,
+		Deadline: clock.Now() + clock.Millis(m.Remaining),
+		Body:     m.Body,
+	}
+}
+
+// runMessage returns r for a peer. The codec refuses text that is not UTF-8,
+// which must not cost an answer.
+func runMessage(r instance.Result) *control.RunResult {
+	return &control.RunResult{
+		Outcome: uint32(r.Outcome),
+		Status:  int32(r.Status),
+		Reason:  uint32(r.Reason),
+		Body:    r.Body,
+		Detail:  strings.ToValidUTF8(r.Detail, "?"),
+	}
+}
+
+// Objects returns the newest records known here, or revision 0 and none when
+// the whole set was never known.
+func (s *controlServer) Objects(_ context.Context, m *control.ObjectsRequest) (*control.ObjectsList, error) {
+	objects, revision := s.daemon.objects.list()
+	list := &control.ObjectsList{Revision: revision}
+	if revision <= m.Since {
+		return list, nil
+	}
+	for _, o := range objects {
+		data, err := json.Marshal(o)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode %s", o.Key())
+		}
+		list.Objects = append(list.Objects, data)
+	}
+	return list, nil
+}
+
+var (
+	_ control.Control    = (*controlServer)(nil)
+	_ control.HTTPClient = (*call)(nil)
+	_ io.Writer          = (*countedWriter)(nil)
+)
--- /dev/null
+++ b/entry/handover.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/control"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// Limits of calls between instances.
+const (
+	maxRunMessage     = packet.MaxBody + 64<<10 // bytes
+	maxObjectsMessage = 64 << 20                // bytes
+	handOverGrace     = 200 * clock.Millisecond // for the answer that the deadline passed
+	fetchTimeout      = 5 * clock.Second
+)
+
+// errNotControl reports an answer that is none of an instance's control service.
+var errNotControl = errors.New("answer is not of the control service")
+
+// peerCaller calls the control service of other instances.
+type peerCaller struct {
+	name      string // of this instance
+	transport http.RoundTripper
+	counts    *counts
+}
+
+func newPeerCaller(name string, c *counts) *peerCaller {
+	return &peerCaller{name: name, transport: newTransport(), counts: c}
+}
+
+// call is one call to a peer. It implements control.HTTPClient.
+type call struct {
+	exchange
+	transport http.RoundTripper
+	limit     int64 // bytes of the answer
+	traffic   *trafficCounts
+}
+
+// Do sends one request and reads its whole answer.
+func (c *call) Do(req *http.Request) (*http.Response, error) {
+	req = req.WithContext(c.watch(req.Context()))
+	c.traffic.countOut(int(max(req.ContentLength, 0)))
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	body, err := readWhole(resp, c.limit)
+	if err != nil {
+		return nil, err
+	}
+	c.traffic.bytesIn.Inc(int64(len(body)))
+	if resp.StatusCode == http.StatusOK && resp.Header.Get("Content-Type") != "application/protobuf" {
+		return nil, errors.WithStack(errNotControl)
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return resp, nil
+}
+
+// handOver sends work to another instance and returns its end.
+func (p *peerCaller) handOver(ctx context.Context, a instance.HandOver) instance.Result {
+	left := a.Work.Deadline - clock.Now()
+	if left <= 0 {
+		return notRun(packet.ReasonDeadline, "the deadline passed before the work was handed over")
+	}
+	ctx, cancel := context.WithTimeout(ctx, (left + handOverGrace).Duration())
+	defer cancel()
+	c := &call{transport: p.transport, limit: maxRunMessage, traffic: &p.counts.runs}
+	answer, err := control.NewControlProtobufClient("http://"+a.Control, c).Run(ctx, newRunMessage(p.name, a.Work, left))
+	if err != nil {
+		return c.failure(ctx, err)
+	}
+	return resultOf(answer)
+}
+
+func newRunMessage(name string, w instance.Work, left clock.Millis) *control.RunRequest {
+	return &control.RunRequest{
+		Peer:      name,
+		Flow:      w.Flow,
+		Request:   w.Request,
+		Service:   w.Service,
+		Class:     uint32(w.Class),
+		Once:      w.Once,
+		Nonce:     w.Nonce,
+		Remaining: int64(left),
+		Body:      w.Body,
+	}
+}
+
+// resultOf returns the result in a peer's answer. What makes no sense counts as
+// unknown, since the work may have run.
+func resultOf(m *control.RunResult) instance.Result {
+	r := instance.Result{
+		Outcome: instance.Outcome(min(m.Outcome, 1<<8-1)),
+		Status:  int(m.Status),
+		Reason:  packet.Reason(min(m.Reason, 1<<8-1)),
+		Body:    m.Body,
+		Detail:  m.Detail,
+		Dialled: true,
+	}
+	answered := r.Outcome == instance.OutcomeAnswered
+	switch {
+	case r.Outcome > instance.OutcomeMisrouted || r.Reason > packet.ReasonMemory:
+		return unknownResult("peer answered with an unknown outcome or reason")
+	case answered && (r.Status < 100 || r.Status > 999):
+		return unknownResult("peer answered without a status")
+	case len(r.Body) > packet.MaxBody:
+		return unknownResult("peer answered with more bytes than allowed")
+	}
+	return r
+}
+
+func unknownResult(detail string) instance.Result {
+	return instance.Result{
+		Outcome: instance.OutcomeUnknown, Reason: packet.ReasonUnknown, Dialled: true, Detail: detail,
+	}
+}
+
+// fetchObjects asks another instance for its records. A peer that fails, or
+// that never knew the whole set, brings no event; the engine asks again.
+func (d *Daemon) fetchObjects(ctx context.Context, a instance.FetchObjects) {
+	e, err := d.peers.fetch(ctx, a)
+	if err != nil {
+		d.log.Info("fetch", "reason", "peer", "subject", a.Peer, "detail", err.Error())
+		return
+	}
+	if e.Revision > 0 {
+		d.deliverObjects(e)
+	}
+}
+
+func (p *peerCaller) fetch(ctx context.Context, a instance.FetchObjects) (instance.ObjectsReceived, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
+	defer cancel()
+	c := &call{transport: p.transport, limit: maxObjectsMessage, traffic: &p.counts.objects}
+	list, err := control.NewControlProtobufClient("http://"+a.Control, c).Objects(ctx, &control.ObjectsRequest{})
+	if err != nil {
+		return instance.ObjectsReceived{}, errors.Wrapf(err, "fetch objects of %q", a.Peer)
+	}
+	e := instance.ObjectsReceived{Revision: list.Revision, Whole: true, Source: a.Peer}
+	for i, data := range list.Objects {
+		var o record.Object
+		if err := json.Unmarshal(data, &o); err != nil {
+			return instance.ObjectsReceived{}, errors.Wrapf(err, "decode object %d of %q", i, a.Peer)
+		}
+		e.Objects = append(e.Objects, o)
+	}
+	return e, nil
+}
+
+// deliverObjects keeps a copy of records and hands them to the engine.
+func (d *Daemon) deliverObjects(e instance.ObjectsReceived) {
+	d.objects.apply(e)
+	d.send(input{event: e})
+}
--- /dev/null
+++ b/entry/keys.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"bufio"
+	"encoding/hex"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// ErrKeyfile reports a key file that cannot be used.
+var ErrKeyfile = errors.New("key file is not usable")
+
+// currentMark follows the key that seals new tokens.
+const currentMark = "current"
+
+// keyfile is the content of a key file.
+type keyfile struct {
+	secrets map[uint8][]byte
+	current uint8
+	marked  bool // a line held currentMark
+}
+
+// ReadKeys reads the token keys of all instances. Each line holds the key's
+// number (0 to 255) and its secret in hexadecimal, at least 16 bytes. The key
+// that seals new tokens is followed by the word current; a single key needs no
+// mark. Text after # is a comment. To replace a key without breaking flows, add
+// the new key everywhere, then move the mark everywhere, then remove the old key
+// a token lifetime later.
+func ReadKeys(file string) (*token.Keys, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrapf(ErrKeyfile, "%v", err)
+	}
+	k := keyfile{secrets: map[uint8][]byte{}}
+	lines := bufio.NewScanner(strings.NewReader(string(data)))
+	for number := 1; lines.Scan(); number++ {
+		if err := k.addLine(lines.Text()); err != nil {
+			return nil, errors.Wrapf(ErrKeyfile, "%s:%d: %v", file, number, err)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, errors.Wrapf(ErrKeyfile, "%s: %v", file, err)
+	}
+	if len(k.secrets) > 1 && !k.marked {
+		return nil, errors.Wrapf(ErrKeyfile, "%s: none of %d keys is marked %q", file, len(k.secrets), currentMark)
+	}
+	keys, err := token.NewKeys(k.current, k.secrets)
+	if err != nil {
+		return nil, errors.Wrapf(ErrKeyfile, "%s: %v", file, err)
+	}
+	return keys, nil
+}
+
+// addLine takes in one line. Its errors never hold a secret.
+func (k *keyfile) addLine(line string) error {
+	text, _, _ := strings.Cut(line, "#")
+	words := strings.Fields(text)
+	if len(words) == 0 {
+		return nil
+	}
+	if len(words) < 2 || len(words) > 3 {
+		return errors.Errorf("field \"key\": %d words are not a number, a secret and perhaps %q", len(words), currentMark)
+	}
+	number, err := strconv.ParseUint(words[0], 10, 8)
+	if err != nil {
+		return errors.Errorf("field \"number\": value %q is not within 0 to 255", words[0])
+	}
+	secret, err := hex.DecodeString(words[1])
+	if err != nil {
+		return errors.Errorf("field \"secret\": value of key %d is not hexadecimal", number)
+	}
+	if _, found := k.secrets[uint8(number)]; found {
+		return errors.Errorf("field \"number\": value %d is there twice", number)
+	}
+	k.secrets[uint8(number)] = secret
+	if len(words) == 3 {
+		return k.mark(uint8(number), words[2])
+	}
+	if !k.marked {
+		k.current = uint8(number)
+	}
+	return nil
+}
+
+func (k *keyfile) mark(number uint8, word string) error {
+	if word != currentMark {
+		return errors.Errorf("field \"mark\": value %q is not %q", word, currentMark)
+	}
+	if k.marked {
+		return errors.Errorf("field \"mark\": keys %d and %d are both marked %q", k.current, number, currentMark)
+	}
+	k.current, k.marked = number, true
+	return nil
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// ErrSettings reports a settings file that cannot be used.
+var ErrSettings = errors.New("settings are not usable")
+
+// Settings are what one entry daemon is told by its operator.
+type Settings struct {
+	Name     string  `yaml:"name"`     // of the instance; unique among all instances
+	Centre   string  `yaml:"centre"`   // name of its data centre
+	Size     float64 `yaml:"size"`     // share of work it can take relative to others; default 1
+	Packets  string  `yaml:"packets"`  // IP address and UDP port for callers; port 0 picks one
+	Peers    string  `yaml:"peers"`    // IP address and UDP port for other instances; port 0 picks one
+	Control  string  `yaml:"control"`  // IP address and TCP port for other instances; port 0 picks one
+	Status   string  `yaml:"status"`   // IP address and TCP port for metrics and health; port 0 picks one
+	Platform string  `yaml:"platform"` // URL of the platform
+	Keyfile  string  `yaml:"keyfile"`  // file of token keys; relative to the settings file
+	Log      Log     `yaml:"log"`
+	Memory   int64   `yaml:"memory"` // bytes of request and answer bodies held at once; default 256 MiB
+	Flows    int     `yaml:"flows"`  // flows held at once; default 500000
+}
+
+// Log tells what is logged and how.
+type Log struct {
+	Format string `yaml:"format"` // text or json; default text
+	Level  string `yaml:"level"`  // debug, info, warn or error; default info
+}
+
+// Formats of the log.
+const (
+	FormatText = "text"
+	FormatJSON = "json"
+)
+
+// Levels of the log.
+const (
+	LevelDebug = "debug"
+	LevelInfo  = "info"
+	LevelWarn  = "warn"
+	LevelError = "error"
+)
+
+// Bounds of Settings.
+const (
+	minSize   = 0.001
+	maxSize   = 1000
+	minMemory = 1 << 20 // bytes
+	maxMemory = 1 << 40 // bytes
+	maxFlows  = 100_000_000
+)
+
+// ReadSettings reads and checks a settings file and fills in the defaults.
+// Errors name the file, line, field and value.
+func ReadSettings(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrapf(ErrSettings, "%v", err)
+	}
+	return parseSettings(file, data)
+}
+
+func parseSettings(file string, data []byte) (Settings, error) {
+	s := Settings{
+		Size:   1,
+		Log:    Log{Format: FormatText, Level: LevelInfo},
+		Memory: instance.DefaultMemory,
+		Flows:  instance.DefaultFlows,
+	}
+	d := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := d.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
+		return Settings{}, locate(file, data, err)
+	}
+	if err := d.Decode(&Settings{}); !errors.Is(err, io.EOF) {
+		return Settings{}, errors.Wrapf(ErrSettings, "%s: holds more than one document", file)
+	}
+	if f := s.check(); f != nil {
+		return Settings{}, f.locate(file, data)
+	}
+	if !filepath.IsAbs(s.Keyfile) {
+		s.Keyfile = filepath.Join(filepath.Dir(file), s.Keyfile)
+	}
+	return s, nil
+}
+
+// YAML returns the settings as a settings file holds them.
+func (s Settings) YAML() ([]byte, error) {
+	data, err := yaml.Marshal(s)
+	return data, errors.Wrap(err, "encode settings")
+}
+
+// locate turns an error of the YAML library into one that names file, line,
+// field and value.
+func locate(file string, data []byte, err error) error {
+	var at yaml.Error
+	if !errors.As(err, &at) || at.GetToken() == nil {
+		return errors.Wrapf(ErrSettings, "%s: %v", file, err)
+	}
+	line, message := at.GetToken().Position.Line, at.GetMessage()
+	field, value, found := strings.Cut(lineOf(data, line), ":")
+	if !found {
+		return errors.Wrapf(ErrSettings, "%s:%d: %s", file, line, message)
+	}
+	return errors.Wrapf(ErrSettings, "%s:%d: field %q: value %q: %s",
+		file, line, strings.TrimSpace(field), strings.TrimSpace(value), message)
+}
+
+func lineOf(data []byte, line int) string {
+	lines := strings.Split(string(data), "\n")
+	if line < 1 || line > len(lines) {
+		return ""
+	}
+	return lines[line-1]
+}
+
+// fault is the first field of Settings that is wrong.
+type fault struct {
+	field string // dotted path in the file
+	value any
+	want  string
+}
+
+// locate returns f as an error with the line of its field.
+func (f *fault) locate(file string, data []byte) error {
+	line := fieldLine(data, f.field)
+	if line == 0 {
+		return errors.Wrapf(ErrSettings, "%s: field %q is missing: it must be %s", file, f.field, f.want)
+	}
+	return errors.Wrapf(ErrSettings, "%s:%d: field %q: value %#v is not %s", file, line, f.field, f.value, f.want)
+}
+
+// fieldLine returns the line of a field in a settings file, or 0 when the file
+// does not hold it.
+func fieldLine(data []byte, field string) int {
+	tree, err := parser.ParseBytes(data, 0)
+	if err != nil || len(tree.Docs) == 0 || tree.Docs[0].Body == nil {
+		return 0
+	}
+	path, err := yaml.PathString("$." + field)
+	if err != nil {
+		return 0
+	}
+	node, err := path.FilterFile(tree)
+	if err != nil || node == nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
+
+func (s *Settings) check() *fault {
+	checks := []func() *fault{s.checkIdentity, s.checkAddresses, s.checkFiles, s.checkLog, s.checkLimits}
+	for _, check := range checks {
+		if f := check(); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkIdentity() *fault {
+	const name = "1 to 63 of a-z, 0-9, dot and dash"
+	switch {
+	case record.CheckName(s.Name) != nil:
+		return &fault{"name", s.Name, name}
+	case record.CheckName(s.Centre) != nil:
+		return &fault{"centre", s.Centre, name}
+	case !(s.Size >= minSize && s.Size <= maxSize):
+		return &fault{"size", s.Size, fmt.Sprintf("within %v to %v", minSize, maxSize)}
+	}
+	return nil
+}
+
+func (s *Settings) checkAddresses() *fault {
+	announced := []struct{ field, address string }{
+		{"packets", s.Packets}, {"peers", s.Peers}, {"control", s.Control},
+	}
+	for _, a := range announced {
+		parsed, err := netip.ParseAddrPort(a.address)
+		if err != nil || parsed.Addr().IsUnspecified() {
+			return &fault{a.field, a.address, "an IP address that others can reach, with a port"}
+		}
+	}
+	if _, err := netip.ParseAddrPort(s.Status); err != nil {
+		return &fault{"status", s.Status, "an IP address with a port"}
+	}
+	return nil
+}
+
+func (s *Settings) checkFiles() *fault {
+	u, err := url.Parse(s.Platform)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return &fault{"platform", s.Platform, "a URL with http or https and a host"}
+	}
+	if s.Keyfile == "" {
+		return &fault{"keyfile", s.Keyfile, "the name of a file"}
+	}
+	return nil
+}
+
+func (s *Settings) checkLog() *fault {
+	switch s.Log.Format {
+	case FormatText, FormatJSON:
+	default:
+		return &fault{"log.format", s.Log.Format, "one of text, json"}
+	}
+	switch s.Log.Level {
+	case LevelDebug, LevelInfo, LevelWarn, LevelError:
+	default:
+		return &fault{"log.level", s.Log.Level, "one of debug, info, warn, error"}
+	}
+	return nil
+}
+
+func (s *Settings) checkLimits() *fault {
+	switch {
+	case s.Memory < minMemory || s.Memory > maxMemory:
+		return &fault{"memory", s.Memory, fmt.Sprintf("within %d to %d bytes", minMemory, maxMemory)}
+	case s.Flows < 1 || s.Flows > maxFlows:
+		return &fault{"flows", s.Flows, fmt.Sprintf("within 1 to %d", maxFlows)}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// Times of calls to the platform.
+const (
+	watchWait      = 30 * clock.Second
+	callTimeout    = 5 * clock.Second // beyond watchWait for a watch
+	earlyWatch     = 1 * clock.Second // a watch that ends sooner without news is paced like a failed one
+	instancePeriod = 2 * clock.Second // between lists of instances
+	sourcePlatform = "platform"
+)
+
+// startFeeds starts the goroutines that bring records and instances from the
+// platform. They end with ctx.
+func (d *Daemon) startFeeds(ctx context.Context) {
+	d.work.Go(func() { d.feedObjects(ctx) })
+	d.work.Go(func() { d.feedInstances(ctx) })
+}
+
+// answered reports whether err, the outcome of a call, is an answer of the
+// platform.
+func answered(err error) bool {
+	if err == nil {
+		return true
+	}
+	for _, answer := range []error{
+		platform.ErrAbsent, platform.ErrConflict, platform.ErrHistory, platform.ErrRefused,
+	} {
+		if errors.Is(err, answer) {
+			return true
+		}
+	}
+	return false
+}
+
+// called runs one call to the platform and reports its outcome to the engine.
+func (d *Daemon) called(ctx context.Context, timeout clock.Millis, call func(ctx context.Context) error) error {
+	limited, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	err := call(limited)
+	if ctx.Err() != nil {
+		return err
+	}
+	d.counts.countPlatform(answered(err))
+	d.send(input{event: instance.PlatformCalled{Answered: answered(err)}})
+	return err
+}
+
+// feedObjects lists the operator records and then watches them. It lists again
+// when the platform no longer has, or not yet has, the watch's position.
+func (d *Daemon) feedObjects(ctx context.Context) {
+	var b backoff
+	for ctx.Err() == nil {
+		revision, err := d.listObjects(ctx)
+		if err == nil {
+			d.followObjects(ctx, revision, &b)
+		}
+		pause(ctx, b.next())
+	}
+}
+
+// followObjects watches from a revision until the platform does not have that
+// position or ctx ends.
+func (d *Daemon) followObjects(ctx context.Context, since uint64, b *backoff) {
+	for ctx.Err() == nil {
+		start := clock.Now()
+		next, err := d.watchObjects(ctx, since)
+		if errors.Is(err, platform.ErrHistory) {
+			return
+		}
+		early := next == since && clock.Now()-start < earlyWatch
+		if err != nil || early {
+			pause(ctx, b.next())
+			continue
+		}
+		since = next
+		b.reset()
+	}
+}
+
+// listObjects brings every operator record and returns the revision to watch
+// from, which is the oldest of the lists'.
+func (d *Daemon) listObjects(ctx context.Context) (uint64, error) {
+	e := instance.ObjectsReceived{Whole: true, Source: sourcePlatform}
+	for i, kind := range record.OperatorKinds {
+		var list platform.Listing
+		err := d.called(ctx, callTimeout, func(ctx context.Context) (err error) {
+			list, err = d.platform.List(ctx, kind)
+			return err
+		})
+		if err != nil {
+			return 0, err
+		}
+		if i == 0 || list.Revision < e.Revision {
+			e.Revision = list.Revision
+		}
+		e.Objects = append(e.Objects, list.Objects...)
+	}
+	d.deliverObjects(e)
+	return e.Revision, nil
+}
+
+// watchObjects waits for news since a revision and returns the next one to
+// watch from.
+func (d *Daemon) watchObjects(ctx context.Context, since uint64) (uint64, error) {
+	var news platform.Listing
+	err := d.called(ctx, watchWait+callTimeout, func(ctx context.Context) (err error) {
+		news, err = d.platform.Watch(ctx, record.OperatorKinds, since, watchWait)
+		return err
+	})
+	if err != nil {
+		return since, err
+	}
+	if news.Revision <= since && len(news.Objects) == 0 {
+		return since, nil
+	}
+	d.deliverObjects(instance.ObjectsReceived{
+		Objects: news.Objects, Revision: news.Revision, Source: sourcePlatform,
+	})
+	return max(news.Revision, since), nil
+}
+
+// feedInstances brings the lagging list of the data centre's instances.
+func (d *Daemon) feedInstances(ctx context.Context) {
+	var b backoff
+	for ctx.Err() == nil {
+		var list []record.Instance
+		err := d.called(ctx, callTimeout, func(ctx context.Context) (err error) {
+			list, err = d.platform.Instances(ctx, d.self.Centre)
+			return err
+		})
+		wait := jitter(instancePeriod)
+		if err != nil {
+			wait = max(wait, b.next())
+		} else {
+			b.reset()
+			d.send(input{event: instance.InstancesListed{Instances: list}})
+		}
+		pause(ctx, wait)
+	}
+}
