--- /dev/null
+++ b/instance/board.go
@@ -0,0 +1,184 @@
+package instance
+
+import (
+	"math/rand/v2"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// Board holds all state of one entry instance. Controllers read and write it,
+// and pass work to each other through its lists; none of them calls another.
+type Board struct {
+	Settings Settings
+	Self     *Member
+	Now      clock.Millis
+	Started  clock.Millis
+	Stopping clock.Millis // when the graceful shutdown began, or 0
+
+	Records   Records
+	Services  map[uint64]*Service  // by token.Hash of the name
+	Endpoints map[string]*Endpoint // by address
+	Members   Members
+	Flows     Flows
+	Runs      map[uint64]*Job // by run number
+	Calls     map[uint64]*Job // work of other instances, by call number
+	Bytes     int64           // request and answer bodies held
+	Report    Report
+
+	ready   []*Job     // whole requests of flows owned here that need a place
+	ended   []ended    // jobs with a result not yet passed on
+	pumps   []*Service // services whose queue or slots changed
+	used    []*Member  // instances that traffic was passed on to
+	timers  timers
+	actions []Action
+	random  *rand.Rand
+	lastRun uint64
+}
+
+// ended is a job whose result is known.
+type ended struct {
+	job    *Job
+	result Result
+}
+
+func newBoard(s Settings, now clock.Millis) *Board {
+	if s.Memory == 0 {
+		s.Memory = DefaultMemory
+	}
+	if s.Flows == 0 {
+		s.Flows = DefaultFlows
+	}
+	b := &Board{
+		Settings: s, Now: now, Started: now,
+		Services: make(map[uint64]*Service), Endpoints: make(map[string]*Endpoint),
+		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job),
+		random: rand.New(rand.NewPCG(s.Seed, token.Hash(s.Self.Name))),
+	}
+	b.Records = newRecords()
+	b.Members = newMembers()
+	b.Flows = newFlows(s.Flows)
+	b.Report = newReport()
+	b.Self = b.Members.add(s.Self)
+	return b
+}
+
+// do adds an action to the answer to the current event.
+func (b *Board) do(a Action) {
+	b.actions = append(b.actions, a)
+}
+
+// note reports a decision, at info level.
+func (b *Board) note(decision, reason, service, subject, detail string) {
+	b.do(Note{Decision: decision, Reason: reason, Service: service, Subject: subject, Detail: detail, Level: LevelInfo})
+}
+
+// nextRun returns a run number that was not used before.
+func (b *Board) nextRun() uint64 {
+	b.lastRun++
+	return b.lastRun
+}
+
+// pump marks a service whose queue or slots changed.
+func (b *Board) pump(s *Service) {
+	if s.pumping {
+		return
+	}
+	s.pumping = true
+	b.pumps = append(b.pumps, s)
+}
+
+// end records the result of a job for the answers controller.
+func (b *Board) end(j *Job, r Result) {
+	b.ended = append(b.ended, ended{job: j, result: r})
+}
+
+// refuse ends a job that certainly did not run.
+func (b *Board) refuse(j *Job, reason packet.Reason) {
+	b.end(j, Result{Outcome: OutcomeNotRun, Reason: reason})
+}
+
+// Service is a service record in force with what is learnt about it.
+type Service struct {
+	Record    record.Service
+	Hash      uint64
+	Rules     []record.Rule
+	Endpoints []*Endpoint        // of its own data centre, by address
+	Mine      []*Endpoint        // those dispatched by this instance
+	Places    map[string][]Place // by data centre: instances that dispatch its endpoints
+	Short     []*Job             // waiting, first come first
+	Long      []*Job             // waiting, first come first
+	Budget    float64            // retries allowed now
+	Times     [3]Average         // run time by class, in ms
+	pumping   bool
+}
+
+// Place is an instance that dispatches endpoints of a service.
+type Place struct {
+	Member   *Member
+	Capacity float64 // slots times weight of the endpoints
+}
+
+// Waiting returns the number of queued jobs.
+func (s *Service) Waiting() int {
+	return len(s.Short) + len(s.Long)
+}
+
+// Free returns the number of idle slots this instance may fill now.
+func (s *Service) Free(now clock.Millis) int {
+	free := 0
+	for _, ep := range s.Mine {
+		if ep.Usable(now) {
+			free += max(0, ep.Record.Slots-ep.Busy)
+		}
+	}
+	return free
+}
+
+// Capacity returns slots times weight of the endpoints dispatched here.
+func (s *Service) Capacity() float64 {
+	sum := 0.0
+	for _, ep := range s.Mine {
+		sum += ep.Capacity()
+	}
+	return sum
+}
+
+// Load returns the queue state that is attached to envelopes.
+func (s *Service) Load(now clock.Millis) packet.Load {
+	return packet.Load{Service: s.Hash, Free: uint16(min(s.Free(now), 1<<16-1)), Queued: uint16(min(s.Waiting(), 1<<16-1))}
+}
+
+// Job is one whole request that waits for a slot, holds one, or was handed over.
+type Job struct {
+	Work    Work
+	Service *Service
+	Request *Request     // of a flow owned here, or nil
+	Call    uint64       // number of the PeerCalled when Request is nil
+	Queued  clock.Millis // when it joined the queue
+	Begun   clock.Millis // when its run started
+	Tries   int          // places tried so far
+	Run     uint64       // run number while running or handed over, or 0
+	At      *Endpoint    // endpoint that runs it, or nil
+	Peer    *Member      // instance it is handed over to, or nil
+	Avoid   *Member      // instance that just refused it, or nil
+	Dropped bool         // no longer wanted
+}
+
+// Average is an exponentially weighted mean.
+type Average struct {
+	Value float64
+	Count int
+}
+
+// averageWeight is the share of the newest value in an Average.
+const averageWeight = 0.1
+
+// Add takes in a value. The first values count equally.
+func (a *Average) Add(v float64) {
+	a.Count++
+	w := max(averageWeight, 1/float64(a.Count))
+	a.Value += w * (v - a.Value)
+}
--- /dev/null
+++ b/instance/dispatch.go
@@ -0,0 +1,289 @@
+package instance
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// askAhead is how many waiting requests beyond the free slots are asked about, so
+// that a permit is there when a slot comes free.
+const askAhead = 2
+
+// dispatchController fills the slots of the endpoints this instance dispatches.
+type dispatchController struct{ b *Board }
+
+func (c dispatchController) run() bool {
+	if len(c.b.pumps) == 0 {
+		return false
+	}
+	batch := c.b.pumps
+	c.b.pumps = nil
+	for _, s := range batch {
+		s.pumping = false
+		c.fill(s)
+	}
+	return true
+}
+
+// enqueue lets a job wait for a slot here.
+func (b *Board) enqueue(j *Job) {
+	if j.Work.Class == packet.ClassLong {
+		j.Service.Long = append(j.Service.Long, j)
+	} else {
+		j.Service.Short = append(j.Service.Short, j)
+	}
+	b.pump(j.Service)
+}
+
+// fill starts waiting jobs while there are slots for them.
+func (c dispatchController) fill(s *Service) {
+	if c.moveAway(s) {
+		return
+	}
+	for c.startOne(s) {
+	}
+	c.askFirst(s.Short)
+	c.askFirst(s.Long)
+}
+
+// moveAway empties the queue when the jobs can no longer run here.
+func (c dispatchController) moveAway(s *Service) bool {
+	gone := c.b.Services[s.Hash] != s
+	leaving := c.b.Stopping != 0 && len(placeController(c).others(s, nil)) > 0
+	if !gone && !leaving && len(s.Mine) > 0 {
+		return false
+	}
+	jobs := append(s.Short, s.Long...)
+	s.Short, s.Long = nil, nil
+	for _, j := range jobs {
+		switch {
+		case gone:
+			c.b.refuse(j, packet.ReasonService)
+		case j.Request == nil:
+			c.b.refuse(j, packet.ReasonStopping)
+		default:
+			c.b.ready = append(c.b.ready, j)
+		}
+	}
+	return true
+}
+
+// startOne starts the next job that may run and reports whether there was one.
+func (c dispatchController) startOne(s *Service) bool {
+	if ep := c.slot(s, packet.ClassShort); ep != nil {
+		if j := take(&s.Short); j != nil {
+			c.start(j, ep)
+			return true
+		}
+	}
+	if ep := c.slot(s, packet.ClassLong); ep != nil {
+		if j := take(&s.Long); j != nil {
+			c.start(j, ep)
+			return true
+		}
+	}
+	return false
+}
+
+// take removes the first job that may start from a queue, or returns nil.
+func take(queue *[]*Job) *Job {
+	for i, j := range *queue {
+		if j.mayStart() {
+			*queue = slices.Delete(*queue, i, i+1)
+			return j
+		}
+	}
+	return nil
+}
+
+// mayStart reports whether a job needs no further permit.
+func (j *Job) mayStart() bool {
+	return j.Request == nil || !j.Work.Once || j.Request.Granted
+}
+
+// askFirst asks the callers of the first waiting jobs for their permits.
+func (c dispatchController) askFirst(queue []*Job) {
+	for _, j := range queue[:min(len(queue), askAhead)] {
+		if !j.mayStart() && j.Request.AskedAt == 0 {
+			c.b.ask(j.Request)
+		}
+	}
+}
+
+// slot returns the endpoint with the most room for a job of a class, or nil.
+func (c dispatchController) slot(s *Service, class packet.Class) *Endpoint {
+	var best *Endpoint
+	bestUse := 0.0
+	for _, ep := range s.Mine {
+		if !ep.Usable(c.b.Now) || !ep.room(class) {
+			continue
+		}
+		use := float64(ep.Busy+1) / ep.Capacity()
+		if best == nil || use < bestUse {
+			best, bestUse = ep, use
+		}
+	}
+	return best
+}
+
+// room reports whether a job of a class finds a slot. One slot of an endpoint
+// that has several is kept from long work.
+func (ep *Endpoint) room(class packet.Class) bool {
+	if ep.Busy >= ep.Record.Slots {
+		return false
+	}
+	return class != packet.ClassLong || ep.BusyLong < max(1, ep.Record.Slots-1)
+}
+
+func (c dispatchController) start(j *Job, ep *Endpoint) {
+	if c.b.Now >= j.Work.Deadline {
+		c.b.refuse(j, packet.ReasonDeadline)
+		return
+	}
+	j.Tries++
+	j.At, j.Begun = ep, c.b.Now
+	j.Run = c.b.nextRun()
+	c.b.Runs[j.Run] = j
+	ep.Busy++
+	if j.Work.Class == packet.ClassLong {
+		ep.BusyLong++
+	}
+	c.b.do(Observe{Metric: "queue_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(c.b.Now - j.Queued)})
+	c.b.do(RunRequest{Run: j.Run, Endpoint: ep.Record.Address, Host: j.Service.Record.Host, Work: j.Work})
+}
+
+// runEnded frees the slot of a run and passes its result on.
+func (c dispatchController) runEnded(ev RunEnded) {
+	j := c.b.Runs[ev.Run]
+	if j == nil {
+		return
+	}
+	delete(c.b.Runs, ev.Run)
+	ep := j.At
+	j.Run, j.At = 0, nil
+	ep.Busy--
+	if j.Work.Class == packet.ClassLong {
+		ep.BusyLong--
+	}
+	c.b.learn(ep, j, ev.Result)
+	c.b.pump(j.Service)
+	c.b.resolve(j, ev.Result)
+}
+
+// resolve ends a job, or places it again when that is safe: always when it
+// certainly did not run, else only if it may be repeated.
+func (b *Board) resolve(j *Job, r Result) {
+	again := r.Outcome == OutcomeNotRun || r.Outcome == OutcomeMisrouted || (r.Outcome == OutcomeUnknown && !j.Work.Once)
+	again = again && !j.Dropped && j.Tries < maxTries && b.Now < j.Work.Deadline
+	if again && r.Outcome == OutcomeUnknown {
+		again = j.Service.spend()
+	}
+	if !again {
+		b.end(j, settle(r))
+		return
+	}
+	b.do(Note{Decision: "retry", Reason: r.Reason.String(), Service: j.Work.Service, Subject: r.Detail, Level: LevelDebug})
+	if j.Request != nil {
+		b.ready = append(b.ready, j)
+		return
+	}
+	b.enqueue(j)
+}
+
+// settle gives a result that ends a job a reason the caller understands.
+func settle(r Result) Result {
+	switch {
+	case r.Outcome == OutcomeMisrouted:
+		r.Outcome, r.Reason = OutcomeNotRun, packet.ReasonMisrouted
+	case r.Outcome == OutcomeNotRun && r.Reason == packet.ReasonNone:
+		r.Reason = packet.ReasonBusy
+	}
+	return r
+}
+
+// spend takes one retry from the service's budget.
+func (s *Service) spend() bool {
+	if s.Budget < 1 {
+		return false
+	}
+	s.Budget--
+	return true
+}
+
+// dropJob ends a job that is no longer wanted or past its deadline.
+func (b *Board) dropJob(j *Job) {
+	if j.Run != 0 {
+		if !j.Dropped {
+			j.Dropped = true
+			b.do(CancelRun{Run: j.Run})
+		}
+		return
+	}
+	j.Dropped = true
+	remove := func(other *Job) bool { return other == j }
+	j.Service.Short = slices.DeleteFunc(j.Service.Short, remove)
+	j.Service.Long = slices.DeleteFunc(j.Service.Long, remove)
+	reason := packet.ReasonCancelled
+	if b.Now >= j.Work.Deadline {
+		reason = packet.ReasonDeadline
+	}
+	b.refuse(j, reason)
+}
+
+// peerCalled takes in work that another instance hands over. It runs here or is
+// refused; it is never handed on.
+func (c dispatchController) peerCalled(ev PeerCalled) {
+	s := c.b.Services[token.Hash(ev.Work.Service)]
+	j := &Job{Work: ev.Work, Service: s, Call: ev.Call, Queued: c.b.Now}
+	c.b.Calls[ev.Call] = j
+	c.b.Bytes += int64(len(ev.Work.Body))
+	switch {
+	case s == nil:
+		c.b.refuse(j, packet.ReasonService)
+	case c.b.Stopping != 0:
+		c.b.refuse(j, packet.ReasonStopping)
+	case len(s.Mine) == 0:
+		c.b.refuse(j, packet.ReasonBackend)
+	case s.Waiting() >= s.Record.Queue:
+		c.b.refuse(j, packet.ReasonBusy)
+	default:
+		c.b.enqueue(j)
+	}
+}
+
+func (c dispatchController) peerCancelled(ev PeerCancelled) {
+	if j := c.b.Calls[ev.Call]; j != nil {
+		c.b.dropJob(j)
+	}
+}
+
+// expirePeriod is the time between looks for waiting jobs past their deadline.
+const expirePeriod = 50 * clock.Millisecond
+
+// tick refuses jobs of other instances that waited past their deadline; own
+// requests have timers. Services are pumped since endpoints become usable again.
+func (c dispatchController) tick() {
+	if c.b.Now%expirePeriod >= TickPeriod {
+		return
+	}
+	for _, s := range c.b.sortedServices() {
+		if s.Waiting() == 0 {
+			continue
+		}
+		for _, j := range slices.Concat(s.Short, s.Long) {
+			if j.Request == nil && c.b.Now >= j.Work.Deadline {
+				c.b.dropJob(j)
+			}
+		}
+		c.b.pump(s)
+	}
+}
+
+// runSubject names a run in notes.
+func runSubject(w *Work) string {
+	return strconv.FormatUint(w.Flow, 16) + "-" + strconv.FormatUint(w.Request, 10)
+}
--- a/instance/event.go
+++ b/instance/event.go
@@ -11,10 +11,13 @@
 // Event is something that happened to the instance. Engine.Handle takes it in.
 type Event interface{ event() }
 
-// PacketReceived is a datagram from a caller, decoded.
+// PacketReceived is a datagram from a caller, decoded. Data is the datagram
+// itself, when the daemon still has it; it need only be valid during Handle and
+// while the returned actions are carried out.
 type PacketReceived struct {
 	From   netip.AddrPort
 	Packet packet.Packet
+	Data   []byte
 }
 
 // EnvelopeReceived is a datagram from another instance, decoded. Packet is the
@@ -37,9 +40,12 @@
 	Objects  []record.Object
 	Revision uint64
 	Whole    bool
-	Source   string // "platform" or the peer's name
+	Source   string // SourcePlatform or the peer's name
 }
 
+// SourcePlatform is the source of records that come from the platform itself.
+const SourcePlatform = "platform"
+
 // InstancesListed brings the platform's lagging list of instances of the
 // instance's own data centre, or of all data centres.
 type InstancesListed struct {
--- /dev/null
+++ b/instance/flow.go
@@ -0,0 +1,183 @@
+package instance
+
+import (
+	"net/netip"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// Flow is one flow whose requests this instance handles. It holds nothing that
+// its token does not, but for requests under way: an idle flow can be forgotten
+// and taken up again from its token at any time.
+type Flow struct {
+	ID       uint64
+	Service  uint64
+	Backend  uint64 // backend server it is pinned to, or 0
+	Caller   netip.AddrPort
+	Seen     clock.Millis
+	Issued   clock.Millis // issue time of the token last sent
+	Requests []*Request   // under way, in order of arrival
+	Newest   uint64       // highest request number that ended
+	Ended    uint64       // bit i set when request Newest-i ended
+	token    []byte
+	next     *Flow // less recently used
+	prev     *Flow // more recently used
+}
+
+// find returns the flow's request under way with a number, or nil.
+func (f *Flow) find(number uint64) *Request {
+	for _, r := range f.Requests {
+		if r.Number == number {
+			return r
+		}
+	}
+	return nil
+}
+
+// endedBits is the number of ended requests that Flow.Ended remembers.
+const endedBits = 64
+
+// markEnded remembers that a request ended.
+func (f *Flow) markEnded(number uint64) {
+	if number > f.Newest {
+		shift := number - f.Newest
+		f.Ended <<= min(shift, endedBits)
+		f.Newest = number
+	}
+	if age := f.Newest - number; age < endedBits {
+		f.Ended |= 1 << age
+	}
+}
+
+// hasEnded reports whether a request is remembered to have ended.
+func (f *Flow) hasEnded(number uint64) bool {
+	if number > f.Newest || f.Newest-number >= endedBits {
+		return false
+	}
+	return f.Ended&(1<<(f.Newest-number)) != 0
+}
+
+func (f *Flow) drop(r *Request) {
+	for i, other := range f.Requests {
+		if other == r {
+			f.Requests = append(f.Requests[:i], f.Requests[i+1:]...)
+			return
+		}
+	}
+}
+
+// Flows holds the flows of this instance, with the least recently used first to
+// be forgotten.
+type Flows struct {
+	ByID  map[uint64]*Flow
+	limit int
+	head  Flow // sentinel: head.next is the most recently used, head.prev the least
+}
+
+func newFlows(limit int) Flows {
+	return Flows{ByID: make(map[uint64]*Flow), limit: limit}
+}
+
+// touch returns the flow of a token, taking it up if need be.
+func (s *Flows) touch(t token.Token, caller netip.AddrPort, now clock.Millis) (f *Flow, fresh bool) {
+	if s.head.next == nil {
+		s.head.next, s.head.prev = &s.head, &s.head
+	}
+	f = s.ByID[t.Flow]
+	if f == nil {
+		f = &Flow{ID: t.Flow, Service: t.Service, Backend: t.Backend}
+		s.ByID[t.Flow] = f
+		fresh = true
+	} else {
+		f.unlink()
+	}
+	s.link(f)
+	f.Caller, f.Seen = caller, now
+	s.trim()
+	return f, fresh
+}
+
+func (s *Flows) link(f *Flow) {
+	f.next, f.prev = s.head.next, &s.head
+	f.next.prev = f
+	s.head.next = f
+}
+
+func (f *Flow) unlink() {
+	f.prev.next, f.next.prev = f.next, f.prev
+	f.next, f.prev = nil, nil
+}
+
+// trim forgets the least recently used idle flows beyond the limit.
+func (s *Flows) trim() {
+	const steps = 4 // looks at a few, so that busy flows at the end cost little
+	for f, i := s.head.prev, 0; len(s.ByID) > s.limit && f != &s.head && i < steps; i++ {
+		older := f.prev
+		if len(f.Requests) == 0 {
+			s.forget(f)
+		}
+		f = older
+	}
+}
+
+func (s *Flows) forget(f *Flow) {
+	f.unlink()
+	delete(s.ByID, f.ID)
+}
+
+// flowIdle is how long an idle flow is held in memory.
+const flowIdle = 10 * clock.Minute
+
+// expire forgets flows that have been idle for long.
+func (s *Flows) expire(now clock.Millis) {
+	for f := s.head.prev; f != nil && f != &s.head && now-f.Seen > flowIdle; {
+		older := f.prev
+		if len(f.Requests) == 0 {
+			s.forget(f)
+		}
+		f = older
+	}
+}
+
+// State is where a request stands at its flow's owner.
+type State uint8
+
+// The states of a request.
+const (
+	StateReceiving State = iota // parts are missing
+	StatePlacing                // whole; queued here, asking for a permit, running or handed over
+	StateAnswering              // the answer is being sent
+	StateRefused                // refused; kept to repeat the refusal
+	StateEnded                  // nothing is left to do
+)
+
+// Request is one request of a flow owned here.
+type Request struct {
+	Flow     *Flow
+	Number   uint64
+	Once     bool
+	Class    packet.Class
+	Deadline clock.Millis
+	State    State
+	Parts    uint32           // number of parts of the request
+	Assembly *packet.Assembly // while parts are missing
+	Unacked  int              // new parts since the last Ack
+	Job      *Job
+
+	Nonce   uint64       // of the Ask sent, or 0
+	Granted bool         // the caller permitted Nonce
+	AskedAt clock.Millis // when Ask was last sent
+
+	Answer  []byte
+	Status  uint16
+	Reason  packet.Reason // when refused
+	Window  packet.Window
+	Burst   uint32       // parts in flight allowed
+	Timeout clock.Millis // until unacknowledged parts are repeated
+	SentAt  clock.Millis // when answer parts were last sent
+	Until   clock.Millis // when it is given up while answering or refused
+
+	due clock.Millis
+}
--- /dev/null
+++ b/instance/health.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// How long an endpoint gets no new work after trouble, and how often troubled
+// ones are asked whether they have recovered.
+const (
+	shedPause    = 100 * clock.Millisecond
+	failPause    = 100 * clock.Millisecond // doubles with each failure in a row
+	maxPause     = 5 * clock.Second
+	failsAllowed = 1 // failures in a row after bytes were sent, before the endpoint rests
+	probePeriod  = 1 * clock.Second
+)
+
+// learn takes in what the end of a run tells about its endpoint.
+func (b *Board) learn(ep *Endpoint, j *Job, r Result) {
+	switch r.Outcome {
+	case OutcomeAnswered:
+		b.learnAnswer(ep, j)
+	case OutcomeMisrouted:
+		ep.Misrouted = true
+		b.note("eject", "misrouted", j.Work.Service, ep.subject(), runSubject(&j.Work))
+		b.Report.raise(b.Now, conditionMisrouted, ep.subject(), "it does not serve "+j.Work.Service, "gets no work until it says that it does or its record changes")
+	case OutcomeNotRun:
+		b.learnRefusal(ep, r)
+	case OutcomeUnknown:
+		if !j.Dropped || r.Silent {
+			b.learnFailure(ep, r)
+		}
+	}
+	if r.Drain && !ep.Draining {
+		ep.Draining = true
+		b.note("eject", "draining", j.Work.Service, ep.subject(), "")
+		b.Report.raise(b.Now, conditionDraining, ep.subject(), "it says that it is draining", "gets no new work")
+	}
+}
+
+func (b *Board) learnAnswer(ep *Endpoint, j *Job) {
+	ep.Fails = 0
+	b.Report.clear(conditionBackend, ep.subject())
+	b.Report.clear(conditionSilent, ep.subject())
+	b.Report.clear(conditionNoBackend, "service/"+j.Work.Service)
+	took := b.Now - j.Begun
+	j.Service.Times[j.Work.Class].Add(float64(took))
+	j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
+	b.do(Observe{Metric: "run_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(took)})
+}
+
+func (b *Board) learnRefusal(ep *Endpoint, r Result) {
+	if r.Shed || r.Drain {
+		ep.Until = max(ep.Until, b.Now+shedPause)
+		return
+	}
+	if !r.Dialled {
+		b.rest(ep, "connections are refused", r.Detail)
+	}
+}
+
+func (b *Board) learnFailure(ep *Endpoint, r Result) {
+	if r.Silent {
+		b.Report.raise(b.Now, conditionSilent, ep.subject(), "a request was not answered in time", "the connection was replaced")
+		b.note("silent", "timeout", "", ep.subject(), r.Detail)
+	}
+	if ep.Fails < failsAllowed {
+		ep.Fails++
+		return
+	}
+	b.rest(ep, "requests fail", r.Detail)
+}
+
+// rest keeps new work from an endpoint for a while, longer after each failure.
+func (b *Board) rest(ep *Endpoint, reason, detail string) {
+	pause := min(failPause<<min(ep.Fails, 10), maxPause)
+	ep.Fails++
+	ep.Until = b.Now + pause
+	b.note("eject", "failing", "", ep.subject(), detail)
+	b.Report.raise(b.Now, conditionBackend, ep.subject(), reason, "gets no work while it rests, and is tried again")
+}
+
+// healthController asks endpoints in trouble whether they have recovered.
+type healthController struct{ b *Board }
+
+func (c healthController) tick() {
+	for _, s := range c.b.sortedServices() {
+		for _, ep := range s.Mine {
+			troubled := ep.Draining || ep.Misrouted || ep.Until > c.b.Now
+			if troubled && c.b.Now-ep.Probed >= probePeriod {
+				ep.Probed = c.b.Now
+				c.b.do(ProbeEndpoint{Endpoint: ep.Record.Address, Host: s.Record.Host})
+			}
+		}
+	}
+}
+
+// probeEnded lets an endpoint that says it is well take work again. Its word
+// counts only for that: work that fails ejects it anew.
+func (c healthController) probeEnded(ev ProbeEnded) {
+	ep := c.b.Endpoints[ev.Endpoint]
+	if ep == nil || !ev.Answered {
+		return
+	}
+	if ep.Draining && !ev.Draining {
+		ep.Draining = false
+		c.b.Report.clear(conditionDraining, ep.subject())
+	}
+	if ep.Misrouted && ev.Healthy && !ev.Draining {
+		ep.Misrouted = false
+		c.b.Report.clear(conditionMisrouted, ep.subject())
+	}
+	if s := c.b.Services[ep.Service]; s != nil {
+		c.b.pump(s)
+	}
+}
--- /dev/null
+++ b/instance/members.go
@@ -0,0 +1,412 @@
+package instance
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// Failure detection. Heartbeats go round the instances of the data centre, one
+// a period, so their rate does not grow with the number of instances; an
+// instance that traffic is passed on to is asked at once when it has been quiet.
+const (
+	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances
+	beatTimeout = 200 * clock.Millisecond // until an unanswered heartbeat is repeated
+	beatTries   = 3                       // unanswered heartbeats until an instance counts as dead
+	quietLimit  = 500 * clock.Millisecond // traffic to an instance quiet for longer asks for a heartbeat
+	forgetAfter = 30 * clock.Second       // a dead instance that is not listed is forgotten
+	joinLimit   = 3 * clock.Second        // an instance that starts waits this long at most to be known
+)
+
+// Member is one entry instance as this instance sees it.
+type Member struct {
+	Instance    record.Instance
+	Hash        uint64
+	Incarnation uint64
+	Peers       netip.AddrPort
+	Alive       bool
+	Leaving     bool
+	Listed      bool         // in the platform's latest list
+	Knows       bool         // it has answered a heartbeat of this process
+	Heard       clock.Millis // when its latest heartbeat answer came
+	Asked       clock.Millis // when the first unanswered heartbeat was sent, or 0
+	Sent        clock.Millis // when the latest heartbeat was sent
+	Misses      int          // heartbeats unanswered in a row
+	Ahead       clock.Millis // since when its configuration is newer than ours, or 0
+	Loads       map[uint64]*PeerLoad
+}
+
+// PeerLoad is the newest queue state heard from another instance.
+type PeerLoad struct {
+	Free   int
+	Queued int
+	At     clock.Millis
+}
+
+// Takes reports whether the member takes new flows and work.
+func (m *Member) Takes() bool {
+	return m.Alive && !m.Leaving
+}
+
+// Members holds every instance this instance knows, itself included.
+type Members struct {
+	ByHash  map[uint64]*Member
+	All     []*Member            // by name
+	Live    map[string][]*Member // by data centre: those that take new work, by name
+	ListAt  clock.Millis         // when the platform's list first came, or 0
+	Ready   bool                 // this instance may dispatch endpoints
+	changed bool                 // Live and the dispatch of endpoints are out of date
+	beatAt  clock.Millis
+	beat    uint64
+	turn    int
+}
+
+func newMembers() Members {
+	return Members{ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member)}
+}
+
+// add takes in a new member as alive.
+func (m *Members) add(i record.Instance) *Member {
+	peers, _ := netip.ParseAddrPort(i.Peers)
+	n := &Member{
+		Instance: i, Hash: token.Hash(i.Name), Incarnation: uint64(i.Incarnation), Peers: peers,
+		Alive: true, Leaving: i.State == record.StateLeaving, Loads: make(map[uint64]*PeerLoad),
+	}
+	m.ByHash[n.Hash] = n
+	m.All = append(m.All, n)
+	slices.SortFunc(m.All, func(x, y *Member) int { return cmp.Compare(x.Instance.Name, y.Instance.Name) })
+	m.changed = true
+	return n
+}
+
+func (m *Members) remove(n *Member) {
+	delete(m.ByHash, n.Hash)
+	m.All = slices.DeleteFunc(m.All, func(x *Member) bool { return x == n })
+	m.changed = true
+}
+
+// memberController decides which instances are alive. The platform's list is
+// where instances are found; heartbeats tell whether they live.
+type memberController struct{ b *Board }
+
+func (c memberController) listed(ev InstancesListed) {
+	for _, m := range c.b.Members.All {
+		m.Listed = false
+	}
+	for _, i := range ev.Instances {
+		if i.Check() != nil || i.Name == c.b.Settings.Self.Name {
+			continue
+		}
+		c.learn(i).Listed = true
+	}
+	if c.b.Members.ListAt == 0 {
+		c.b.Members.ListAt = c.b.Now
+		c.greet()
+	}
+}
+
+// learn takes in an instance's description. An older incarnation changes nothing.
+func (c memberController) learn(i record.Instance) *Member {
+	m := c.b.Members.ByHash[token.Hash(i.Name)]
+	switch {
+	case m == nil:
+		m = c.b.Members.add(i)
+		c.b.note("join", "listed", "", "instance/"+i.Name, i.Peers)
+		c.pingNear(m)
+	case uint64(i.Incarnation) > m.Incarnation:
+		c.restart(m, uint64(i.Incarnation))
+		m.Instance = i
+		m.Peers, _ = netip.ParseAddrPort(i.Peers)
+		c.pingNear(m)
+	case uint64(i.Incarnation) == m.Incarnation:
+		m.Instance = i
+		c.leaving(m, i.State == record.StateLeaving || m.Leaving)
+	}
+	return m
+}
+
+func (c memberController) restart(m *Member, incarnation uint64) {
+	c.b.note("restart", "incarnation", "", "instance/"+m.Instance.Name, "")
+	m.Incarnation = incarnation
+	m.Alive, m.Leaving, m.Knows = true, false, false
+	m.Asked, m.Misses = 0, 0
+	clear(m.Loads)
+	c.b.Members.changed = true
+}
+
+func (c memberController) leaving(m *Member, leaving bool) {
+	if m.Leaving == leaving {
+		return
+	}
+	m.Leaving = leaving
+	c.b.Members.changed = true
+	c.b.note("leave", "announced", "", "instance/"+m.Instance.Name, "")
+}
+
+// greet sends a heartbeat to every instance of the data centre.
+func (c memberController) greet() {
+	for _, m := range c.b.Members.All {
+		c.pingNear(m)
+	}
+}
+
+// pingNear sends a heartbeat to an instance of this data centre.
+func (c memberController) pingNear(m *Member) {
+	if m != c.b.Self && m.Instance.Centre == c.b.Self.Instance.Centre {
+		c.ping(m)
+	}
+}
+
+// ping sends a heartbeat, unless one was sent within the last timeout.
+func (c memberController) ping(m *Member) {
+	if m.Sent != 0 && c.b.Now-m.Sent < beatTimeout {
+		return
+	}
+	c.b.Members.beat++
+	m.Sent = c.b.Now
+	if m.Asked == 0 {
+		m.Asked = c.b.Now
+	}
+	e := c.b.envelope(m)
+	e.Beat = c.b.Members.beat
+	c.b.do(SendEnvelope{To: m.Peers, Envelope: e})
+}
+
+// envelope returns an envelope with the sender's fields set.
+func (b *Board) envelope(to *Member) packet.Envelope {
+	e := packet.Envelope{
+		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
+		Leaving: b.Stopping != 0, Revision: b.Records.Revision,
+	}
+	if !to.Knows || to.Misses > 0 {
+		hello := b.Self.Instance
+		e.Hello = &hello
+	}
+	return e
+}
+
+// heard takes in what every envelope says about its sender. It returns nil when
+// the sender is unknown or an older incarnation.
+func (c memberController) heard(ev EnvelopeReceived) *Member {
+	if ev.Envelope.Sender == c.b.Self.Hash {
+		return nil
+	}
+	if ev.Envelope.Hello != nil {
+		c.learn(*ev.Envelope.Hello)
+	}
+	m := c.b.Members.ByHash[ev.Envelope.Sender]
+	if m == nil || ev.Envelope.Incarnation < m.Incarnation {
+		return nil
+	}
+	if ev.Envelope.Incarnation > m.Incarnation {
+		c.restart(m, ev.Envelope.Incarnation)
+	}
+	c.leaving(m, ev.Envelope.Leaving)
+	c.loads(m, ev.Envelope.Loads)
+	if ev.Envelope.Beat != 0 {
+		c.beat(m, ev.Envelope)
+	}
+	return m
+}
+
+func (c memberController) loads(m *Member, loads []packet.Load) {
+	for _, l := range loads {
+		known := m.Loads[l.Service]
+		if known == nil {
+			if c.b.Services[l.Service] == nil {
+				continue
+			}
+			known = &PeerLoad{}
+			m.Loads[l.Service] = known
+		}
+		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), At: c.b.Now}
+	}
+}
+
+func (c memberController) beat(m *Member, e packet.Envelope) {
+	c.compareRevision(m, e.Revision)
+	if e.Reply {
+		c.answered(m)
+		return
+	}
+	reply := c.b.envelope(m)
+	reply.Beat, reply.Reply = e.Beat, true
+	c.b.do(SendEnvelope{To: m.Peers, Envelope: reply})
+	if !m.Alive || !m.Knows {
+		c.ping(m)
+	}
+}
+
+func (c memberController) answered(m *Member) {
+	m.Heard, m.Asked, m.Misses, m.Knows = c.b.Now, 0, 0, true
+	if m.Alive {
+		return
+	}
+	m.Alive = true
+	c.b.Members.changed = true
+	c.b.note("revive", "heartbeat", "", "instance/"+m.Instance.Name, "")
+	c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+}
+
+// Limits of asking other instances for newer configuration.
+const (
+	aheadLimit  = 1500 * clock.Millisecond // how long the platform is waited for first
+	fetchPeriod = 2 * clock.Second
+)
+
+// compareRevision asks another instance for its records when it has had newer
+// ones for a while and the platform has not brought them.
+func (c memberController) compareRevision(m *Member, revision uint64) {
+	if revision <= c.b.Records.Revision {
+		m.Ahead = 0
+		return
+	}
+	if m.Ahead == 0 {
+		m.Ahead = c.b.Now
+	}
+	starting := c.b.Records.Revision == 0
+	if !starting && c.b.Now-m.Ahead < aheadLimit {
+		return
+	}
+	m.Ahead = c.b.Now + fetchPeriod - aheadLimit
+	c.b.do(FetchObjects{Peer: m.Instance.Name, Control: m.Instance.Control})
+}
+
+func (c memberController) tick() {
+	c.beatNext()
+	for _, m := range slices.Clone(c.b.Members.All) {
+		if m != c.b.Self {
+			c.check(m)
+		}
+	}
+	c.join()
+}
+
+// beatNext sends one heartbeat a period, to the instances in turn.
+func (c memberController) beatNext() {
+	s := &c.b.Members
+	if c.b.Now-s.beatAt < beatPeriod || len(s.All) < 2 {
+		return
+	}
+	s.beatAt = c.b.Now
+	for range s.All {
+		s.turn++
+		m := s.All[s.turn%len(s.All)]
+		if m != c.b.Self && m.Instance.Centre == c.b.Self.Instance.Centre {
+			c.ping(m)
+			return
+		}
+	}
+}
+
+// check repeats an unanswered heartbeat and counts a silent instance as dead.
+func (c memberController) check(m *Member) {
+	if m.Asked == 0 || c.b.Now-m.Sent < beatTimeout {
+		return
+	}
+	m.Misses++
+	switch {
+	case m.Alive && m.Misses < beatTries:
+		c.ping(m)
+	case m.Alive:
+		m.Alive = false
+		m.Knows = false
+		c.b.Members.changed = true
+		c.b.note("suspect", "silent", "", "instance/"+m.Instance.Name, "")
+		c.b.Report.raise(c.b.Now, conditionInstance, "instance/"+m.Instance.Name, "heartbeats are not answered", "its flows are taken over by other instances")
+		m.Asked = 0
+	default:
+		m.Asked = 0
+	}
+	if !m.Alive && !m.Listed && c.b.Now-max(m.Heard, c.b.Started) > forgetAfter {
+		c.b.Members.remove(m)
+		c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+	}
+}
+
+// join lets this instance dispatch endpoints once the others know of it, so that
+// two instances do not dispatch the same endpoint for longer than need be.
+func (c memberController) join() {
+	s := &c.b.Members
+	if s.Ready {
+		return
+	}
+	if c.b.Now-c.b.Started < joinLimit && (s.ListAt == 0 || !c.known()) {
+		return
+	}
+	s.Ready = true
+	s.changed = true
+	c.b.note("join", "ready", "", "instance/"+c.b.Self.Instance.Name, "")
+}
+
+func (c memberController) known() bool {
+	for _, m := range c.b.Members.All {
+		if m != c.b.Self && m.Alive && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
+			return false
+		}
+	}
+	return true
+}
+
+// used asks an instance that traffic goes to for a sign of life.
+func (c memberController) used(m *Member) {
+	if m.Asked == 0 && c.b.Now-max(m.Heard, m.Sent) > quietLimit {
+		c.ping(m)
+	}
+}
+
+// derive works out which instances take work, and which of them dispatches each
+// endpoint.
+func (c memberController) derive() {
+	s := &c.b.Members
+	s.changed = false
+	c.b.Self.Leaving = c.b.Stopping != 0
+	s.Live = make(map[string][]*Member)
+	for _, m := range s.All {
+		if m.Takes() && (m != c.b.Self || s.Ready) {
+			s.Live[m.Instance.Centre] = append(s.Live[m.Instance.Centre], m)
+		}
+	}
+	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live[here]) == 0 {
+		s.Live[here] = []*Member{c.b.Self} // no other can take over
+	}
+	for _, v := range c.b.sortedServices() {
+		c.derivePlaces(v)
+		c.b.pump(v)
+	}
+}
+
+func (c memberController) derivePlaces(v *Service) {
+	v.Mine = nil
+	v.Places = make(map[string][]Place)
+	for _, ep := range v.Endpoints {
+		if ep.Backend.State != record.StateActive {
+			continue
+		}
+		centre := ep.Backend.Centre
+		m := rendezvous(ep.Hash, c.b.Members.Live[centre])
+		if m == nil {
+			continue
+		}
+		if m == c.b.Self {
+			v.Mine = append(v.Mine, ep)
+		}
+		v.addPlace(centre, m, ep.Capacity())
+	}
+}
+
+func (s *Service) addPlace(centre string, m *Member, capacity float64) {
+	places := s.Places[centre]
+	for i := range places {
+		if places[i].Member == m {
+			places[i].Capacity += capacity
+			return
+		}
+	}
+	s.Places[centre] = append(places, Place{Member: m, Capacity: capacity})
+}
--- /dev/null
+++ b/instance/place.go
@@ -0,0 +1,223 @@
+package instance
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+)
+
+// Choice of the instance that runs a request.
+const (
+	maxTries    = 6                // places tried for one request
+	loadAge     = 2 * clock.Second // older queue states of others count as unknown
+	placeMargin = 0.5              // queue per capacity by which another must be shorter
+	unknownLoad = 0.25             // queue per capacity assumed of instances not heard of
+	retryShare  = 0.1              // retries allowed per request
+	retryBurst  = 20.0             // retries saved up at most
+)
+
+// placeController decides which instance runs each whole request: this one, when
+// it dispatches endpoints of the service with room, or the less loaded of two
+// others.
+type placeController struct{ b *Board }
+
+func (c placeController) run() bool {
+	if len(c.b.ready) == 0 {
+		return false
+	}
+	batch := c.b.ready
+	c.b.ready = nil
+	for _, j := range batch {
+		c.place(j)
+	}
+	return true
+}
+
+func (c placeController) place(j *Job) {
+	switch {
+	case j.Dropped:
+		c.b.refuse(j, packet.ReasonCancelled)
+	case c.b.Now >= j.Work.Deadline:
+		c.b.refuse(j, packet.ReasonDeadline)
+	case c.b.Services[j.Service.Hash] != j.Service:
+		c.b.refuse(j, packet.ReasonService)
+	case j.Peer != nil && j.Peer.Takes():
+		c.handOver(j, j.Peer)
+	case j.Tries >= maxTries:
+		c.b.refuse(j, packet.ReasonBusy)
+	default:
+		c.choose(j)
+	}
+}
+
+// choose places a job here or at another instance.
+func (c placeController) choose(j *Job) {
+	j.Peer = nil
+	here, other := c.local(j.Service), c.shorter(j.Service, j.Avoid)
+	if other == nil && j.Avoid != nil && here < 0 {
+		other = c.shorter(j.Service, nil)
+	}
+	switch {
+	case here < 0 && other == nil:
+		c.b.refuse(j, packet.ReasonBackend)
+		c.b.Report.raise(c.b.Now, conditionNoBackend, "service/"+j.Service.Record.Name, "no backend server takes work", "refused as not run")
+	case other != nil && (here < 0 || c.score(j.Service, other)+placeMargin < here):
+		c.handOver(j, other.Member)
+	case j.Service.Waiting() >= j.Service.Record.Queue:
+		c.b.refuse(j, packet.ReasonBusy)
+		c.b.Report.raise(c.b.Now, conditionOverload, "service/"+j.Service.Record.Name, "the queue is full", "refused as not run")
+	default:
+		c.b.enqueue(j)
+	}
+}
+
+// local returns this instance's queue per capacity, or -1 when it dispatches no
+// endpoint of the service that can be used.
+func (c placeController) local(s *Service) float64 {
+	usable := false
+	for _, ep := range s.Mine {
+		usable = usable || ep.Usable(c.b.Now)
+	}
+	if !usable || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
+		return -1
+	}
+	if s.Free(c.b.Now) > s.Waiting() {
+		return 0
+	}
+	return float64(s.Waiting()+1) / s.Capacity()
+}
+
+// shorter draws two other instances and returns the one with the shorter queue
+// per capacity.
+func (c placeController) shorter(s *Service, avoid *Member) *Place {
+	others := c.others(s, avoid)
+	if len(others) == 0 {
+		return nil
+	}
+	best := &others[c.b.random.IntN(len(others))]
+	second := &others[c.b.random.IntN(len(others))]
+	if c.score(s, second) < c.score(s, best) {
+		best = second
+	}
+	return best
+}
+
+// others returns the other instances that dispatch endpoints of a service in
+// this data centre, or in others when there are none here or a rule allows it.
+func (c placeController) others(s *Service, avoid *Member) []Place {
+	var found []Place
+	for _, p := range s.Places[c.b.Self.Instance.Centre] {
+		if p.Member != c.b.Self && p.Member != avoid && p.Member.Takes() {
+			found = append(found, p)
+		}
+	}
+	if len(found) > 0 || len(s.Mine) > 0 {
+		return found
+	}
+	for _, centre := range c.farCentres(s) {
+		for _, p := range s.Places[centre] {
+			if p.Member != avoid && p.Member.Takes() {
+				found = append(found, p)
+			}
+		}
+	}
+	return found
+}
+
+// farCentres returns the other data centres with endpoints of a service, sorted.
+func (c placeController) farCentres(s *Service) []string {
+	centres := slices.Sorted(maps.Keys(s.Places))
+	return slices.DeleteFunc(centres, func(name string) bool { return name == c.b.Self.Instance.Centre })
+}
+
+// score returns another instance's queue per capacity as last heard.
+func (c placeController) score(s *Service, p *Place) float64 {
+	l := p.Member.Loads[s.Hash]
+	if l == nil || c.b.Now-l.At > loadAge {
+		return unknownLoad
+	}
+	if l.Free > l.Queued {
+		return -float64(l.Free) / p.Capacity
+	}
+	return float64(l.Queued+1) / p.Capacity
+}
+
+// handOver sends a job to another instance, after the caller's permit if the
+// request must not be repeated.
+func (c placeController) handOver(j *Job, m *Member) {
+	j.Peer = m
+	if j.Work.Once && !j.Request.Granted {
+		c.b.ask(j.Request)
+		return
+	}
+	j.Tries++
+	j.Run = c.b.nextRun()
+	j.Begun = c.b.Now
+	c.b.Runs[j.Run] = j
+	if l := m.Loads[j.Service.Hash]; l != nil {
+		l.add()
+	}
+	c.b.do(HandOver{Run: j.Run, Peer: m.Instance.Name, Control: m.Instance.Control, Work: j.Work})
+	c.b.used = append(c.b.used, m)
+}
+
+// add counts work sent to an instance since its queue state was heard.
+func (l *PeerLoad) add() {
+	if l.Free > 0 {
+		l.Free--
+		return
+	}
+	l.Queued++
+}
+
+func (c placeController) handOverEnded(ev HandOverEnded) {
+	j := c.b.Runs[ev.Run]
+	if j == nil {
+		return
+	}
+	delete(c.b.Runs, ev.Run)
+	j.Run, j.Avoid, j.Peer = 0, j.Peer, nil
+	c.b.resolve(j, ev.Result)
+}
+
+// chooseOwner returns the owner for a new flow: of two instances drawn by their
+// capacity for the service, the less loaded one.
+func (b *Board) chooseOwner(s *Service) *Member {
+	places := s.Places[b.Self.Instance.Centre]
+	if len(places) == 0 {
+		if b.Stopping != 0 {
+			return rendezvous(b.random.Uint64(), b.Members.Live[b.Self.Instance.Centre])
+		}
+		return b.Self
+	}
+	first, second := b.drawPlace(places), b.drawPlace(places)
+	if b.placeScore(s, second) < b.placeScore(s, first) {
+		first = second
+	}
+	return first.Member
+}
+
+func (b *Board) drawPlace(places []Place) *Place {
+	sum := 0.0
+	for i := range places {
+		sum += places[i].Capacity
+	}
+	x := b.random.Float64() * sum
+	for i := range places {
+		x -= places[i].Capacity
+		if x < 0 {
+			return &places[i]
+		}
+	}
+	return &places[len(places)-1]
+}
+
+func (b *Board) placeScore(s *Service, p *Place) float64 {
+	c := placeController{b}
+	if p.Member == b.Self {
+		return c.local(s)
+	}
+	return c.score(s, p)
+}
--- /dev/null
+++ b/instance/records.go
@@ -0,0 +1,256 @@
+package instance
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// maxTombstones bounds the deleted records that are remembered so that an older
+// revision from a lagging source cannot bring them back.
+const maxTombstones = 20_000
+
+// Records holds the newest revision seen of every operator record.
+type Records struct {
+	Objects  map[record.Key]record.Object // newest seen, also deleted and rejected ones
+	Good     map[record.Key]record.Object // newest accepted and not deleted: these are in force
+	Revision uint64                       // newest revision among Objects
+	Loaded   bool                         // a whole list was received
+}
+
+func newRecords() Records {
+	return Records{Objects: make(map[record.Key]record.Object), Good: make(map[record.Key]record.Object)}
+}
+
+// recordController keeps the records in force: the newest accepted revision of
+// each, never an older one after a newer, whatever source they come from.
+type recordController struct{ b *Board }
+
+func (c recordController) receive(ev ObjectsReceived) {
+	changed := false
+	listed := make(map[record.Key]bool, len(ev.Objects))
+	for _, o := range ev.Objects {
+		listed[o.Key()] = true
+		if c.accept(o, ev.Source) {
+			changed = true
+		}
+	}
+	if ev.Whole && c.dropAbsent(listed, ev.Revision) {
+		changed = true
+	}
+	if whole := ev.Whole || (ev.Source != SourcePlatform && len(ev.Objects) > 0); whole && !c.b.Records.Loaded {
+		c.b.Records.Loaded = true
+		changed = true
+	}
+	if changed {
+		c.prune()
+		c.derive()
+	}
+}
+
+// accept takes in one object and reports whether the records in force changed.
+func (c recordController) accept(o record.Object, source string) bool {
+	r := &c.b.Records
+	if !slices.Contains(record.OperatorKinds, o.Kind) {
+		return false
+	}
+	known, seen := r.Objects[o.Key()]
+	if seen && o.Revision <= known.Revision {
+		return false
+	}
+	r.Objects[o.Key()] = o
+	r.Revision = max(r.Revision, o.Revision)
+	if o.Deleted {
+		delete(r.Good, o.Key())
+		c.b.note("delete", "record", "", o.Key().String(), source)
+		c.b.Report.clear(conditionRejected, o.Key().String())
+		return true
+	}
+	if err := c.check(o); err != nil {
+		c.b.note("reject", "record", "", o.Key().String(), err.Error())
+		c.b.Report.raise(c.b.Now, conditionRejected, o.Key().String(), err.Error(), "kept the last accepted revision in force")
+		return false
+	}
+	r.Good[o.Key()] = o
+	c.b.Report.clear(conditionRejected, o.Key().String())
+	c.b.note("accept", "record", "", o.Key().String(), "revision "+strconv.FormatUint(o.Revision, 10)+" from "+source)
+	return true
+}
+
+func (c recordController) check(o record.Object) error {
+	if err := o.Check(); err != nil {
+		return err
+	}
+	if o.Kind != record.KindService {
+		return nil
+	}
+	other := c.b.Services[token.Hash(o.Name)]
+	if other != nil && other.Record.Name != o.Name {
+		return record.ErrInvalid
+	}
+	return nil
+}
+
+// dropAbsent treats records that a whole list at a revision does not hold as
+// deleted, unless they are newer than the list.
+func (c recordController) dropAbsent(listed map[record.Key]bool, revision uint64) bool {
+	r := &c.b.Records
+	changed := false
+	for key, o := range r.Objects {
+		if listed[key] || o.Deleted || o.Revision > revision {
+			continue
+		}
+		r.Objects[key] = record.Object{Kind: key.Kind, Name: key.Name, Revision: revision, Deleted: true}
+		delete(r.Good, key)
+		c.b.Report.clear(conditionRejected, key.String())
+		changed = true
+	}
+	return changed
+}
+
+// prune forgets the oldest deleted records beyond maxTombstones.
+func (c recordController) prune() {
+	r := &c.b.Records
+	if len(r.Objects)-len(r.Good) <= maxTombstones {
+		return
+	}
+	var dead []record.Object
+	for _, o := range r.Objects {
+		if o.Deleted {
+			dead = append(dead, o)
+		}
+	}
+	slices.SortFunc(dead, func(a, b record.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, o := range dead[:max(0, len(dead)-maxTombstones)] {
+		delete(r.Objects, o.Key())
+	}
+}
+
+// goodNames returns the names of accepted records of a kind, sorted.
+func (c recordController) goodNames(kind record.Kind) []string {
+	var names []string
+	for key := range c.b.Records.Good {
+		if key.Kind == kind {
+			names = append(names, key.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// derive rebuilds services and endpoints from the records in force. What was
+// learnt about a service or an endpoint is kept.
+func (c recordController) derive() {
+	services := make(map[uint64]*Service)
+	for _, name := range c.goodNames(record.KindService) {
+		s, err := record.DecodeService(c.b.Records.Good[record.Key{Kind: record.KindService, Name: name}])
+		if err != nil {
+			continue
+		}
+		services[token.Hash(name)] = c.service(s)
+	}
+	c.dropServices(services)
+	c.b.Services = services
+	c.deriveRules()
+	c.deriveEndpoints()
+	c.b.Members.changed = true
+}
+
+func (c recordController) service(s record.Service) *Service {
+	hash := token.Hash(s.Name)
+	known := c.b.Services[hash]
+	if known == nil {
+		known = &Service{Hash: hash, Budget: retryBurst}
+	}
+	known.Record = s
+	known.Rules = nil
+	known.Endpoints = nil
+	return known
+}
+
+// dropServices ends the waiting jobs of services that are gone.
+func (c recordController) dropServices(kept map[uint64]*Service) {
+	for _, s := range c.b.sortedServices() {
+		if kept[s.Hash] != nil {
+			continue
+		}
+		s.Endpoints, s.Mine = nil, nil
+		c.b.pump(s)
+	}
+}
+
+func (c recordController) deriveRules() {
+	for _, name := range c.goodNames(record.KindRule) {
+		r, err := record.DecodeRule(c.b.Records.Good[record.Key{Kind: record.KindRule, Name: name}])
+		if err != nil {
+			continue
+		}
+		if s := c.b.Services[token.Hash(r.Service)]; s != nil {
+			s.Rules = append(s.Rules, r)
+		}
+	}
+}
+
+// deriveEndpoints rebuilds the endpoints. When two backend servers name the same
+// address, the newer record holds it: the address was reused.
+func (c recordController) deriveEndpoints() {
+	var backends []record.Backend
+	for _, name := range c.goodNames(record.KindBackend) {
+		r, err := record.DecodeBackend(c.b.Records.Good[record.Key{Kind: record.KindBackend, Name: name}])
+		if err == nil {
+			backends = append(backends, r)
+		}
+	}
+	slices.SortStableFunc(backends, func(x, y record.Backend) int { return cmp.Compare(y.Revision, x.Revision) })
+	endpoints := make(map[string]*Endpoint)
+	for _, r := range backends {
+		for _, e := range r.Endpoints {
+			if endpoints[e.Address] == nil {
+				endpoints[e.Address] = c.endpoint(r, e)
+			}
+		}
+	}
+	c.b.Endpoints = endpoints
+	for _, ep := range c.b.sortedEndpoints() {
+		if s := c.b.Services[ep.Service]; s != nil {
+			s.Endpoints = append(s.Endpoints, ep)
+		}
+	}
+}
+
+// endpoint returns the endpoint at e's address with what was learnt about it,
+// unless it now belongs to another service or backend server.
+func (c recordController) endpoint(r record.Backend, e record.Endpoint) *Endpoint {
+	known := c.b.Endpoints[e.Address]
+	if known == nil || known.Backend.Name != r.Name || known.Backend.Service != r.Service {
+		known = newEndpoint(c.b.Now)
+	}
+	if known.Backend.Revision != r.Revision {
+		known.Misrouted = false
+	}
+	known.Backend, known.Record = r, e
+	known.Service = token.Hash(r.Service)
+	known.Hash = token.Hash(e.Address)
+	return known
+}
+
+func (b *Board) sortedServices() []*Service {
+	all := make([]*Service, 0, len(b.Services))
+	for _, s := range b.Services {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(x, y *Service) int { return cmp.Compare(x.Record.Name, y.Record.Name) })
+	return all
+}
+
+func (b *Board) sortedEndpoints() []*Endpoint {
+	all := make([]*Endpoint, 0, len(b.Endpoints))
+	for _, ep := range b.Endpoints {
+		all = append(all, ep)
+	}
+	slices.SortFunc(all, func(x, y *Endpoint) int { return cmp.Compare(x.Record.Address, y.Record.Address) })
+	return all
+}
--- /dev/null
+++ b/instance/report.go
@@ -0,0 +1,116 @@
+package instance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// Types of conditions, worst first. See docs/OPERATING.md.
+const (
+	conditionPlatform  = "PlatformUnreachable"
+	conditionNoBackend = "NoBackend"
+	conditionMisrouted = "Misrouted"
+	conditionBackend   = "BackendFailing"
+	conditionSilent    = "BackendSilent"
+	conditionInstance  = "InstanceSilent"
+	conditionRejected  = "RecordRejected"
+	conditionOverload  = "Overloaded"
+	conditionDraining  = "BackendDraining"
+	conditionStopping  = "Stopping"
+)
+
+// conditionOrder lists the types of conditions, worst first.
+var conditionOrder = []string{
+	conditionPlatform, conditionNoBackend, conditionMisrouted, conditionBackend, conditionSilent,
+	conditionInstance, conditionRejected, conditionOverload, conditionDraining, conditionStopping,
+}
+
+// How often a status is written.
+const (
+	statusPause   = 5 * clock.Second  // at least this long between two
+	statusRefresh = 60 * clock.Second // also when nothing changed
+)
+
+// Report holds the conditions that the instance's status shows.
+type Report struct {
+	conditions map[conditionKey]*record.Condition
+	dirty      bool
+	written    clock.Millis
+}
+
+type conditionKey struct {
+	kind    string
+	subject string
+}
+
+func newReport() Report {
+	return Report{conditions: make(map[conditionKey]*record.Condition), dirty: true}
+}
+
+// raise records that something is wrong with subject, and what was done about it.
+func (r *Report) raise(now clock.Millis, kind, subject, reason, action string) {
+	key := conditionKey{kind, subject}
+	known := r.conditions[key]
+	if known == nil {
+		known = &record.Condition{Type: kind, Subject: subject, Since: now}
+		r.conditions[key] = known
+		r.dirty = true
+	}
+	if known.Reason != reason || known.Action != action {
+		known.Reason, known.Action = reason, action
+		r.dirty = true
+	}
+	known.Count++
+}
+
+// clear records that a condition no longer holds.
+func (r *Report) clear(kind, subject string) {
+	key := conditionKey{kind, subject}
+	if r.conditions[key] != nil {
+		delete(r.conditions, key)
+		r.dirty = true
+	}
+}
+
+// reportController writes the instance's status when it changed.
+type reportController struct{ b *Board }
+
+func (c reportController) platform(ev PlatformCalled) {
+	if ev.Answered {
+		c.b.Report.clear(conditionPlatform, "platform")
+		return
+	}
+	c.b.Report.raise(c.b.Now, conditionPlatform, "platform", "calls are not answered", "serving on the records in force")
+}
+
+func (c reportController) tick() {
+	r := &c.b.Report
+	since := c.b.Now - r.written
+	if (!r.dirty || since < statusPause) && since < statusRefresh {
+		return
+	}
+	r.dirty = false
+	r.written = c.b.Now
+	c.b.do(WriteStatus{Status: c.status()})
+}
+
+// status returns the instance's status, worst conditions first.
+func (c reportController) status() record.Status {
+	s := record.Status{
+		Instance: c.b.Self.Instance.Name, Centre: c.b.Self.Instance.Centre,
+		Updated: c.b.Now, Revision: c.b.Records.Revision, Conditions: []record.Condition{},
+	}
+	for _, condition := range c.b.Report.conditions {
+		s.Conditions = append(s.Conditions, *condition)
+	}
+	slices.SortFunc(s.Conditions, func(x, y record.Condition) int {
+		return cmp.Or(
+			cmp.Compare(slices.Index(conditionOrder, x.Type), slices.Index(conditionOrder, y.Type)),
+			cmp.Compare(x.Subject, y.Subject),
+		)
+	})
+	return s
+}
--- /dev/null
+++ b/instance/route.go
@@ -0,0 +1,57 @@
+package instance
+
+import (
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// route returns the instance that a packet belongs to by its token alone. That
+// is the owner while it lives in the incarnation named by the token, else the
+// survivor that every instance with the same view chooses for the flow.
+//
+// via is the instance that passed the packet on, or nil. An owner that passes on
+// a packet of its own flow has given the flow up, and an instance that holds
+// another to be the successor of a dead owner is taken at its word, so a packet
+// never goes round.
+func (b *Board) route(t token.Token, request uint64, hops uint8, via *Member) *Member {
+	owner := b.Members.ByHash[t.Owner]
+	lives := owner != nil && owner.Alive && owner.Incarnation == t.Incarnation
+	switch {
+	case hops >= packet.MaxHops:
+		return b.Self
+	case lives && owner == b.Self:
+		return b.keepOrLeave(t, request)
+	case lives && owner != via:
+		return owner
+	case via != nil && b.Stopping == 0:
+		return b.Self
+	}
+	return b.successor(t)
+}
+
+// keepOrLeave returns this instance for its own flows, but while it is stopping
+// only for requests it already has.
+func (b *Board) keepOrLeave(t token.Token, request uint64) *Member {
+	if b.Stopping == 0 {
+		return b.Self
+	}
+	f := b.Flows.ByID[t.Flow]
+	if f != nil && (f.find(request) != nil || f.hasEnded(request)) {
+		return b.Self
+	}
+	return b.successor(t)
+}
+
+// successor returns the instance that takes up the flow of an owner that is gone:
+// one of the token's data centre, or of this one when none of that is left.
+func (b *Board) successor(t token.Token) *Member {
+	for centre, live := range b.Members.Live {
+		if token.Hash(centre) == t.Centre {
+			return rendezvous(t.Flow, live)
+		}
+	}
+	if m := rendezvous(t.Flow, b.Members.Live[b.Self.Instance.Centre]); m != nil {
+		return m
+	}
+	return b.Self
+}
--- /dev/null
+++ b/instance/timers.go
@@ -0,0 +1,66 @@
+package instance
+
+import (
+	"container/heap"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// timers holds the requests that need attention at a certain time. An entry is
+// valid while its due time equals its request's.
+type timers struct {
+	entries []timer
+	order   uint64
+}
+
+type timer struct {
+	due     clock.Millis
+	order   uint64 // keeps equal due times in the order they were set
+	request *Request
+}
+
+// set asks for attention to r at due, in place of any earlier time asked for.
+func (t *timers) set(r *Request, due clock.Millis) {
+	r.due = due
+	t.order++
+	heap.Push(t, timer{due: due, order: t.order, request: r})
+}
+
+// next returns a request that is due, or nil.
+func (t *timers) next(now clock.Millis) *Request {
+	for len(t.entries) > 0 && t.entries[0].due <= now {
+		e := heap.Pop(t).(timer)
+		if e.request.due == e.due && e.request.State != StateEnded {
+			e.request.due = 0
+			return e.request
+		}
+	}
+	return nil
+}
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (t *timers) Len() int { return len(t.entries) }
+
+// Less orders by due time, then by the order in which timers were set.
+func (t *timers) Less(i, j int) bool {
+	a, b := &t.entries[i], &t.entries[j]
+	if a.due != b.due {
+		return a.due < b.due
+	}
+	return a.order < b.order
+}
+
+// Swap exchanges two entries.
+func (t *timers) Swap(i, j int) { t.entries[i], t.entries[j] = t.entries[j], t.entries[i] }
+
+// Push appends an entry.
+func (t *timers) Push(x any) { t.entries = append(t.entries, x.(timer)) }
+
+// Pop removes the last entry.
+func (t *timers) Pop() any {
+	last := len(t.entries) - 1
+	e := t.entries[last]
+	t.entries[last] = timer{}
+	t.entries = t.entries[:last]
+	return e
+}
--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -4,6 +4,8 @@
 	"net/netip"
 
 	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/record"
 )
 
 // MaxEnvelope is the largest datagram between entry instances, in bytes.
@@ -34,6 +36,9 @@
 	Leaving     bool           `cbor:"8,keyasint,omitempty"`  // the sender is stopping
 	Revision    uint64         `cbor:"9,keyasint,omitempty"`  // newest configuration the sender holds
 	Loads       []Load         `cbor:"10,keyasint,omitempty"` // at most maxLoads entries
+
+	// Hello describes the sender to an instance that may not know it yet.
+	Hello *record.Instance `cbor:"11,keyasint,omitempty"`
 }
 
 const maxLoads = 8
@@ -64,5 +69,11 @@
 	case len(e.Data) > 0 && !e.Caller.IsValid():
 		return Envelope{}, errors.Wrap(ErrMalformed, "envelope: caller is missing")
 	}
+	if e.Hello == nil {
+		return e, nil
+	}
+	if err := e.Hello.Check(); err != nil {
+		return Envelope{}, errors.Wrapf(ErrMalformed, "envelope: hello: %v", err)
+	}
 	return e, nil
 }
