caller: engine of a flow and the socket layer over it

A state machine per flow takes events with the time and returns actions, so that scripts can drive it; a connection puts many flows on one UDP socket.

--- /dev/null
+++ b/caller/conn.go
@@ -0,0 +1,251 @@
+package caller
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// socketBuffer is the size asked for the socket's buffers, in bytes.
+const socketBuffer = 4 << 20
+
+// Conn carries the flows of a program over one UDP socket. It is safe for
+// concurrent use.
+type Conn struct {
+	socket *net.UDPConn
+	fabric netip.AddrPort
+	done   chan struct{}
+	ended  sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	handles  map[*Flow]bool
+	byFlow   map[uint64]*Flow // by flow identity
+	byNonce  map[uint64]*Flow // by nonce of the latest Open
+	calls    uint64
+	budget   *Budget
+	counters Counters
+	idleTick clock.Millis // when idle flows are ticked next
+	out      []packet.Packet
+}
+
+// Dial returns a connection to the fabric at a UDP address. Nothing is sent.
+func Dial(address string) (*Conn, error) {
+	resolved, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "resolve fabric address %q", address)
+	}
+	fabric := resolved.AddrPort()
+	fabric = netip.AddrPortFrom(fabric.Addr().Unmap(), fabric.Port())
+	network := "udp6"
+	if fabric.Addr().Is4() {
+		network = "udp4"
+	}
+	socket, err := net.ListenUDP(network, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "open UDP socket")
+	}
+	// The system may grant smaller buffers; lost parts are repeated.
+	_ = socket.SetReadBuffer(socketBuffer)
+	_ = socket.SetWriteBuffer(socketBuffer)
+	c := &Conn{
+		socket: socket, fabric: fabric, done: make(chan struct{}), handles: make(map[*Flow]bool),
+		byFlow: make(map[uint64]*Flow), byNonce: make(map[uint64]*Flow), budget: NewBudget(),
+	}
+	c.ended.Add(2)
+	go c.read()
+	go c.tick()
+	return c, nil
+}
+
+// Open opens a flow to a service. The error matches ErrRefused, ErrClosed or is
+// that of ctx.
+func (c *Conn) Open(ctx context.Context, service string) (*Flow, error) {
+	if service == "" || len(service) > packet.MaxService {
+		return nil, errors.Wrapf(ErrRefused, "service name %q has %d bytes, 1 to %d are allowed", service, len(service), packet.MaxService)
+	}
+	f, err := c.newFlow(service)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-f.opened:
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		return f, nil
+	case <-ctx.Done():
+		f.Close()
+		return nil, errors.Wrapf(ctx.Err(), "open flow to service %q", service)
+	}
+}
+
+func (c *Conn) newFlow(service string) (*Flow, error) {
+	var seed [8]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, errors.Wrap(err, "read random seed")
+	}
+	f := &Flow{conn: c, opened: make(chan error, 1), waiting: make(map[uint64]chan RequestEnded)}
+	f.engine = New(Settings{
+		Service: service, Seed: binary.BigEndian.Uint64(seed[:]), Budget: c.budget, Counters: &c.counters,
+	})
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, errors.WithStack(ErrClosed)
+	}
+	c.handles[f] = true
+	c.handle(f, OpenRequested{})
+	c.unlockAndSend()
+	return f, nil
+}
+
+// Counters returns what was counted since Dial.
+func (c *Conn) Counters() Counters {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counters
+}
+
+// Close closes all flows. Requests in flight end with an error.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil
+	}
+	c.closed = true
+	for f := range c.handles {
+		c.handle(f, CloseRequested{})
+	}
+	c.unlockAndSend()
+	close(c.done)
+	err := c.socket.Close()
+	c.ended.Wait()
+	return errors.Wrap(err, "close UDP socket")
+}
+
+// read hands arriving packets to the engines.
+func (c *Conn) read() {
+	defer c.ended.Done()
+	buffer := make([]byte, packet.MaxDatagram+1)
+	for {
+		n, _, err := c.socket.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // such as an ICMP error for an earlier datagram
+		}
+		p, err := packet.Decode(buffer[:n])
+		c.mu.Lock()
+		if f := c.route(p); f != nil && err == nil {
+			c.handle(f, PacketReceived{Packet: p})
+		} else {
+			c.counters.Foreign++
+		}
+		c.unlockAndSend()
+	}
+}
+
+// route returns the flow a packet belongs to, or nil.
+func (c *Conn) route(p packet.Packet) *Flow {
+	if p.Nonce != 0 && p.Request == 0 {
+		return c.byNonce[p.Nonce]
+	}
+	t, err := token.Peek(p.Token)
+	if err == nil {
+		return c.byFlow[t.Flow]
+	}
+	if len(c.handles) != 1 {
+		return nil
+	}
+	for f := range c.handles {
+		return f
+	}
+	return nil
+}
+
+// tick tells the engines the time.
+func (c *Conn) tick() {
+	defer c.ended.Done()
+	t := time.NewTicker(TickPeriod.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-c.done:
+			return
+		case <-t.C:
+		}
+		c.mu.Lock()
+		now := clock.Now()
+		idle := now >= c.idleTick
+		if idle {
+			c.idleTick = now + IdlePeriod
+		}
+		for f := range c.handles {
+			if idle || f.engine.Busy() {
+				c.handle(f, Tick{})
+			}
+		}
+		c.unlockAndSend()
+	}
+}
+
+// handle passes one event to a flow's engine and carries out the actions, but
+// for the sending. The caller holds mu and ends with unlockAndSend.
+func (c *Conn) handle(f *Flow, event Event) {
+	for _, action := range f.engine.Handle(clock.Now(), event) {
+		switch a := action.(type) {
+		case SendPacket:
+			c.out = append(c.out, a.Packet)
+			if a.Packet.Kind == packet.KindOpen {
+				c.expectNonce(f, a.Packet.Nonce)
+			}
+		case FlowOpened:
+			c.byFlow[a.Flow] = f
+			f.tell(nil)
+		case FlowForgotten:
+			delete(c.byFlow, a.Flow)
+		case OpenFailed:
+			f.tell(a.Err)
+		case RequestEnded:
+			f.waiting[a.Call] <- a
+			delete(f.waiting, a.Call)
+		}
+	}
+}
+
+func (c *Conn) expectNonce(f *Flow, nonce uint64) {
+	if f.nonce != nonce {
+		delete(c.byNonce, f.nonce)
+	}
+	f.nonce = nonce
+	c.byNonce[nonce] = f
+}
+
+// unlockAndSend releases mu and sends what handle left to send.
+func (c *Conn) unlockAndSend() {
+	out := c.out
+	c.out = nil
+	c.mu.Unlock()
+	for _, p := range out {
+		data, err := packet.Encode(p)
+		if err != nil {
+			continue // the engine builds no packet that is too large
+		}
+		// A datagram that cannot be sent counts as lost.
+		_, _ = c.socket.WriteToUDPAddrPort(data, c.fabric)
+	}
+}
--- /dev/null
+++ b/caller/upload.go
@@ -0,0 +1,154 @@
+package caller
+
+import (
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+)
+
+// The window of parts under way, in parts.
+const (
+	firstLimit = 16
+	maxLimit   = packet.MaskParts
+)
+
+// While the owner works, the last part is repeated to notice a new owner.
+const (
+	firstPoke = 250 * clock.Millisecond
+	maxPoke   = clock.Second
+)
+
+// mark remembers the sending of one part.
+type mark struct {
+	at    clock.Millis
+	again bool // sent more than once: its Ack tells no round-trip time
+	lost  bool // to be sent again
+}
+
+// upload sends the parts of one request to one owner.
+type upload struct {
+	window  packet.Window
+	limit   uint32                 // parts that may be under way
+	marks   [packet.MaskParts]mark // of the parts from window.Next, by part modulo MaskParts
+	lossy   bool                   // a part was lost, so the limit grows slowly
+	halved  clock.Millis           // when the limit was last halved
+	news    clock.Millis           // when an Ack last brought news
+	backoff uint8                  // timeouts since then
+	pokes   uint8                  // repeats since the owner holds all parts
+	timer   clock.Millis           // when the next timeout or repeat is due
+}
+
+func newUpload(size int, now clock.Millis) upload {
+	return upload{window: packet.Window{Count: packet.CountParts(size)}, limit: firstLimit, news: now}
+}
+
+func (u *upload) mark(part uint32) *mark { return &u.marks[part%packet.MaskParts] }
+
+// whole reports whether every part was sent at least once.
+func (u *upload) whole() bool { return u.window.Sent == u.window.Count }
+
+// send returns the parts to send now: lost ones first, then new ones.
+func (u *upload) send(now clock.Millis, r *rtt) []uint32 {
+	missing := u.window.Missing()
+	flying := uint32(0)
+	for _, p := range missing {
+		if !u.mark(p).lost {
+			flying++
+		}
+	}
+	var parts []uint32
+	for _, p := range missing {
+		if u.mark(p).lost && flying < u.limit {
+			*u.mark(p) = mark{at: now, again: true}
+			parts = append(parts, p)
+			flying++
+		}
+	}
+	for _, p := range u.window.Fresh(u.limit) {
+		*u.mark(p) = mark{at: now}
+		parts = append(parts, p)
+	}
+	if len(parts) > 0 {
+		u.timer = now + r.timeout(u.backoff)
+	}
+	return parts
+}
+
+// ack takes in what the owner holds.
+func (u *upload) ack(now clock.Millis, r *rtt, next uint32, mask uint64) {
+	before := u.window
+	if !u.window.Update(next, mask) {
+		u.findHoles(now, r)
+		return
+	}
+	u.sample(now, r, before)
+	u.news, u.backoff, u.pokes = now, 0, 0
+	u.grow(u.window.Next - before.Next)
+	u.findHoles(now, r)
+	u.timer = now + r.timeout(0)
+	if u.window.Done() {
+		u.waitForAnswer(now)
+	}
+}
+
+// sample measures the round trip of the first part that this Ack reports.
+func (u *upload) sample(now clock.Millis, r *rtt, before packet.Window) {
+	for p := before.Next; p < u.window.Next && p < before.Next+packet.MaskParts; p++ {
+		if m := u.mark(p); p < before.Sent && !m.again && !m.lost {
+			r.sample(now - m.at)
+			return
+		}
+	}
+}
+
+func (u *upload) grow(parts uint32) {
+	if u.lossy {
+		parts = min(parts, 1)
+	}
+	u.limit = min(u.limit+parts, maxLimit)
+}
+
+func (u *upload) halve(now clock.Millis, r *rtt) {
+	u.lossy = true
+	if now-u.halved < r.holeAge() {
+		return
+	}
+	u.limit, u.halved = max(u.limit/2, 1), now
+}
+
+// findHoles marks parts as lost when later ones arrived a round trip ago.
+func (u *upload) findHoles(now clock.Millis, r *rtt) {
+	for _, p := range u.window.Holes() {
+		m := u.mark(p)
+		if m.lost || now-m.at < r.holeAge() {
+			continue
+		}
+		m.lost = true
+		u.halve(now, r)
+	}
+}
+
+// waitForAnswer puts off the next repeat while the owner shows life.
+func (u *upload) waitForAnswer(now clock.Millis) {
+	u.timer = now + min(firstPoke<<min(u.pokes, 8), maxPoke)
+}
+
+// strike is called when the timer is due. It returns the parts to send.
+func (u *upload) strike(now clock.Millis, r *rtt) []uint32 {
+	if u.window.Done() {
+		u.pokes = min(u.pokes+1, 8)
+		u.waitForAnswer(now)
+		return []uint32{u.window.Count - 1}
+	}
+	for _, p := range u.window.Missing() {
+		u.mark(p).lost = true
+	}
+	u.halve(now, r)
+	u.backoff = min(u.backoff+1, 10)
+	return u.send(now, r)
+}
+
+// stalled reports whether nothing was heard for so long that an Ack of fewer
+// parts is no late one: the owner has lost what it held.
+func (u *upload) stalled(now clock.Millis, r *rtt) bool {
+	return now-u.news > 2*r.timeout(0)
+}
