--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,11 +68,11 @@
 	controlSocket net.Listener
 	statusSocket  net.Listener
 
-	packets chan instance.Event // datagrams, dropped when full
-	inputs  chan input          // everything else
-	done    chan struct{}       // closed when the engine takes no more events
-	ticked  atomic.Int64        // when the engine last took an event
-	halting atomic.Bool         // a graceful shutdown is under way
+	packets chan datagram // dropped when full
+	inputs  chan input    // everything else
+	done    chan struct{} // closed when the engine takes no more events
+	ticked  atomic.Int64  // when the engine last took an event
+	halting atomic.Bool   // a graceful shutdown is under way
 
 	runner        *runner
 	peers         *peerCaller
@@ -96,7 +96,7 @@
 	d := &Daemon{
 		platform: o.Platform,
 		log:      o.Log,
-		packets:  make(chan instance.Event, packetQueue),
+		packets:  make(chan datagram, packetQueue),
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
 		runner:   newRunner(),
@@ -251,8 +251,8 @@
 			return errors.WithStack(ErrInterrupted)
 		case <-ticker.C:
 			d.handle(ctx, clock.Now(), instance.Tick{})
-		case e := <-d.packets:
-			d.handlePackets(ctx, e)
+		case g := <-d.packets:
+			d.handlePackets(ctx, g)
 		case i := <-d.inputs:
 			d.handleInputs(ctx, i)
 		}
@@ -261,19 +261,26 @@
 }
 
 // handlePackets handles a datagram and those that wait behind it.
-func (d *Daemon) handlePackets(ctx context.Context, e instance.Event) {
+func (d *Daemon) handlePackets(ctx context.Context, g datagram) {
 	now := clock.Now()
-	d.handle(ctx, now, e)
+	d.handleDatagram(ctx, now, g)
 	for range batchSize {
 		select {
-		case e = <-d.packets:
-			d.handle(ctx, now, e)
+		case g = <-d.packets:
+			d.handleDatagram(ctx, now, g)
 		default:
 			return
 		}
 	}
 }
 
+func (d *Daemon) handleDatagram(ctx context.Context, now clock.Millis, g datagram) {
+	d.handle(ctx, now, g.event)
+	if g.buffer != nil {
+		buffers.Put(g.buffer)
+	}
+}
+
 // handleInputs handles an input and those that wait behind it.
 func (d *Daemon) handleInputs(ctx context.Context, i input) {
 	now := clock.Now()
--- a/entry/datagrams.go
+++ b/entry/datagrams.go
@@ -38,20 +38,33 @@
 func (d *Daemon) startReaders() *sync.WaitGroup {
 	var readers sync.WaitGroup
 	for range packetReaders {
-		readers.Go(func() { d.read(d.packetSocket, packet.MaxDatagram, d.receivePacket) })
+		readers.Go(func() { d.read(d.packetSocket, d.receivePacket) })
 	}
 	for range peerReaders {
-		readers.Go(func() { d.read(d.peerSocket, packet.MaxEnvelope, d.receiveEnvelope) })
+		readers.Go(func() { d.read(d.peerSocket, d.receiveEnvelope) })
 	}
 	return &readers
 }
 
-// read hands each datagram to receive, which must not keep the data. A datagram
-// larger than limit arrives with limit+1 bytes.
-func (d *Daemon) read(c *net.UDPConn, limit int, receive func(from netip.AddrPort, data []byte)) {
-	buffer := make([]byte, limit+1)
+// datagram is a decoded datagram on its way to the engine. Its buffer goes back
+// to the pool when the engine's actions are carried out.
+type datagram struct {
+	event  instance.Event
+	buffer *buffer
+}
+
+// buffer holds one datagram as it was received, and one byte more than any may
+// have, so that larger ones are noticed.
+type buffer [max(packet.MaxDatagram, packet.MaxEnvelope) + 1]byte
+
+var buffers = sync.Pool{New: func() any { return new(buffer) }}
+
+// read hands each datagram to receive, which reports whether it keeps the
+// buffer.
+func (d *Daemon) read(c *net.UDPConn, receive func(from netip.AddrPort, b *buffer, size int) bool) {
+	b := buffers.Get().(*buffer)
 	for {
-		n, from, err := c.ReadFromUDPAddrPort(buffer)
+		n, from, err := c.ReadFromUDPAddrPort(b[:])
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -59,22 +72,36 @@
 			d.counts.readErrors.Inc(1)
 			continue
 		}
-		receive(unmapped(from), buffer[:n])
+		if receive(unmapped(from), b, n) {
+			b = buffers.Get().(*buffer)
+		}
 	}
 }
 
-func (d *Daemon) receivePacket(from netip.AddrPort, data []byte) {
-	d.counts.packets.bytesIn.Inc(int64(len(data)))
-	p, err := packet.Decode(data)
+// receivePacket takes in a caller's datagram. The engine may pass it on as it is.
+func (d *Daemon) receivePacket(from netip.AddrPort, b *buffer, size int) bool {
+	d.counts.packets.bytesIn.Inc(int64(size))
+	p, err := packet.Decode(b[:size])
 	if err != nil {
 		d.counts.packets.refuse(err)
-		return
+		return false
 	}
 	d.counts.packets.in[p.Kind].Inc(1)
-	d.queue(instance.PacketReceived{From: from, Packet: p}, &d.counts.packets)
+	received := instance.PacketReceived{From: from, Packet: p, Data: b[:size]}
+	return d.queue(datagram{event: received, buffer: b}, &d.counts.packets)
+}
+
+// receiveEnvelope takes in another instance's datagram. Decoding copies it.
+func (d *Daemon) receiveEnvelope(from netip.AddrPort, b *buffer, size int) bool {
+	d.decodeEnvelope(from, b[:size])
+	return false
 }
 
-func (d *Daemon) receiveEnvelope(from netip.AddrPort, data []byte) {
+func (d *Daemon) decodeEnvelope(from netip.AddrPort, data []byte) {
+	if len(data) > packet.MaxEnvelope {
+		d.counts.peers.tooLarge.Inc(1)
+		return
+	}
 	e, err := packet.DecodeEnvelope(data)
 	if err != nil {
 		d.counts.peers.refuse(err)
@@ -83,7 +110,7 @@
 	received := instance.EnvelopeReceived{From: from, Envelope: e}
 	if len(e.Data) == 0 {
 		d.counts.beats.countIn(len(data))
-		d.queue(received, &d.counts.peers)
+		d.queue(datagram{event: received}, &d.counts.peers)
 		return
 	}
 	d.counts.passed.countIn(len(data))
@@ -94,15 +121,18 @@
 	}
 	d.counts.peers.in[p.Kind].Inc(1)
 	received.Packet = &p
-	d.queue(received, &d.counts.peers)
+	d.queue(datagram{event: received}, &d.counts.peers)
 }
 
-// queue hands a datagram to the engine, or drops it when the engine is behind.
-func (d *Daemon) queue(e instance.Event, c *datagramCounts) {
+// queue hands a datagram to the engine, or drops it and reports false when the
+// engine is behind.
+func (d *Daemon) queue(g datagram, c *datagramCounts) bool {
 	select {
-	case d.packets <- e:
+	case d.packets <- g:
+		return true
 	default:
 		c.dropped.Inc(1)
+		return false
 	}
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -17,7 +17,6 @@
 	callTimeout    = 5 * clock.Second // beyond watchWait for a watch
 	earlyWatch     = 1 * clock.Second // a watch that ends sooner without news is paced like a failed one
 	instancePeriod = 2 * clock.Second // between lists of instances
-	sourcePlatform = "platform"
 )
 
 // startFeeds starts the goroutines that bring records and instances from the
@@ -91,7 +90,7 @@
 // listObjects brings every operator record and returns the revision to watch
 // from, which is the oldest of the lists'.
 func (d *Daemon) listObjects(ctx context.Context) (uint64, error) {
-	e := instance.ObjectsReceived{Whole: true, Source: sourcePlatform}
+	e := instance.ObjectsReceived{Whole: true, Source: instance.SourcePlatform}
 	for i, kind := range record.OperatorKinds {
 		var list platform.Listing
 		err := d.called(ctx, callTimeout, func(ctx context.Context) (err error) {
@@ -125,7 +124,7 @@
 		return since, nil
 	}
 	d.deliverObjects(instance.ObjectsReceived{
-		Objects: news.Objects, Revision: news.Revision, Source: sourcePlatform,
+		Objects: news.Objects, Revision: news.Revision, Source: instance.SourcePlatform,
 	})
 	return max(news.Revision, since), nil
 }
--- a/entry/writes.go
+++ b/entry/writes.go
@@ -13,8 +13,9 @@
 	"github.com/tanagerdock/tanagerdock/record"
 )
 
-// leaseSpan is how long an announcement holds without renewal.
-const leaseSpan = 10 * clock.Second
+// leaseSpan is how long an announcement holds without renewal. The engine
+// announces every 10 s, so two renewals in a row may be lost.
+const leaseSpan = 30 * clock.Second
 
 // mailbox holds the newest value for one worker. It has a single producer.
 type mailbox[T any] struct {
