--- a/token/token.go
+++ b/token/token.go
@@ -22,6 +22,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,7 @@
 func NewKeys(current uint8, secrets map[uint8][]byte) (*Keys, error) {
 	k := &Keys{current: current, macs: make(map[uint8]*sync.Pool, len(secrets))}
 	for number, secret := range secrets {
+		secret = slices.Clone(secret)
 		if len(secret) < minKeySize {
 			return nil, errors.Wrapf(ErrKey, "key %d has %d bytes, at least %d are needed", number, len(secret), minKeySize)
 		}
@@ -131,15 +133,15 @@
 		return Token{}, err
 	}
 	if k.macs[sealed[1]] == nil {
-		return Token{}, errors.WithStack(ErrForged)
+		return Token{}, errors.Wrapf(ErrForged, "key %d is not known", sealed[1])
 	}
 	body := make([]byte, bodySize, Size)
 	copy(body, sealed)
 	if !hmac.Equal(k.appendMAC(body, sealed[1]), sealed) {
-		return Token{}, errors.WithStack(ErrForged)
+		return Token{}, errors.Wrapf(ErrForged, "key %d", sealed[1])
 	}
 	if now-t.Issued > Lifetime || t.Issued-now > maxClockSkew {
-		return Token{}, errors.WithStack(ErrExpired)
+		return Token{}, errors.Wrapf(ErrExpired, "issued %d ms ago, at most %d are allowed", now-t.Issued, Lifetime)
 	}
 	return t, nil
 }
@@ -147,8 +149,11 @@
 // Peek reads a token without checking its seal. Use it only to choose the
 // instance that will check the seal.
 func Peek(sealed []byte) (Token, error) {
-	if len(sealed) != Size || sealed[0] != layoutVersion {
-		return Token{}, errors.WithStack(ErrMalformed)
+	if len(sealed) != Size {
+		return Token{}, errors.Wrapf(ErrMalformed, "token has %d bytes, not %d", len(sealed), Size)
+	}
+	if sealed[0] != layoutVersion {
+		return Token{}, errors.Wrapf(ErrMalformed, "layout version %d, not %d", sealed[0], layoutVersion)
 	}
 	word := func(i int) uint64 { return binary.BigEndian.Uint64(sealed[2+8*i:]) }
 	return Token{
