Test records from data files, and refuse what they showed to be misread

Tests read from testdata: every field's defaults and bounds in both schemas, unknown and mistyped fields, kinds, schemas, and conversion both ways.

- A given 0 or "" was taken for a missing field and got the default, so weight 0 meant weight 1, and slots 0 one slot.
Defaults are now set before decoding, so only a missing field has them.
- host was not checked. net/http cuts a Host at the first space or slash, so "orders gallery" would have been sent as "orders".
- Text or a second object after the body was ignored, and null was a service with all defaults.
- One address given twice in a backend server doubled its slots.
- Encoding in schema 1 silently dropped queue, class, spill, pin, weight and connections, and 500 ms became the default of 10 s.
It now refuses what schema 1 cannot hold, as it did for two endpoints.
- A status could carry another instance's name, and an instance a negative incarnation.
- Messages about mistyped fields named Go types instead of the value, and those about schema 1 records named fields of schema 2.

--- a/record/backend.go
+++ b/record/backend.go
@@ -1,6 +1,9 @@
 package record
 
-import "fmt"
+import (
+	"fmt"
+	"net/netip"
+)
 
 // Defaults and bounds of backend server fields.
 const (
@@ -8,6 +11,7 @@
 	MaxSlots           = 10_000
 	DefaultConnections = 2000
 	MaxConnections     = 1_000_000
+	DefaultWeight      = 1.0
 	MaxEndpoints       = 256
 )
 
@@ -46,60 +50,76 @@
 
 // DecodeBackend reads and checks a backend server of any supported schema.
 func DecodeBackend(o Object) (Backend, error) {
-	var b Backend
+	b := Backend{Name: o.Name, Revision: o.Revision, State: StateActive}
+	var err error
 	switch o.Schema {
 	case Schema1:
-		var old backend1
-		if err := decode(o, KindBackend, &old); err != nil {
-			return Backend{}, err
-		}
-		b = old.convert()
+		err = b.decode1(o)
 	case Schema2:
-		if err := decode(o, KindBackend, &b); err != nil {
-			return Backend{}, err
-		}
+		err = decode(o, KindBackend, &b)
 	default:
-		return Backend{}, badSchema(o)
+		err = badSchema(o)
+	}
+	if err != nil {
+		return Backend{}, err
 	}
-	b.Name, b.Revision = o.Name, o.Revision
-	b.setDefaults()
 	return b, b.check(o)
 }
 
-func (old backend1) convert() Backend {
-	b := Backend{Service: old.Service, Centre: old.Zone}
-	b.Endpoints = []Endpoint{{Address: old.Address, Slots: old.Slots}}
+// UnmarshalJSON reads an endpoint whose missing fields have their defaults.
+func (e *Endpoint) UnmarshalJSON(data []byte) error {
+	type plain Endpoint // without this method
+	var p Endpoint
+	p.setDefaults()
+	if err := unmarshal(data, (*plain)(&p)); err != nil {
+		return err
+	}
+	*e = p
+	return nil
+}
+
+func (b *Backend) decode1(o Object) error {
+	var e Endpoint
+	e.setDefaults()
+	old := backend1{Slots: e.Slots}
+	if err := decode(o, KindBackend, &old); err != nil {
+		return err
+	}
+	e.Address, e.Slots = old.Address, old.Slots
+	b.Service, b.Centre, b.Endpoints = old.Service, old.Zone, []Endpoint{e}
 	if old.Drain {
 		b.State = StateDraining
 	}
-	return b
+	return nil
 }
 
 // EncodeBackend returns b as an object. Schema 1 holds a single endpoint
-// without weight and connections.
+// without weight and connections; other values are refused.
 func EncodeBackend(b Backend, schema int) (Object, error) {
 	switch schema {
 	case Schema1:
-		if len(b.Endpoints) != 1 {
-			o := Object{Kind: KindBackend, Name: b.Name, Schema: schema}
-			return Object{}, invalid(o, "endpoints", len(b.Endpoints), "not 1, as schema 1 requires")
-		}
-		e := b.Endpoints[0]
-		old := backend1{Service: b.Service, Zone: b.Centre, Address: e.Address, Slots: e.Slots, Drain: b.State == StateDraining}
-		return encode(KindBackend, b.Name, schema, old)
+		return b.encode1()
 	case Schema2:
 		return encode(KindBackend, b.Name, schema, b)
 	}
 	return Object{}, badSchema(Object{Kind: KindBackend, Name: b.Name, Schema: schema})
 }
 
-func (b *Backend) setDefaults() {
-	if b.State == "" {
-		b.State = StateActive
+func (b Backend) encode1() (Object, error) {
+	o := Object{Kind: KindBackend, Name: b.Name, Schema: Schema1}
+	if len(b.Endpoints) != 1 {
+		return Object{}, invalid(o, "endpoints", len(b.Endpoints), "not 1, as schema 1 requires")
+	}
+	e := b.Endpoints[0]
+	e.setDefaults()
+	if err := checkHeld(o, "endpoints[0].connections", e.Connections, DefaultConnections); err != nil {
+		return Object{}, err
 	}
-	for i := range b.Endpoints {
-		b.Endpoints[i].setDefaults()
+	if err := checkHeld(o, "endpoints[0].weight", e.Weight, DefaultWeight); err != nil {
+		return Object{}, err
 	}
+	old := backend1{Service: b.Service, Zone: b.Centre, Address: e.Address, Slots: e.Slots, Drain: b.State == StateDraining}
+	return encode(KindBackend, b.Name, Schema1, old)
 }
 
 func (e *Endpoint) setDefaults() {
@@ -110,7 +130,7 @@
 		e.Connections = DefaultConnections
 	}
 	if e.Weight == 0 {
-		e.Weight = 1
+		e.Weight = DefaultWeight
 	}
 }
 
@@ -127,10 +147,17 @@
 	if len(b.Endpoints) < 1 || len(b.Endpoints) > MaxEndpoints {
 		return invalid(o, "endpoints", len(b.Endpoints), "not within 1 to %d", MaxEndpoints)
 	}
-	for i := range b.Endpoints {
-		if err := b.Endpoints[i].check(o, fmt.Sprintf("endpoints[%d]", i)); err != nil {
+	seen := make(map[netip.AddrPort]bool, len(b.Endpoints))
+	for i, e := range b.Endpoints {
+		field := fmt.Sprintf("endpoints[%d]", i)
+		if err := e.check(o, field); err != nil {
 			return err
 		}
+		address := netip.MustParseAddrPort(e.Address)
+		if seen[address] {
+			return invalid(o, field+".address", fmt.Sprintf("%q", e.Address), "a repetition")
+		}
+		seen[address] = true
 	}
 	return nil
 }
--- a/record/instance.go
+++ b/record/instance.go
@@ -63,6 +63,9 @@
 	if i.Size < minWeight || i.Size > maxWeight {
 		return invalid(o, "size", i.Size, "not within %v to %v", minWeight, maxWeight)
 	}
+	if i.Incarnation < 0 {
+		return invalid(o, "incarnation", i.Incarnation, "negative")
+	}
 	if i.State != StateActive && i.State != StateLeaving {
 		return invalid(o, "state", fmt.Sprintf("%q", i.State), "not one of active, leaving")
 	}
--- a/record/record.go
+++ b/record/record.go
@@ -4,7 +4,12 @@
 // An Object is the platform's envelope: kind, name, revision, schema version and
 // a JSON body. Each kind has a domain type (Service, Backend, Rule, Instance,
 // Status) that checks itself when decoded. Records of schema 1 and schema 2 are
-// honoured side by side: schema 1 bodies are converted on decoding.
+// honoured side by side: schema 1 bodies are converted on decoding. Encoding in
+// schema 1 refuses a setting that schema 1 cannot hold, so that converting a
+// record never changes what it says.
+//
+// A field that is left out has its default. A field that is given has to be
+// within its bounds: 0 is a fault where the bounds start at 1.
 //
 // # Usage
 //
@@ -18,7 +23,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/netip"
+	"reflect"
 	"regexp"
 
 	"github.com/pkg/errors"
@@ -132,7 +139,8 @@
 	return err
 }
 
-// decode reads o's body into v. Fields that v does not have are faults.
+// decode reads o's body into v. Fields that v does not have are faults, and
+// fields that the body does not have keep the value they have in v.
 func decode(o Object, kind Kind, v any) error {
 	if o.Kind != kind {
 		return errors.Wrapf(ErrKind, "%s: expected kind %q", o.Key(), kind)
@@ -140,14 +148,70 @@
 	if len(o.Body) > MaxBody {
 		return invalid(o, "body", len(o.Body), "larger than %d bytes", MaxBody)
 	}
-	d := json.NewDecoder(bytes.NewReader(o.Body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(v); err != nil {
+	if !bytes.HasPrefix(bytes.TrimSpace(o.Body), []byte("{")) {
+		return invalid(o, "body", fmt.Sprintf("%.20q", o.Body), "not an object")
+	}
+	err := unmarshal(o.Body, v)
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return invalid(o, wrong.Field, wrong.Value, "not %s", typeName(wrong.Type))
+	}
+	if err != nil {
 		return errors.Wrapf(ErrInvalid, "%s: %v", o.Key(), err)
 	}
 	return nil
 }
 
+// unmarshal reads data, which holds one JSON value, into v. It puts the
+// offending literal into the Value of a *json.UnmarshalTypeError.
+func unmarshal(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Offset > 0 {
+		wrong.Value = literalBefore(data[:wrong.Offset], wrong.Value)
+		wrong.Offset = 0 // an outer call must not look it up in its own data
+	}
+	if err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more than one value in the body")
+	}
+	return nil
+}
+
+// literalBefore returns the JSON string, number or boolean that text ends with,
+// or fallback when it ends with something else.
+func literalBefore(text []byte, fallback string) string {
+	start := bytes.LastIndexAny(text, ":,[ \t\r\n") + 1
+	if inner, ok := bytes.CutSuffix(text, []byte(`"`)); ok {
+		start = max(0, bytes.LastIndexByte(inner, '"'))
+	}
+	if literal := text[start:]; json.Valid(literal) {
+		return string(literal)
+	}
+	return fallback
+}
+
+// typeName names a field's type to people who write records.
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.String:
+		return "a string"
+	case reflect.Slice:
+		return "a list"
+	case reflect.Struct:
+		return "an object"
+	}
+	return "a whole number"
+}
+
 func encode(kind Kind, name string, schema int, v any) (Object, error) {
 	body, err := json.Marshal(v)
 	if err != nil {
@@ -160,10 +224,36 @@
 	return errors.Wrapf(ErrSchema, "%s: schema %d", o.Key(), o.Schema)
 }
 
+// schema1Fields gives the names that schema 1 has for fields of schema 2.
+var schema1Fields = map[Key]string{
+	{KindService, "limit"}:                "max_size",
+	{KindBackend, "centre"}:               "zone",
+	{KindBackend, "endpoints[0].address"}: "address",
+	{KindBackend, "endpoints[0].slots"}:   "slots",
+	{KindRule, "backends[0]"}:             "backend",
+}
+
+// invalid reports a field of o by the name it has in o's schema.
 func invalid(o Object, field string, value any, format string, args ...any) error {
+	if old, ok := schema1Fields[Key{o.Kind, field}]; ok && o.Schema == Schema1 {
+		field = old
+	}
 	return errors.Wrapf(ErrInvalid, "%s: field %q: value %v is %s", o.Key(), field, value, fmt.Sprintf(format, args...))
 }
 
+// checkHeld reports a setting that schema 1 has no field for and that is not the
+// one schema 1 implies.
+func checkHeld[T comparable](o Object, field string, value, implied T) error {
+	if value == implied {
+		return nil
+	}
+	shown := any(value)
+	if text, ok := shown.(string); ok {
+		shown = fmt.Sprintf("%q", text)
+	}
+	return invalid(o, field, shown, "not the default, as schema 1 requires")
+}
+
 func checkAddress(o Object, field, address string) error {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || a.Port() == 0 {
--- /dev/null
+++ b/record/record_test.go
@@ -0,0 +1,213 @@
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/internal/script"
+)
+
+var sentinels = map[string]error{
+	"invalid": ErrInvalid,
+	"schema":  ErrSchema,
+	"kind":    ErrKind,
+}
+
+// recode decodes o and encodes it again in another schema.
+func recode(o Object, schema int) (Object, error) {
+	switch o.Kind {
+	case KindService:
+		s, err := DecodeService(o)
+		if err != nil {
+			return Object{}, err
+		}
+		return EncodeService(s, schema)
+	case KindBackend:
+		b, err := DecodeBackend(o)
+		if err != nil {
+			return Object{}, err
+		}
+		return EncodeBackend(b, schema)
+	case KindRule:
+		r, err := DecodeRule(o)
+		if err != nil {
+			return Object{}, err
+		}
+		return EncodeRule(r, schema)
+	}
+	return recodeOwn(o)
+}
+
+// recodeOwn is recode for the kinds that have a single schema.
+func recodeOwn(o Object) (Object, error) {
+	if o.Kind == KindInstance {
+		i, err := DecodeInstance(o)
+		if err != nil {
+			return Object{}, err
+		}
+		return EncodeInstance(i)
+	}
+	s, err := DecodeStatus(o)
+	if err != nil {
+		return Object{}, err
+	}
+	return EncodeStatus(s)
+}
+
+func TestDecode(t *testing.T) {
+	var cases []struct {
+		Name   string
+		Object *string
+		Kind   Kind
+		Schema int
+		Body   string
+		Want   string
+		Error  string
+		Text   string
+	}
+	script.Read(t, "testdata/decode.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			o := Object{Kind: c.Kind, Name: "orders", Schema: c.Schema, Revision: 3, Body: json.RawMessage(c.Body)}
+			if c.Object != nil {
+				o.Name = *c.Object
+			}
+			err := o.Check()
+			if c.Error != "" {
+				require.Contains(t, sentinels, c.Error)
+				require.ErrorIs(t, err, sentinels[c.Error])
+				require.ErrorContains(t, err, c.Text)
+				return
+			}
+			require.NoError(t, err)
+			got, err := recode(o, Schema2)
+			require.NoError(t, err)
+			require.Equal(t, o.Key(), got.Key())
+			require.JSONEq(t, c.Want, string(got.Body))
+		})
+	}
+}
+
+func TestConvert(t *testing.T) {
+	var cases []struct {
+		Name string
+		Kind Kind
+		Two  string
+		One  string
+		Text string
+	}
+	script.Read(t, "testdata/convert.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			two := Object{Kind: c.Kind, Name: "orders", Schema: Schema2, Body: json.RawMessage(c.Two)}
+			one, err := recode(two, Schema1)
+			if c.Text != "" {
+				require.ErrorIs(t, err, ErrInvalid)
+				require.ErrorContains(t, err, c.Text)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, Schema1, one.Schema)
+			require.JSONEq(t, c.One, string(one.Body))
+			want, err := recode(two, Schema2)
+			require.NoError(t, err)
+			back, err := recode(one, Schema2)
+			require.NoError(t, err)
+			require.Equal(t, want, back)
+		})
+	}
+}
+
+func TestEncodeRefusesUnknownSchemas(t *testing.T) {
+	for _, schema := range []int{-1, 0, 3} {
+		_, err := EncodeService(Service{Name: "s"}, schema)
+		require.ErrorIs(t, err, ErrSchema)
+		_, err = EncodeBackend(Backend{Name: "b", Endpoints: make([]Endpoint, 1)}, schema)
+		require.ErrorIs(t, err, ErrSchema)
+		_, err = EncodeRule(Rule{Name: "r"}, schema)
+		require.ErrorIs(t, err, ErrSchema)
+	}
+}
+
+func TestDecodersRefuseOtherKinds(t *testing.T) {
+	for _, kind := range Kinds {
+		o := Object{Kind: kind, Name: "orders", Schema: Schema2, Body: json.RawMessage(`{}`)}
+		decoders := map[Kind]func(Object) error{
+			KindService:  func(o Object) error { _, err := DecodeService(o); return err },
+			KindBackend:  func(o Object) error { _, err := DecodeBackend(o); return err },
+			KindRule:     func(o Object) error { _, err := DecodeRule(o); return err },
+			KindInstance: func(o Object) error { _, err := DecodeInstance(o); return err },
+			KindStatus:   func(o Object) error { _, err := DecodeStatus(o); return err },
+		}
+		delete(decoders, kind)
+		for _, decode := range decoders {
+			require.ErrorIs(t, decode(o), ErrKind)
+		}
+	}
+}
+
+// objectOf returns an object whose body is v.
+func objectOf(t *testing.T, kind Kind, v any) Object {
+	t.Helper()
+	body, err := json.Marshal(v)
+	require.NoError(t, err)
+	return Object{Kind: kind, Name: "orders", Schema: Schema2, Body: body}
+}
+
+func TestEndpointsAreBounded(t *testing.T) {
+	b := Backend{Service: "s", Centre: "c"}
+	for port := range MaxEndpoints {
+		b.Endpoints = append(b.Endpoints, Endpoint{Address: fmt.Sprintf("10.0.0.1:%d", 1000+port)})
+	}
+	o := objectOf(t, KindBackend, b)
+	require.NoError(t, o.Check())
+	b.Endpoints = append(b.Endpoints, Endpoint{Address: "10.0.0.2:80"})
+	o = objectOf(t, KindBackend, b)
+	require.ErrorIs(t, o.Check(), ErrInvalid)
+	require.ErrorContains(t, o.Check(), `field "endpoints": value 257 is not within 1 to 256`)
+}
+
+func TestConditionsAreBounded(t *testing.T) {
+	o := objectOf(t, KindStatus, Status{Instance: "orders", Conditions: make([]Condition, maxConditions)})
+	require.NoError(t, o.Check())
+	o = objectOf(t, KindStatus, Status{Instance: "orders", Conditions: make([]Condition, maxConditions+1)})
+	require.ErrorIs(t, o.Check(), ErrInvalid)
+	require.ErrorContains(t, o.Check(), `field "conditions": value 1001 is more than 1000`)
+}
+
+func TestBodyIsBounded(t *testing.T) {
+	body := []byte(`{"queue":1` + strings.Repeat(" ", MaxBody-11) + `}`)
+	require.Len(t, body, MaxBody)
+	o := Object{Kind: KindService, Name: "orders", Schema: Schema2, Body: body}
+	require.NoError(t, o.Check())
+	o.Body = append(body, ' ')
+	require.ErrorIs(t, o.Check(), ErrInvalid)
+	require.ErrorContains(t, o.Check(), `field "body": value 1048577 is larger than 1048576 bytes`)
+}
+
+func TestDeletedObjectsNeedNoBody(t *testing.T) {
+	o := Object{Kind: KindService, Name: "orders", Deleted: true}
+	require.NoError(t, o.Check())
+	o.Name = "no name"
+	require.ErrorIs(t, o.Check(), ErrInvalid)
+}
+
+func TestKnownKinds(t *testing.T) {
+	for _, k := range Kinds {
+		require.True(t, k.Known())
+	}
+	require.False(t, Kind("tenant").Known())
+	require.Equal(t, "service/orders", Key{Kind: KindService, Name: "orders"}.String())
+}
+
+func TestInstanceCheckNeedsNoObject(t *testing.T) {
+	i := Instance{Name: "entry", Centre: "c", Packets: "10.0.0.1:1", Peers: "10.0.0.1:2", Control: "10.0.0.1:3", Size: 1, State: StateActive}
+	require.NoError(t, i.Check())
+	i.Peers = ""
+	require.ErrorIs(t, i.Check(), ErrInvalid)
+	require.ErrorContains(t, i.Check(), `instance/entry: field "peers": value "" is not`)
+}
--- a/record/rule.go
+++ b/record/rule.go
@@ -26,51 +26,69 @@
 
 // DecodeRule reads and checks a rule of any supported schema.
 func DecodeRule(o Object) (Rule, error) {
-	var r Rule
+	r := Rule{Name: o.Name, Revision: o.Revision, Class: ClassAny}
+	var err error
 	switch o.Schema {
 	case Schema1:
-		var old rule1
-		if err := decode(o, KindRule, &old); err != nil {
-			return Rule{}, err
-		}
-		r.Service = old.Service
-		if old.Backend != "" {
-			r.Backends = []string{old.Backend}
-		}
+		err = r.decode1(o)
 	case Schema2:
-		if err := decode(o, KindRule, &r); err != nil {
-			return Rule{}, err
-		}
+		err = decode(o, KindRule, &r)
 	default:
-		return Rule{}, badSchema(o)
+		err = badSchema(o)
 	}
-	r.Name, r.Revision = o.Name, o.Revision
-	if r.Class == "" {
-		r.Class = ClassAny
+	if err != nil {
+		return Rule{}, err
 	}
 	return r, r.check(o)
 }
 
+func (r *Rule) decode1(o Object) error {
+	var old rule1
+	if err := decode(o, KindRule, &old); err != nil {
+		return err
+	}
+	r.Service = old.Service
+	if old.Backend != "" {
+		r.Backends = []string{old.Backend}
+	}
+	return nil
+}
+
 // EncodeRule returns r as an object. Schema 1 holds at most one backend server
-// and neither class, spill nor pin.
+// and neither class, spill nor pin; other values are refused.
 func EncodeRule(r Rule, schema int) (Object, error) {
 	switch schema {
 	case Schema1:
-		if len(r.Backends) > 1 {
-			o := Object{Kind: KindRule, Name: r.Name, Schema: schema}
-			return Object{}, invalid(o, "backends", len(r.Backends), "more than 1, which schema 1 cannot hold")
-		}
-		old := rule1{Service: r.Service}
-		if len(r.Backends) == 1 {
-			old.Backend = r.Backends[0]
-		}
-		return encode(KindRule, r.Name, schema, old)
+		return r.encode1()
 	case Schema2:
 		return encode(KindRule, r.Name, schema, r)
 	}
 	return Object{}, badSchema(Object{Kind: KindRule, Name: r.Name, Schema: schema})
 }
 
+func (r Rule) encode1() (Object, error) {
+	o := Object{Kind: KindRule, Name: r.Name, Schema: Schema1}
+	if len(r.Backends) > 1 {
+		return Object{}, invalid(o, "backends", len(r.Backends), "more than 1, which schema 1 cannot hold")
+	}
+	if r.Class != "" {
+		if err := checkHeld(o, "class", r.Class, ClassAny); err != nil {
+			return Object{}, err
+		}
+	}
+	if err := checkHeld(o, "spill", r.Spill, false); err != nil {
+		return Object{}, err
+	}
+	if err := checkHeld(o, "pin", r.Pin, false); err != nil {
+		return Object{}, err
+	}
+	old := rule1{Service: r.Service}
+	if len(r.Backends) == 1 {
+		old.Backend = r.Backends[0]
+	}
+	return encode(KindRule, r.Name, Schema1, old)
+}
+
 func (r *Rule) check(o Object) error {
 	if err := CheckName(r.Service); err != nil {
 		return invalid(o, "service", fmt.Sprintf("%q", r.Service), "not a name")
--- a/record/service.go
+++ b/record/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 )
@@ -13,8 +14,13 @@
 	DefaultLimit    = 16 << 20 // bytes
 	DefaultQueue    = 256      // requests per instance
 	MaxQueue        = 100_000
+
+	maxTimeout = int(MaxDeadline / clock.Second) // of schema 1, in seconds
+	maxHost    = 253                             // bytes
 )
 
+var hostPattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?(:[0-9]{1,5})?$`)
+
 // Classes a service's requests may have by record.
 const (
 	ClassAuto  = "auto"
@@ -42,39 +48,63 @@
 
 // DecodeService reads and checks a service of any supported schema.
 func DecodeService(o Object) (Service, error) {
-	var s Service
+	s := Service{Name: o.Name, Revision: o.Revision}
+	s.setDefaults()
+	var err error
 	switch o.Schema {
 	case Schema1:
-		var old service1
-		if err := decode(o, KindService, &old); err != nil {
-			return Service{}, err
-		}
-		s = Service{Host: old.Host, Deadline: clock.Millis(old.Timeout) * clock.Second, Limit: old.MaxSize}
+		err = s.decode1(o)
 	case Schema2:
-		if err := decode(o, KindService, &s); err != nil {
-			return Service{}, err
-		}
+		err = decode(o, KindService, &s)
 	default:
-		return Service{}, badSchema(o)
+		err = badSchema(o)
+	}
+	if err != nil {
+		return Service{}, err
 	}
-	s.Name, s.Revision = o.Name, o.Revision
-	s.setDefaults()
 	return s, s.check(o)
 }
 
+func (s *Service) decode1(o Object) error {
+	old := service1{Host: s.Host, Timeout: int(s.Deadline / clock.Second), MaxSize: s.Limit}
+	if err := decode(o, KindService, &old); err != nil {
+		return err
+	}
+	if old.Timeout < 1 || old.Timeout > maxTimeout {
+		return invalid(o, "timeout", old.Timeout, "not within 1 to %d s", maxTimeout)
+	}
+	s.Host, s.Deadline, s.Limit = old.Host, clock.Millis(old.Timeout)*clock.Second, old.MaxSize
+	return nil
+}
+
 // EncodeService returns s as an object. Schema 1 holds deadlines in whole
-// seconds and neither queue nor class.
+// seconds and neither queue nor class; other values are refused.
 func EncodeService(s Service, schema int) (Object, error) {
 	switch schema {
 	case Schema1:
-		old := service1{Host: s.Host, Timeout: int(s.Deadline / clock.Second), MaxSize: s.Limit}
-		return encode(KindService, s.Name, schema, old)
+		return s.encode1()
 	case Schema2:
 		return encode(KindService, s.Name, schema, s)
 	}
 	return Object{}, badSchema(Object{Kind: KindService, Name: s.Name, Schema: schema})
 }
 
+func (s Service) encode1() (Object, error) {
+	o := Object{Kind: KindService, Name: s.Name, Schema: Schema1}
+	s.setDefaults()
+	if s.Deadline%clock.Second != 0 {
+		return Object{}, invalid(o, "deadline", s.Deadline, "not a whole number of seconds, as schema 1 requires")
+	}
+	if err := checkHeld(o, "queue", s.Queue, DefaultQueue); err != nil {
+		return Object{}, err
+	}
+	if err := checkHeld(o, "class", s.Class, ClassAuto); err != nil {
+		return Object{}, err
+	}
+	old := service1{Host: s.Host, Timeout: int(s.Deadline / clock.Second), MaxSize: s.Limit}
+	return encode(KindService, s.Name, Schema1, old)
+}
+
 func (s *Service) setDefaults() {
 	if s.Host == "" {
 		s.Host = s.Name
@@ -95,6 +125,8 @@
 
 func (s *Service) check(o Object) error {
 	switch {
+	case len(s.Host) > maxHost || !hostPattern.MatchString(s.Host):
+		return invalid(o, "host", fmt.Sprintf("%q", s.Host), "not a host name with an optional port")
 	case s.Deadline < 1 || s.Deadline > MaxDeadline:
 		return invalid(o, "deadline", s.Deadline, "not within 1 to %d ms", MaxDeadline)
 	case s.Limit < 1 || s.Limit > DefaultLimit:
--- a/record/status.go
+++ b/record/status.go
@@ -1,6 +1,10 @@
 package record
 
-import "github.com/tanagerdock/tanagerdock/clock"
+import (
+	"fmt"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
 
 // Status is what one instance reports to operators, under the instance's name.
 type Status struct {
@@ -33,6 +37,9 @@
 	if err := decode(o, KindStatus, &s); err != nil {
 		return Status{}, err
 	}
+	if s.Instance != o.Name {
+		return Status{}, invalid(o, "instance", fmt.Sprintf("%q", s.Instance), "not the object's name")
+	}
 	if len(s.Conditions) > maxConditions {
 		return Status{}, invalid(o, "conditions", len(s.Conditions), "more than %d", maxConditions)
 	}
