Test and fuzz the packet decoders, and refuse what contradicts the protocol

Tests read every kind, well formed and not, from testdata; fuzz targets for packets, envelopes, records and tokens have their cases as seeds, which plain go test runs; make fuzz runs each target for 10 s. Checked: decode(encode(x)) is x, every error is a sentinel, and nothing is allocated on the strength of an announced length.

Causes, each now refused as malformed:

- Ask and Permit with nonce 0.
A caller that keeps 0 for "no permit given" could have permitted a second nonce for the same request.
- A last part that makes the body larger than MaxBody, by up to 784 bytes.
- Ack and Got beyond the largest number of parts, Opened and Echo without token, Refuse without reason.
- An envelope of more than MaxEnvelope bytes, of more than MaxHops hops, whose packet exceeds MaxDatagram, or whose caller has an IPv6 zone, which names an interface of the sender and makes the receiver look up interfaces.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,18 @@
 	$(GO) tool staticcheck ./...
 	$(GO) tool revive -config revive.toml -exclude ./control/control.pb.go -exclude ./control/control.twirp.go ./...
 
+# Fuzzes each decoder for FUZZTIME. A crash leaves its input in testdata/fuzz,
+# which `make test` runs from then on.
+FUZZTIME ?= 10s
+FUZZWORKERS ?= 4
+FUZZ = $(GO) test -run '^$$' -fuzztime $(FUZZTIME) -parallel $(FUZZWORKERS)
+
+fuzz:
+	$(FUZZ) -fuzz '^FuzzDecode$$' ./packet
+	$(FUZZ) -fuzz '^FuzzDecodeEnvelope$$' ./packet
+	$(FUZZ) -fuzz '^FuzzDecodeObject$$' ./record
+	$(FUZZ) -fuzz '^FuzzOpen$$' ./token
+
 # Rewrites the generated code in control/; needs protoc and its two plugins.
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative control/control.proto
--- /dev/null
+++ b/packet/decode_test.go
@@ -0,0 +1,213 @@
+package packet
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/internal/script"
+)
+
+// Field numbers that the data files fill by length.
+const (
+	fieldVersion = 1
+	fieldToken   = 3
+	fieldService = 4
+	fieldPayload = 17
+
+	fieldSender      = 1
+	fieldIncarnation = 2
+	fieldCaller      = 3
+	fieldData        = 5
+	fieldLoads       = 10
+)
+
+var sentinels = map[string]error{
+	"malformed": ErrMalformed,
+	"version":   ErrVersion,
+	"large":     ErrTooLarge,
+}
+
+// Verdict is the end of every case: what the error must be and name.
+type Verdict struct {
+	Error string
+	Text  string
+}
+
+func (v Verdict) require(t *testing.T, err error) {
+	t.Helper()
+	if v.Error == "" {
+		require.NoError(t, err)
+		return
+	}
+	require.Contains(t, sentinels, v.Error)
+	require.ErrorIs(t, err, sentinels[v.Error])
+	require.ErrorContains(t, err, v.Text)
+}
+
+func fromHex(t *testing.T, text string) []byte {
+	t.Helper()
+	data, err := hex.DecodeString(strings.ReplaceAll(text, " ", ""))
+	require.NoError(t, err)
+	return data
+}
+
+func fromFields(t *testing.T, fields map[int]any) []byte {
+	t.Helper()
+	data, err := cbor.Marshal(fields)
+	require.NoError(t, err)
+	return data
+}
+
+type packetCase struct {
+	Name    string
+	Bytes   *string
+	Fields  map[int]any
+	Token   int
+	Service int
+	Payload int
+	Verdict `yaml:",inline"`
+}
+
+func (c packetCase) datagram(t *testing.T) []byte {
+	t.Helper()
+	if c.Bytes != nil {
+		return fromHex(t, *c.Bytes)
+	}
+	fields := map[int]any{fieldVersion: Version}
+	if c.Token > 0 {
+		fields[fieldToken] = make([]byte, c.Token)
+	}
+	if c.Service > 0 {
+		fields[fieldService] = strings.Repeat("s", c.Service)
+	}
+	if c.Payload > 0 {
+		fields[fieldPayload] = make([]byte, c.Payload)
+	}
+	for number, value := range c.Fields {
+		fields[number] = value
+	}
+	return fromFields(t, fields)
+}
+
+func TestDecode(t *testing.T) {
+	var cases []packetCase
+	script.Read(t, "testdata/decode.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			p, err := Decode(c.datagram(t))
+			c.require(t, err)
+			if err != nil {
+				require.Zero(t, p, "a refused datagram must tell nothing")
+				return
+			}
+			requireStable(t, p)
+		})
+	}
+}
+
+type envelopeCase struct {
+	Name    string
+	Bytes   *string
+	Fields  map[int]any
+	Caller  string
+	Data    int
+	Loads   int
+	Verdict `yaml:",inline"`
+}
+
+func (c envelopeCase) datagram(t *testing.T) []byte {
+	t.Helper()
+	if c.Bytes != nil {
+		return fromHex(t, *c.Bytes)
+	}
+	fields := map[int]any{fieldSender: 9, fieldIncarnation: 1}
+	if c.Caller != "" {
+		caller, err := netip.MustParseAddrPort(c.Caller).MarshalBinary()
+		require.NoError(t, err)
+		fields[fieldCaller] = caller
+	}
+	if c.Data > 0 {
+		fields[fieldData] = make([]byte, c.Data)
+	}
+	if c.Loads > 0 {
+		fields[fieldLoads] = make([]map[int]int, c.Loads)
+	}
+	for number, value := range c.Fields {
+		fields[number] = value
+	}
+	return fromFields(t, fields)
+}
+
+func TestDecodeEnvelope(t *testing.T) {
+	var cases []envelopeCase
+	script.Read(t, "testdata/envelope.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			e, err := DecodeEnvelope(c.datagram(t))
+			c.require(t, err)
+			if err != nil {
+				require.Zero(t, e, "a refused datagram must tell nothing")
+				return
+			}
+			requireStableEnvelope(t, e)
+		})
+	}
+}
+
+func TestEncodeRefusesWhatDoesNotFit(t *testing.T) {
+	_, err := Encode(Packet{Kind: KindPart, Request: 1, Count: 1, Payload: make([]byte, MaxDatagram)})
+	require.ErrorIs(t, err, ErrTooLarge)
+	require.ErrorContains(t, err, "part packet has 1213 bytes, at most 1200 are allowed")
+	_, err = EncodeEnvelope(Envelope{Sender: 1, Data: make([]byte, MaxEnvelope)})
+	require.ErrorIs(t, err, ErrTooLarge)
+	require.ErrorContains(t, err, "at most 1500 are allowed")
+}
+
+func TestNamesOfKindsClassesAndReasons(t *testing.T) {
+	require.Len(t, kindNames, int(lastKind)+1)
+	require.Len(t, classNames, int(lastClass)+1)
+	require.Len(t, reasonNames, int(lastReason)+1)
+	require.Equal(t, "kind(99)", Kind(99).String())
+	require.Equal(t, "class(99)", Class(99).String())
+	require.Equal(t, "reason(99)", Reason(99).String())
+}
+
+// maxPerDatagram bounds the bytes that refusing or accepting one datagram may
+// allocate beyond the datagram's own length: fields, error and its stack trace.
+const maxPerDatagram = 8 << 10
+
+// requireSmall checks that work allocates little beyond size bytes.
+func requireSmall(t *testing.T, size int, work func()) {
+	t.Helper()
+	const rounds = 20
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range rounds {
+		work()
+	}
+	runtime.ReadMemStats(&after)
+	require.LessOrEqual(t, (after.TotalAlloc-before.TotalAlloc)/rounds, uint64(size+maxPerDatagram))
+}
+
+// A datagram that announces more than it holds must not make the decoder
+// allocate what it announces.
+func TestDecodeAllocatesNoMoreThanTheDatagram(t *testing.T) {
+	var packets []packetCase
+	script.Read(t, "testdata/decode.yaml", &packets)
+	for _, c := range packets {
+		data := c.datagram(t)
+		requireSmall(t, len(data), func() { _, _ = Decode(data) })
+	}
+	var envelopes []envelopeCase
+	script.Read(t, "testdata/envelope.yaml", &envelopes)
+	for _, c := range envelopes {
+		data := c.datagram(t)
+		requireSmall(t, len(data), func() { _, _ = DecodeEnvelope(data) })
+	}
+}
--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -53,16 +53,33 @@
 // DecodeEnvelope reads and checks one datagram from another instance.
 func DecodeEnvelope(data []byte) (Envelope, error) {
 	var e Envelope
+	if len(data) > MaxEnvelope {
+		return e, errors.Wrapf(ErrTooLarge, "envelope has %d bytes, at most %d are allowed", len(data), MaxEnvelope)
+	}
 	if err := decoder.Unmarshal(data, &e); err != nil {
 		return Envelope{}, errors.Wrapf(ErrMalformed, "decode envelope of %d bytes: %v", len(data), err)
 	}
+	if err := e.check(); err != nil {
+		return Envelope{}, err
+	}
+	return e, nil
+}
+
+func (e *Envelope) check() error {
 	switch {
 	case e.Sender == 0:
-		return Envelope{}, errors.Wrap(ErrMalformed, "envelope: sender is missing")
+		return errors.Wrap(ErrMalformed, "envelope: sender is missing")
+	case e.Hops > MaxHops:
+		return errors.Wrapf(ErrMalformed, "envelope: %d hops, at most %d are allowed", e.Hops, MaxHops)
 	case len(e.Loads) > maxLoads:
-		return Envelope{}, errors.Wrapf(ErrMalformed, "envelope: %d loads, at most %d are allowed", len(e.Loads), maxLoads)
+		return errors.Wrapf(ErrMalformed, "envelope: %d loads, at most %d are allowed", len(e.Loads), maxLoads)
+	case len(e.Data) > MaxDatagram:
+		return errors.Wrapf(ErrMalformed, "envelope: data has %d bytes, at most %d are allowed", len(e.Data), MaxDatagram)
 	case len(e.Data) > 0 && !e.Caller.IsValid():
-		return Envelope{}, errors.Wrap(ErrMalformed, "envelope: caller is missing")
+		return errors.Wrap(ErrMalformed, "envelope: caller is missing")
+	case e.Caller.Addr().Zone() != "":
+		// A zone names an interface of the sender, which means nothing here.
+		return errors.Wrapf(ErrMalformed, "envelope: caller %v has a zone", e.Caller)
 	}
-	return e, nil
+	return nil
 }
--- a/packet/packet.go
+++ b/packet/packet.go
@@ -175,7 +175,7 @@
 	Attempt  uint8        `cbor:"9,keyasint,omitempty"`  // how often the caller started over
 	Class    Class        `cbor:"10,keyasint,omitempty"` // expected run time
 	Deadline clock.Millis `cbor:"11,keyasint,omitempty"` // time left when the packet was sent, in ms
-	Nonce    uint64       `cbor:"12,keyasint,omitempty"` // Ask and Permit; on Open a number echoed by Opened
+	Nonce    uint64       `cbor:"12,keyasint,omitempty"` // Ask and Permit, never 0; on Open a number echoed by Opened
 	Reason   Reason       `cbor:"13,keyasint,omitempty"` // Refuse only
 	Status   uint16       `cbor:"14,keyasint,omitempty"` // Answer: the backend server's status code
 	Next     uint32       `cbor:"15,keyasint,omitempty"` // Ack and Got: all parts below are held
@@ -279,10 +279,33 @@
 		if p.Part+1 < p.Count && len(p.Payload) != MaxPayload {
 			return malformed(p, "part %d of %d has %d bytes, only the last may have fewer than %d", p.Part, p.Count, len(p.Payload), MaxPayload)
 		}
-	case KindAck, KindGot, KindAsk, KindPermit, KindCancel:
-		if p.Request == 0 {
-			return malformed(p, "request number is missing")
+		if size := int(p.Part)*MaxPayload + len(p.Payload); size > MaxBody {
+			return malformed(p, "body has %d bytes, at most %d are allowed", size, MaxBody)
+		}
+	case KindOpened, KindEcho:
+		if len(p.Token) == 0 {
+			return malformed(p, "token is missing")
+		}
+	case KindRefuse:
+		if p.Reason == ReasonNone {
+			return malformed(p, "reason is missing")
 		}
+	case KindAck, KindGot, KindAsk, KindPermit, KindCancel:
+		return p.checkRequest()
+	}
+	return nil
+}
+
+// checkRequest checks the kinds that are about a request but carry no part.
+func (p *Packet) checkRequest() error {
+	asks := p.Kind == KindAsk || p.Kind == KindPermit
+	switch {
+	case p.Request == 0:
+		return malformed(p, "request number is missing")
+	case p.Next > MaxParts:
+		return malformed(p, "next %d exceeds %d", p.Next, MaxParts)
+	case asks && p.Nonce == 0:
+		return malformed(p, "nonce is missing")
 	}
 	return nil
 }
