Engine: endpoints go to instances by bounded rendezvous

Cause: with plain rendezvous two of four instances dispatched nothing, so their share of the work was handed over each time and one death hit half the slots. Change: an instance takes at most its share of a service's endpoints, rounded up.

--- /dev/null
+++ b/instance/frame_test.go
@@ -0,0 +1,662 @@
+package instance_test
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/caller"
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// frame joins instance engines, caller engines and fakes of the fabric, the
+// platform and backend servers on one fake clock. Nothing sleeps: time is what
+// the next delivery says.
+type frame struct {
+	t        *testing.T
+	now      clock.Millis
+	random   *rand.Rand
+	queue    deliveries
+	order    uint64
+	nodes    []*node
+	callers  []*fakeCaller
+	backends map[string]*fakeBackend
+	store    *fakeStore
+	keys     *token.Keys
+	trace    bool
+
+	// fault decides about one datagram; nil delivers everything.
+	fault func(from, to string) fate
+	// links maps "a>b" to true when datagrams and calls from a to b are cut.
+	links map[string]bool
+}
+
+// fate is what the network does to one datagram.
+type fate struct {
+	drop  bool
+	twice bool
+	delay clock.Millis
+}
+
+type delivery struct {
+	at    clock.Millis
+	order uint64
+	run   func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := len(*d) - 1
+	x := (*d)[last]
+	*d = (*d)[:last]
+	return x
+}
+
+const (
+	frameStart = 1_000_000 * clock.Second
+	frameHop   = clock.Millisecond // one way between any two
+)
+
+func newFrame(t *testing.T, seed uint64) *frame {
+	keys, err := token.NewKeys(1, map[uint8][]byte{1: []byte("0123456789abcdef")})
+	require.NoError(t, err)
+	return &frame{
+		t: t, now: frameStart, random: rand.New(rand.NewPCG(seed, 1)), keys: keys,
+		backends: make(map[string]*fakeBackend), store: &fakeStore{}, links: make(map[string]bool),
+	}
+}
+
+func (f *frame) at(when clock.Millis, run func()) {
+	f.order++
+	heap.Push(&f.queue, delivery{at: when, order: f.order, run: run})
+}
+
+func (f *frame) after(span clock.Millis, run func()) { f.at(f.now+span, run) }
+
+// run lets time pass.
+func (f *frame) run(span clock.Millis) {
+	f.until(span, func() bool { return false })
+}
+
+// until lets time pass until done, for at most span, and reports done.
+func (f *frame) until(span clock.Millis, done func() bool) bool {
+	end := f.now + span
+	for len(f.queue) > 0 && f.queue[0].at <= end {
+		if done() {
+			return true
+		}
+		d := heap.Pop(&f.queue).(delivery)
+		f.now = d.at
+		d.run()
+	}
+	f.now = end
+	return done()
+}
+
+// datagram carries one datagram, subject to faults.
+func (f *frame) datagram(from, to string, run func()) {
+	if f.links[from+">"+to] {
+		return
+	}
+	var fate fate
+	if f.fault != nil {
+		fate = f.fault(from, to)
+	}
+	if fate.drop {
+		return
+	}
+	f.after(frameHop+fate.delay, run)
+	if fate.twice {
+		f.after(2*frameHop+fate.delay, run)
+	}
+}
+
+// cut cuts or mends both directions between two parties.
+func (f *frame) cut(a, b string, on bool) {
+	f.links[a+">"+b], f.links[b+">"+a] = on, on
+}
+
+// node is one instance process.
+type node struct {
+	f       *frame
+	self    record.Instance
+	engine  *instance.Engine
+	dead    bool
+	paused  bool
+	held    []instance.Event // while paused
+	stopped bool
+	seen    uint64 // newest store revision delivered
+	runs    map[uint64]*fakeRun
+	notes   []instance.Note
+	status  record.Status
+	bytes   int // sent to other instances
+	calls   uint64
+}
+
+// addNode starts an instance process; the same name again is a restart.
+func (f *frame) addNode(name, centre string) *node {
+	n := len(f.nodes) + 1
+	self := record.Instance{
+		Name: name, Centre: centre, Size: 1, State: record.StateActive, Schema: record.Schema2, Incarnation: f.now,
+		Packets: fmt.Sprintf("127.1.0.%d:1000", n), Peers: fmt.Sprintf("127.1.0.%d:2000", n), Control: fmt.Sprintf("127.1.0.%d:3000", n),
+	}
+	d := &node{f: f, self: self, runs: make(map[uint64]*fakeRun)}
+	d.engine = instance.New(instance.Settings{Self: self, Keys: f.keys, Seed: uint64(n) + f.random.Uint64()}, f.now)
+	f.nodes = append(f.nodes, d)
+	f.after(instance.TickPeriod, d.tick)
+	f.after(1, d.poll)
+	return d
+}
+
+func (f *frame) node(name string) *node {
+	for i := len(f.nodes) - 1; i >= 0; i-- {
+		if f.nodes[i].self.Name == name {
+			return f.nodes[i]
+		}
+	}
+	f.t.Fatalf("no instance %q", name)
+	return nil
+}
+
+func (d *node) tick() {
+	if d.dead || d.stopped {
+		return
+	}
+	if !d.paused {
+		d.handle(instance.Tick{})
+	}
+	d.f.after(instance.TickPeriod, d.tick)
+}
+
+// poll is the daemon's side of the platform: list, watch and instance list.
+func (d *node) poll() {
+	if d.dead || d.stopped {
+		return
+	}
+	d.f.after(200*clock.Millisecond, d.poll)
+	s := d.f.store
+	reachable := !s.down && !d.f.links[d.self.Name+">platform"]
+	if !d.paused {
+		d.handle(instance.PlatformCalled{Answered: reachable})
+	}
+	if !reachable || d.paused {
+		return
+	}
+	if d.seen < s.revision || d.seen == 0 {
+		d.handle(instance.ObjectsReceived{Objects: s.since(d.seen), Revision: s.revision, Whole: d.seen == 0, Source: instance.SourcePlatform})
+		d.seen = max(s.revision, 1)
+	}
+	d.handle(instance.InstancesListed{Instances: s.instances(d.f.now)})
+}
+
+// kill ends the process; everything it had under way is cut off.
+func (d *node) kill() {
+	d.dead = true
+	for _, r := range d.runs {
+		r.cancel()
+	}
+}
+
+func (d *node) pause() { d.paused = true }
+
+func (d *node) resume() {
+	d.paused = false
+	held := d.held
+	d.held = nil
+	for _, ev := range held {
+		d.handle(ev)
+	}
+}
+
+func (d *node) handle(ev instance.Event) {
+	switch {
+	case d.dead || d.stopped:
+		return
+	case d.paused:
+		d.held = append(d.held, ev)
+		return
+	}
+	actions := d.engine.Handle(d.f.now, ev)
+	for _, a := range append([]instance.Action(nil), actions...) {
+		d.carryOut(a)
+	}
+}
+
+func (d *node) carryOut(a instance.Action) {
+	switch a := a.(type) {
+	case instance.SendPacket:
+		d.sendPacket(a)
+	case instance.SendEnvelope:
+		d.sendEnvelope(a)
+	case instance.RunRequest:
+		d.f.backendRun(d, a)
+	case instance.HandOver:
+		d.handOver(a)
+	case instance.CancelRun:
+		if r := d.runs[a.Run]; r != nil {
+			r.cancel()
+		}
+	case instance.AnswerPeer:
+		d.answerPeer(a)
+	case instance.ProbeEndpoint:
+		d.f.backendProbe(d, a)
+	case instance.FetchObjects:
+		d.fetch(a)
+	case instance.WriteStatus:
+		d.status = a.Status
+	case instance.Announce:
+		if !d.f.store.down && !d.f.links[d.self.Name+">platform"] {
+			d.f.store.announce(a.Instance, d.f.now)
+		}
+	case instance.Note:
+		d.notes = append(d.notes, a)
+		if d.f.trace {
+			d.f.t.Logf("%d %s %+v", d.f.now-frameStart, d.self.Name, a)
+		}
+	case instance.Stopped:
+		d.stopped = true
+	}
+}
+
+func (d *node) sendPacket(a instance.SendPacket) {
+	for _, c := range d.f.callers {
+		if c.address == a.To {
+			d.f.datagram(d.self.Name, c.name, func() { c.handle(caller.PacketReceived{Packet: a.Packet}) })
+		}
+	}
+}
+
+func (d *node) sendEnvelope(a instance.SendEnvelope) {
+	data, err := packet.EncodeEnvelope(a.Envelope)
+	require.NoError(d.f.t, err)
+	d.bytes += len(data)
+	to := d.f.byAddress(a.To.String())
+	if to == nil {
+		return
+	}
+	d.f.datagram(d.self.Name, to.self.Name, func() {
+		e, err := packet.DecodeEnvelope(data)
+		require.NoError(d.f.t, err)
+		ev := instance.EnvelopeReceived{Envelope: e}
+		if len(e.Data) > 0 {
+			p, err := packet.Decode(e.Data)
+			require.NoError(d.f.t, err)
+			ev.Packet = &p
+		}
+		to.handle(ev)
+	})
+}
+
+// byAddress finds the process behind a peers or control address.
+func (f *frame) byAddress(address string) *node {
+	for _, d := range f.nodes {
+		if d.self.Peers == address || d.self.Control == address {
+			return d
+		}
+	}
+	return nil
+}
+
+// fakeRun is a run or hand-over under way, seen from the instance that waits.
+type fakeRun struct {
+	cancelled bool
+	abort     func()
+}
+
+func (r *fakeRun) cancel() {
+	if !r.cancelled {
+		r.cancelled = true
+		r.abort()
+	}
+}
+
+// handOver carries a twirp call to another instance.
+func (d *node) handOver(a instance.HandOver) {
+	to := d.f.byAddress(a.Control)
+	end := func(r instance.Result) {
+		if d.runs[a.Run] != nil {
+			delete(d.runs, a.Run)
+			d.handle(instance.HandOverEnded{Run: a.Run, Result: r})
+		}
+	}
+	d.runs[a.Run] = &fakeRun{abort: func() {
+		d.f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeUnknown, Silent: true}) })
+	}}
+	if to == nil || to.dead || to.stopped || d.f.links[d.self.Name+">"+to.self.Name] {
+		d.f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeNotRun, Detail: "dial"}) })
+		return
+	}
+	d.f.after(frameHop, func() {
+		to.calls++
+		call := uint64(len(d.f.nodes))<<32 | to.calls
+		to.pending(call, func(r instance.Result) { d.f.after(frameHop, func() { end(r) }) })
+		to.handle(instance.PeerCalled{Call: call, Peer: d.self.Name, Work: a.Work})
+	})
+}
+
+// pending keeps the way back of a call of another instance.
+func (d *node) pending(call uint64, answer func(instance.Result)) {
+	d.runs[call] = &fakeRun{abort: func() {
+		d.f.after(frameHop, func() { answer(instance.Result{Outcome: instance.OutcomeUnknown, Detail: "reset"}) })
+	}}
+	d.f.store.answers(d, call, answer)
+}
+
+func (d *node) answerPeer(a instance.AnswerPeer) {
+	delete(d.runs, a.Call)
+	if answer := d.f.store.takeAnswer(d, a.Call); answer != nil {
+		answer(a.Result)
+	}
+}
+
+func (d *node) fetch(a instance.FetchObjects) {
+	to := d.f.byAddress(a.Control)
+	if to == nil || to.dead || to.stopped || to.paused || d.f.links[d.self.Name+">"+to.self.Name] {
+		return
+	}
+	d.f.after(2*frameHop, func() {
+		objects, revision := to.engine.Objects()
+		d.handle(instance.ObjectsReceived{Objects: objects, Revision: revision, Source: a.Peer})
+	})
+}
+
+// fakeStore is the platform: records with revisions, and the instance list.
+type fakeStore struct {
+	down     bool
+	revision uint64
+	objects  []record.Object
+	list     []record.Instance
+	frozen   []record.Instance // what a stale list shows, when not nil
+	ways     map[string]func(instance.Result)
+}
+
+func (s *fakeStore) put(o record.Object) uint64 {
+	s.revision++
+	o.Revision = s.revision
+	s.objects = append(s.objects, o)
+	return s.revision
+}
+
+func (s *fakeStore) since(revision uint64) []record.Object {
+	newest := make(map[record.Key]record.Object)
+	var order []record.Key
+	for _, o := range s.objects {
+		if _, ok := newest[o.Key()]; !ok {
+			order = append(order, o.Key())
+		}
+		newest[o.Key()] = o
+	}
+	var found []record.Object
+	for _, k := range order {
+		if o := newest[k]; o.Revision > revision && (revision > 0 || !o.Deleted) {
+			found = append(found, o)
+		}
+	}
+	return found
+}
+
+func (s *fakeStore) announce(i record.Instance, _ clock.Millis) {
+	for n, known := range s.list {
+		if known.Name == i.Name {
+			s.list[n] = i
+			return
+		}
+	}
+	s.list = append(s.list, i)
+}
+
+func (s *fakeStore) instances(clock.Millis) []record.Instance {
+	if s.frozen != nil {
+		return s.frozen
+	}
+	return append([]record.Instance(nil), s.list...)
+}
+
+func (s *fakeStore) answers(d *node, call uint64, answer func(instance.Result)) {
+	if s.ways == nil {
+		s.ways = make(map[string]func(instance.Result))
+	}
+	s.ways[fmt.Sprint(d.self.Name, d.self.Incarnation, call)] = answer
+}
+
+func (s *fakeStore) takeAnswer(d *node, call uint64) func(instance.Result) {
+	key := fmt.Sprint(d.self.Name, d.self.Incarnation, call)
+	answer := s.ways[key]
+	delete(s.ways, key)
+	return answer
+}
+
+func (f *frame) putJSON(kind record.Kind, name string, schema int, v any) uint64 {
+	body, err := json.Marshal(v)
+	require.NoError(f.t, err)
+	return f.store.put(record.Object{Kind: kind, Name: name, Schema: schema, Body: body})
+}
+
+// fakeBackend is one endpoint of a backend server.
+type fakeBackend struct {
+	address  string
+	host     string
+	slots    int
+	work     clock.Millis
+	busy     int
+	peak     int            // most runs at once
+	runs     map[string]int // by request body
+	finished map[string]int
+	draining bool
+	shed     bool
+	dead     bool
+	silent   bool
+	unwell   bool // its health endpoint says so
+}
+
+func (f *frame) addBackend(name, service, centre, address string, slots int, work clock.Millis) *fakeBackend {
+	b := &fakeBackend{address: address, host: service, slots: slots, work: work, runs: make(map[string]int), finished: make(map[string]int)}
+	f.backends[address] = b
+	f.putJSON(record.KindBackend, name, record.Schema2, record.Backend{Service: service, Centre: centre, Endpoints: []record.Endpoint{{Address: address, Slots: slots}}})
+	return b
+}
+
+// backendRun carries one HTTP request to a fake backend server.
+func (f *frame) backendRun(d *node, a instance.RunRequest) {
+	b := f.backends[a.Endpoint]
+	ended := false
+	end := func(r instance.Result) {
+		if !ended {
+			ended = true
+			delete(d.runs, a.Run)
+			d.handle(instance.RunEnded{Run: a.Run, Result: r})
+		}
+	}
+	started, freed := false, false
+	free := func() {
+		if started && !freed {
+			freed = true
+			b.busy--
+		}
+	}
+	d.runs[a.Run] = &fakeRun{abort: func() {
+		free()
+		f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeUnknown, Silent: true, Dialled: true}) })
+	}}
+	if b == nil || b.dead || f.links[d.self.Name+">"+a.Endpoint] {
+		f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeNotRun, Detail: "dial"}) })
+		return
+	}
+	f.after(frameHop, func() {
+		switch {
+		case b.silent:
+			return
+		case b.host != a.Host:
+			end(instance.Result{Outcome: instance.OutcomeMisrouted, Dialled: true, Status: 421})
+			return
+		case b.draining || b.shed:
+			end(instance.Result{Outcome: instance.OutcomeNotRun, Dialled: true, Drain: b.draining, Shed: b.shed})
+			return
+		}
+		started = true
+		b.busy++
+		b.peak = max(b.peak, b.busy)
+		key := string(a.Work.Body)
+		b.runs[key]++
+		f.after(b.work, func() {
+			if freed {
+				return
+			}
+			free()
+			b.finished[key]++
+			if b.dead {
+				f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeUnknown, Dialled: true}) })
+				return
+			}
+			f.after(frameHop, func() {
+				end(instance.Result{Outcome: instance.OutcomeAnswered, Status: 200, Dialled: true, Body: []byte("answer to " + key)})
+			})
+		})
+	})
+}
+
+func (f *frame) backendProbe(d *node, a instance.ProbeEndpoint) {
+	b := f.backends[a.Endpoint]
+	f.after(2*frameHop, func() {
+		if b == nil || b.dead || b.silent || f.links[d.self.Name+">"+a.Endpoint] {
+			d.handle(instance.ProbeEnded{Endpoint: a.Endpoint})
+			return
+		}
+		d.handle(instance.ProbeEnded{Endpoint: a.Endpoint, Answered: true, Healthy: !b.unwell && b.host == a.Host, Draining: b.draining})
+	})
+}
+
+// fakeCaller is one flow of a caller.
+type fakeCaller struct {
+	f       *frame
+	name    string
+	address netip.AddrPort
+	engine  *caller.Engine
+	next    uint64
+	bodies  map[uint64]string
+	ends    map[string]caller.RequestEnded // by request body
+}
+
+func (f *frame) addCaller(service string) *fakeCaller {
+	n := len(f.callers) + 1
+	c := &fakeCaller{
+		f: f, name: fmt.Sprintf("caller-%d", n), address: netip.MustParseAddrPort(fmt.Sprintf("127.2.0.1:%d", 10_000+n)),
+		engine: caller.New(caller.Settings{Service: service, Seed: uint64(n) + f.random.Uint64()}),
+		bodies: make(map[uint64]string), ends: make(map[string]caller.RequestEnded),
+	}
+	f.callers = append(f.callers, c)
+	c.handle(caller.OpenRequested{})
+	f.after(caller.TickPeriod, c.tick)
+	return c
+}
+
+func (c *fakeCaller) tick() {
+	c.handle(caller.Tick{})
+	c.f.after(caller.TickPeriod, c.tick)
+}
+
+func (c *fakeCaller) request(body string, once bool, deadline clock.Millis) {
+	c.next++
+	c.bodies[c.next] = body
+	c.handle(caller.RequestStarted{Call: c.next, Request: caller.Request{Body: []byte(body), Once: once, Deadline: deadline}})
+}
+
+func (c *fakeCaller) handle(ev caller.Event) {
+	for _, a := range append([]caller.Action(nil), c.engine.Handle(c.f.now, ev)...) {
+		switch a := a.(type) {
+		case caller.SendPacket:
+			c.send(a.Packet)
+		case caller.RequestEnded:
+			c.ends[c.bodies[a.Call]] = a
+		}
+	}
+}
+
+// send hands a packet to the fabric, which takes it to any instance.
+func (c *fakeCaller) send(p packet.Packet) {
+	var up []*node
+	for _, d := range c.f.nodes {
+		if !d.dead && !d.stopped {
+			up = append(up, d)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	data, err := packet.Encode(p)
+	require.NoError(c.f.t, err)
+	to := up[c.f.random.IntN(len(up))]
+	c.f.datagram(c.name, to.self.Name, func() {
+		got, err := packet.Decode(data)
+		require.NoError(c.f.t, err)
+		to.handle(instance.PacketReceived{From: c.address, Packet: got, Data: data})
+	})
+}
+
+func (c *fakeCaller) done() bool { return len(c.ends) == int(c.next) }
+
+// answered checks that a request ended with its whole answer.
+func (c *fakeCaller) answered(body string) bool {
+	e, ok := c.ends[body]
+	return ok && e.Err == nil && string(e.Answer.Body) == "answer to "+body
+}
+
+// runsOf counts how often a request body was started at any backend server.
+func (f *frame) runsOf(body string) int {
+	sum := 0
+	for _, b := range f.backends {
+		sum += b.runs[body]
+	}
+	return sum
+}
+
+// desk starts the order desk: instances of one data centre, and endpoints.
+func (f *frame) desk(instances, endpoints int) {
+	f.putJSON(record.KindService, "orders", record.Schema2, record.Service{})
+	for i := range endpoints {
+		f.addBackend(fmt.Sprintf("orders-%d", i), "orders", "riga-1", fmt.Sprintf("127.3.0.%d:80", i+1), 2, 20*clock.Millisecond)
+	}
+	for i := range instances {
+		f.addNode(fmt.Sprintf("entry-%d", i+1), "riga-1")
+	}
+	f.run(5 * clock.Second)
+}
+
+func TestRequestsAreAnsweredWhereverPacketsLand(t *testing.T) {
+	f := newFrame(t, 1)
+	f.desk(4, 4)
+	for i := range 20 {
+		c := f.addCaller("orders")
+		for n := range 5 {
+			c.request(fmt.Sprintf("%d/%d %s", i, n, strings.Repeat("x", i*n*300)), n%2 == 0, 5*clock.Second)
+		}
+	}
+	f.run(5 * clock.Second)
+	for _, c := range f.callers {
+		require.True(t, c.done())
+		for _, body := range c.bodies {
+			require.True(t, c.answered(body), "%s %.40s %+v", c.name, body, c.ends[body].Err)
+			require.Equal(t, 1, f.runsOf(body))
+		}
+	}
+	for _, b := range f.backends {
+		require.LessOrEqual(t, b.peak, b.slots)
+	}
+}
--- a/instance/members.go
+++ b/instance/members.go
@@ -384,19 +384,19 @@
 func (c memberController) derivePlaces(v *Service) {
 	v.Mine = nil
 	v.Places = make(map[string][]Place)
+	byCentre := make(map[string][]*Endpoint)
 	for _, ep := range v.Endpoints {
-		if ep.Backend.State != record.StateActive {
-			continue
-		}
-		centre := ep.Backend.Centre
-		m := rendezvous(ep.Hash, c.b.Members.Live[centre])
-		if m == nil {
-			continue
+		if ep.Backend.State == record.StateActive {
+			byCentre[ep.Backend.Centre] = append(byCentre[ep.Backend.Centre], ep)
 		}
-		if m == c.b.Self {
-			v.Mine = append(v.Mine, ep)
+	}
+	for centre, endpoints := range byCentre {
+		for i, m := range assign(endpoints, c.b.Members.Live[centre]) {
+			if m == c.b.Self {
+				v.Mine = append(v.Mine, endpoints[i])
+			}
+			v.addPlace(centre, m, endpoints[i].Capacity())
 		}
-		v.addPlace(centre, m, ep.Capacity())
 	}
 }
 
