--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -4,8 +4,10 @@
 	"container/heap"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -39,6 +41,29 @@
 	fault func(from, to string) fate
 	// links maps "a>b" to true when datagrams and calls from a to b are cut.
 	links map[string]bool
+	// reached is told when a request of a caller comes to a point at an instance.
+	reached func(p point, c *fakeCaller, d *node, endpoint string)
+	asker   map[string]*fakeCaller // by request body
+}
+
+// point is where a request stands.
+type point string
+
+const (
+	pointOpen       point = "open"       // the caller asks for a flow
+	pointPart       point = "part"       // some parts arrived at the owner
+	pointWhole      point = "whole"      // the owner holds the whole request
+	pointAsk        point = "ask"        // the owner asks for the permit
+	pointDispatched point = "dispatched" // it left for the backend server
+	pointRunning    point = "running"    // the backend server started it
+	pointAnswer     point = "answer"     // the first part of the answer was sent
+	pointLast       point = "last"       // the last part of the answer was sent
+)
+
+func (f *frame) reach(p point, c *fakeCaller, d *node, endpoint string) {
+	if f.reached != nil && c != nil {
+		f.reached(p, c, d, endpoint)
+	}
 }
 
 // fate is what the network does to one datagram.
@@ -77,10 +102,13 @@
 func newFrame(t *testing.T, seed uint64) *frame {
 	keys, err := token.NewKeys(1, map[uint8][]byte{1: []byte("0123456789abcdef")})
 	require.NoError(t, err)
-	return &frame{
+	f := &frame{
 		t: t, now: frameStart, random: rand.New(rand.NewPCG(seed, 1)), keys: keys,
 		backends: make(map[string]*fakeBackend), store: &fakeStore{}, links: make(map[string]bool),
+		asker: make(map[string]*fakeCaller),
 	}
+	f.store.clock = func() clock.Millis { return f.now }
+	return f
 }
 
 func (f *frame) at(when clock.Millis, run func()) {
@@ -142,7 +170,8 @@
 	paused  bool
 	held    []instance.Event // while paused
 	stopped bool
-	seen    uint64 // newest store revision delivered
+	seen    uint64       // newest store revision delivered
+	lag     clock.Millis // of news from the platform
 	runs    map[uint64]*fakeRun
 	notes   []instance.Note
 	status  record.Status
@@ -192,16 +221,17 @@
 	}
 	d.f.after(200*clock.Millisecond, d.poll)
 	s := d.f.store
+	newest := s.newest(d.f.now - d.lag)
 	reachable := !s.down && !d.f.links[d.self.Name+">platform"]
 	if !d.paused {
-		d.handle(instance.PlatformCalled{Answered: reachable})
+		d.handle(instance.PlatformCalled{Answered: reachable && !s.unanswered})
 	}
 	if !reachable || d.paused {
 		return
 	}
-	if d.seen < s.revision || d.seen == 0 {
-		d.handle(instance.ObjectsReceived{Objects: s.since(d.seen), Revision: s.revision, Whole: d.seen == 0, Source: instance.SourcePlatform})
-		d.seen = max(s.revision, 1)
+	if d.seen < newest || d.seen == 0 {
+		d.handle(instance.ObjectsReceived{Objects: s.since(d.seen, newest), Revision: newest, Whole: d.seen == 0, Source: instance.SourcePlatform})
+		d.seen = max(newest, 1)
 	}
 	d.handle(instance.InstancesListed{Instances: s.instances(d.f.now)})
 }
@@ -209,8 +239,8 @@
 // kill ends the process; everything it had under way is cut off.
 func (d *node) kill() {
 	d.dead = true
-	for _, r := range d.runs {
-		r.cancel()
+	for _, run := range slices.Sorted(maps.Keys(d.runs)) {
+		d.runs[run].cancel()
 	}
 }
 
@@ -233,6 +263,12 @@
 		d.held = append(d.held, ev)
 		return
 	}
+	if ev, ok := ev.(instance.PacketReceived); ok {
+		d.observe(ev.From, ev.Packet)
+	}
+	if ev, ok := ev.(instance.EnvelopeReceived); ok && ev.Packet != nil {
+		d.observe(ev.Envelope.Caller, *ev.Packet)
+	}
 	actions := d.engine.Handle(d.f.now, ev)
 	for _, a := range append([]instance.Action(nil), actions...) {
 		d.carryOut(a)
@@ -275,7 +311,34 @@
 	}
 }
 
+// observe notices what a packet to or from a caller tells about its request.
+func (d *node) observe(address netip.AddrPort, p packet.Packet) {
+	t, err := token.Peek(p.Token)
+	if err != nil || t.Owner != token.Hash(d.self.Name) || p.Request == 0 {
+		return
+	}
+	for _, c := range d.f.callers {
+		if c.address != address {
+			continue
+		}
+		c.owner = d
+		switch {
+		case p.Kind == packet.KindPart && p.Part > 0:
+			d.f.reach(pointPart, c, d, "")
+		case p.Kind == packet.KindAck && p.Next == p.Count:
+			d.f.reach(pointWhole, c, d, "")
+		case p.Kind == packet.KindAsk:
+			d.f.reach(pointAsk, c, d, "")
+		case p.Kind == packet.KindAnswer && p.Part+1 == p.Count:
+			d.f.reach(pointLast, c, d, "")
+		case p.Kind == packet.KindAnswer:
+			d.f.reach(pointAnswer, c, d, "")
+		}
+	}
+}
+
 func (d *node) sendPacket(a instance.SendPacket) {
+	d.observe(a.To, a.Packet)
 	for _, c := range d.f.callers {
 		if c.address == a.To {
 			d.f.datagram(d.self.Name, c.name, func() { c.handle(caller.PacketReceived{Packet: a.Packet}) })
@@ -336,17 +399,31 @@
 			d.handle(instance.HandOverEnded{Run: a.Run, Result: r})
 		}
 	}
+	call := uint64(0)
 	d.runs[a.Run] = &fakeRun{abort: func() {
-		d.f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeUnknown, Silent: true}) })
+		d.f.after(frameHop, func() {
+			end(instance.Result{Outcome: instance.OutcomeUnknown, Silent: true})
+			if call != 0 && !d.f.links[d.self.Name+">"+to.self.Name] {
+				to.handle(instance.PeerCancelled{Call: call})
+			}
+		})
 	}}
 	if to == nil || to.dead || to.stopped || d.f.links[d.self.Name+">"+to.self.Name] {
 		d.f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeNotRun, Detail: "dial"}) })
 		return
 	}
 	d.f.after(frameHop, func() {
+		if to.dead {
+			end(instance.Result{Outcome: instance.OutcomeUnknown, Detail: "reset"})
+			return
+		}
 		to.calls++
-		call := uint64(len(d.f.nodes))<<32 | to.calls
-		to.pending(call, func(r instance.Result) { d.f.after(frameHop, func() { end(r) }) })
+		call = uint64(len(d.f.nodes))<<32 | to.calls
+		to.pending(call, func(r instance.Result) {
+			if !d.f.links[to.self.Name+">"+d.self.Name] {
+				d.f.after(frameHop, func() { end(r) })
+			}
+		})
 		to.handle(instance.PeerCalled{Call: call, Peer: d.self.Name, Work: a.Work})
 	})
 }
@@ -379,25 +456,43 @@
 
 // fakeStore is the platform: records with revisions, and the instance list.
 type fakeStore struct {
-	down     bool
-	revision uint64
-	objects  []record.Object
-	list     []record.Instance
-	frozen   []record.Instance // what a stale list shows, when not nil
-	ways     map[string]func(instance.Result)
+	down       bool
+	unanswered bool // writes take effect, but their answers are lost
+	revision   uint64
+	objects    []record.Object
+	times      []clock.Millis // when each of objects was written
+	clock      func() clock.Millis
+	list       []record.Instance
+	frozen     []record.Instance // what a stale list shows, when not nil
+	ways       map[string]func(instance.Result)
 }
 
 func (s *fakeStore) put(o record.Object) uint64 {
 	s.revision++
 	o.Revision = s.revision
 	s.objects = append(s.objects, o)
+	s.times = append(s.times, s.clock())
 	return s.revision
 }
 
-func (s *fakeStore) since(revision uint64) []record.Object {
+// newest returns the last revision written by a point in time.
+func (s *fakeStore) newest(by clock.Millis) uint64 {
+	revision := uint64(0)
+	for i, at := range s.times {
+		if at <= by {
+			revision = s.objects[i].Revision
+		}
+	}
+	return revision
+}
+
+func (s *fakeStore) since(revision, upTo uint64) []record.Object {
 	newest := make(map[record.Key]record.Object)
 	var order []record.Key
 	for _, o := range s.objects {
+		if o.Revision > upTo {
+			break
+		}
 		if _, ok := newest[o.Key()]; !ok {
 			order = append(order, o.Key())
 		}
@@ -458,84 +553,130 @@
 	busy     int
 	peak     int            // most runs at once
 	runs     map[string]int // by request body
-	finished map[string]int
+	started  clock.Millis   // when it last started a run
+	open     []*backendRun  // runs under way
 	draining bool
 	shed     bool
 	dead     bool
 	silent   bool
-	unwell   bool // its health endpoint says so
+	failing  bool            // answers nothing and drops the connection, whatever its health says
+	unwell   bool            // its health endpoint says so
+	lost     map[string]bool // by instance: its open connections are silent until they are replaced
 }
 
 func (f *frame) addBackend(name, service, centre, address string, slots int, work clock.Millis) *fakeBackend {
-	b := &fakeBackend{address: address, host: service, slots: slots, work: work, runs: make(map[string]int), finished: make(map[string]int)}
+	b := &fakeBackend{address: address, host: service, slots: slots, work: work, runs: make(map[string]int), lost: make(map[string]bool)}
 	f.backends[address] = b
 	f.putJSON(record.KindBackend, name, record.Schema2, record.Backend{Service: service, Centre: centre, Endpoints: []record.Endpoint{{Address: address, Slots: slots}}})
 	return b
 }
 
+// kill ends the backend server's process: its connections are reset.
+func (b *fakeBackend) kill() {
+	b.dead = true
+	for _, r := range slices.Clone(b.open) {
+		r.free()
+		r.end(instance.Result{Outcome: instance.OutcomeUnknown, Dialled: true, Detail: "reset"})
+	}
+}
+
+// backendRun is one HTTP request at a fake backend server.
+type backendRun struct {
+	f    *frame
+	d    *node
+	b    *fakeBackend
+	a    instance.RunRequest
+	over bool
+}
+
+// end brings the result to the instance, unless the way is silent.
+func (r *backendRun) end(result instance.Result) {
+	if !r.b.silent && !r.b.lost[r.d.self.Name] && !r.f.links[r.a.Endpoint+">"+r.d.self.Name] {
+		r.f.after(frameHop, func() { r.report(result) })
+	}
+}
+
+func (r *backendRun) report(result instance.Result) {
+	if r.d.runs[r.a.Run] != nil {
+		delete(r.d.runs, r.a.Run)
+		r.d.handle(instance.RunEnded{Run: r.a.Run, Result: result})
+	}
+}
+
+// free gives back the slot.
+func (r *backendRun) free() {
+	if i := slices.Index(r.b.open, r); i >= 0 {
+		r.b.open = slices.Delete(r.b.open, i, i+1)
+		r.b.busy--
+	}
+	r.over = true
+}
+
+// abort closes the connection; the next one is new.
+func (r *backendRun) abort() {
+	r.free()
+	delete(r.b.lost, r.d.self.Name)
+	r.f.after(frameHop, func() {
+		r.report(instance.Result{Outcome: instance.OutcomeUnknown, Silent: true, Dialled: true})
+	})
+}
+
 // backendRun carries one HTTP request to a fake backend server.
 func (f *frame) backendRun(d *node, a instance.RunRequest) {
+	f.reach(pointDispatched, f.asker[string(a.Work.Body)], d, a.Endpoint)
 	b := f.backends[a.Endpoint]
-	ended := false
-	end := func(r instance.Result) {
-		if !ended {
-			ended = true
-			delete(d.runs, a.Run)
-			d.handle(instance.RunEnded{Run: a.Run, Result: r})
-		}
+	r := &backendRun{f: f, d: d, b: b, a: a}
+	d.runs[a.Run] = &fakeRun{abort: r.abort}
+	if b.dead || f.links[d.self.Name+">"+a.Endpoint] {
+		f.after(frameHop, func() { r.report(instance.Result{Outcome: instance.OutcomeNotRun, Detail: "dial"}) })
+		return
 	}
-	started, freed := false, false
-	free := func() {
-		if started && !freed {
-			freed = true
-			b.busy--
-		}
+	f.after(frameHop, r.arrive)
+}
+
+// arrive is the backend server's side of a request.
+func (r *backendRun) arrive() {
+	b := r.b
+	switch {
+	case b.dead:
+		r.end(instance.Result{Outcome: instance.OutcomeUnknown, Dialled: true, Detail: "reset"})
+		return
+	case b.silent || b.lost[r.d.self.Name]:
+		return
+	case b.host != r.a.Host:
+		r.end(instance.Result{Outcome: instance.OutcomeMisrouted, Dialled: true, Status: 421})
+		return
+	case b.draining || b.shed:
+		r.end(instance.Result{Outcome: instance.OutcomeNotRun, Dialled: true, Drain: b.draining, Shed: b.shed})
+		return
 	}
-	d.runs[a.Run] = &fakeRun{abort: func() {
-		free()
-		f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeUnknown, Silent: true, Dialled: true}) })
-	}}
-	if b == nil || b.dead || f.links[d.self.Name+">"+a.Endpoint] {
-		f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeNotRun, Detail: "dial"}) })
+	key := string(r.a.Work.Body)
+	b.runs[key]++
+	b.started = r.f.now
+	if b.failing {
+		r.end(instance.Result{Outcome: instance.OutcomeUnknown, Dialled: true, Detail: "reset"})
 		return
 	}
-	f.after(frameHop, func() {
-		switch {
-		case b.silent:
-			return
-		case b.host != a.Host:
-			end(instance.Result{Outcome: instance.OutcomeMisrouted, Dialled: true, Status: 421})
-			return
-		case b.draining || b.shed:
-			end(instance.Result{Outcome: instance.OutcomeNotRun, Dialled: true, Drain: b.draining, Shed: b.shed})
+	if r.over {
+		return // it was cancelled on its way, and the backend server notices at once
+	}
+	b.open = append(b.open, r)
+	b.busy++
+	b.peak = max(b.peak, b.busy)
+	r.f.reach(pointRunning, r.f.asker[key], r.d, b.address)
+	r.f.after(b.work, func() {
+		if r.over {
 			return
 		}
-		started = true
-		b.busy++
-		b.peak = max(b.peak, b.busy)
-		key := string(a.Work.Body)
-		b.runs[key]++
-		f.after(b.work, func() {
-			if freed {
-				return
-			}
-			free()
-			b.finished[key]++
-			if b.dead {
-				f.after(frameHop, func() { end(instance.Result{Outcome: instance.OutcomeUnknown, Dialled: true}) })
-				return
-			}
-			f.after(frameHop, func() {
-				end(instance.Result{Outcome: instance.OutcomeAnswered, Status: 200, Dialled: true, Body: []byte("answer to " + key)})
-			})
-		})
+		r.free()
+		r.end(instance.Result{Outcome: instance.OutcomeAnswered, Status: 200, Dialled: true, Body: []byte("answer to " + key)})
 	})
 }
 
 func (f *frame) backendProbe(d *node, a instance.ProbeEndpoint) {
 	b := f.backends[a.Endpoint]
 	f.after(2*frameHop, func() {
-		if b == nil || b.dead || b.silent || f.links[d.self.Name+">"+a.Endpoint] {
+		if b.dead || b.silent || f.links[d.self.Name+">"+a.Endpoint] {
 			d.handle(instance.ProbeEnded{Endpoint: a.Endpoint})
 			return
 		}
@@ -545,13 +686,22 @@
 
 // fakeCaller is one flow of a caller.
 type fakeCaller struct {
-	f       *frame
-	name    string
-	address netip.AddrPort
-	engine  *caller.Engine
-	next    uint64
-	bodies  map[uint64]string
-	ends    map[string]caller.RequestEnded // by request body
+	f         *frame
+	name      string
+	address   netip.AddrPort
+	engine    *caller.Engine
+	next      uint64
+	bodies    map[uint64]string
+	ends      map[string]caller.RequestEnded // by request body
+	times     map[string]clock.Millis        // when each ended, by request body
+	due       map[string]clock.Millis        // by request body
+	once      map[string]bool                // by request body
+	numbers   map[uint64]string              // request body by number on the wire
+	judged    map[string]bool                // by request body
+	permitted map[string]bool                // by request body
+	service   string
+	owner     *node        // instance that last handled a packet of a request
+	idle      clock.Millis // when it was last told the time while idle
 }
 
 func (f *frame) addCaller(service string) *fakeCaller {
@@ -559,7 +709,8 @@
 	c := &fakeCaller{
 		f: f, name: fmt.Sprintf("caller-%d", n), address: netip.MustParseAddrPort(fmt.Sprintf("127.2.0.1:%d", 10_000+n)),
 		engine: caller.New(caller.Settings{Service: service, Seed: uint64(n) + f.random.Uint64()}),
-		bodies: make(map[uint64]string), ends: make(map[string]caller.RequestEnded),
+		bodies: make(map[uint64]string), ends: make(map[string]caller.RequestEnded), times: make(map[string]clock.Millis),
+		due: make(map[string]clock.Millis), once: make(map[string]bool), numbers: make(map[uint64]string), judged: make(map[string]bool), permitted: make(map[string]bool), service: service,
 	}
 	f.callers = append(f.callers, c)
 	c.handle(caller.OpenRequested{})
@@ -568,13 +719,18 @@
 }
 
 func (c *fakeCaller) tick() {
-	c.handle(caller.Tick{})
+	if c.engine.Busy() || c.f.now-c.idle >= caller.IdlePeriod {
+		c.idle = c.f.now
+		c.handle(caller.Tick{})
+	}
 	c.f.after(caller.TickPeriod, c.tick)
 }
 
 func (c *fakeCaller) request(body string, once bool, deadline clock.Millis) {
 	c.next++
 	c.bodies[c.next] = body
+	c.due[body], c.once[body] = c.f.now+deadline, once
+	c.f.asker[body] = c
 	c.handle(caller.RequestStarted{Call: c.next, Request: caller.Request{Body: []byte(body), Once: once, Deadline: deadline}})
 }
 
@@ -585,15 +741,29 @@
 			c.send(a.Packet)
 		case caller.RequestEnded:
 			c.ends[c.bodies[a.Call]] = a
+			c.times[c.bodies[a.Call]] = c.f.now
 		}
 	}
 }
 
 // send hands a packet to the fabric, which takes it to any instance.
 func (c *fakeCaller) send(p packet.Packet) {
+	if p.Kind == packet.KindPermit {
+		c.permitted[c.numbers[p.Request]] = true
+	}
+	if p.Kind == packet.KindPart && p.Part == 0 {
+		for body := range c.due {
+			if strings.HasPrefix(body, string(p.Payload)) {
+				c.numbers[p.Request] = body
+			}
+		}
+	}
+	if p.Kind == packet.KindOpen {
+		c.f.reach(pointOpen, c, nil, "")
+	}
 	var up []*node
 	for _, d := range c.f.nodes {
-		if !d.dead && !d.stopped {
+		if !d.dead && !d.stopped && !c.f.links[c.name+">"+d.self.Name] {
 			up = append(up, d)
 		}
 	}
