Requests wait out the loss of an instance, and silent runs are given up before their deadline

Cause: (1) an instance that handed work to one whose process had died burnt its six tries within milliseconds on refused connections and refused the request as busy; (2) when an earlier run of the request had ended unknown, the later refusal still said not run; (3) a connection gone silent, or a peer gone silent while it ran work, was only noticed at the deadline. Ruled out: the caller's retry budget (it was spent on refusals that need not have been given).

Conclusion: a dead instance costs waiting, not refusals.

--- a/caller/ending.go
+++ b/caller/ending.go
@@ -34,6 +34,9 @@
 		return // the newest owner has the request now
 	}
 	if p.Reason == packet.ReasonUnknown {
+		if !c.request.Once && e.retry(c, p.Reason) {
+			return
+		}
 		e.end(c, RequestEnded{Call: c.id, Err: &UnknownError{Service: e.service, Reason: p.Reason}})
 		return
 	}
--- a/instance/board.go
+++ b/instance/board.go
@@ -32,6 +32,7 @@
 	ended   []ended    // jobs with a result not yet passed on
 	pumps   []*Service // services whose queue or slots changed
 	used    []*Member  // instances that traffic was passed on to
+	doubted []*Member  // instances that could not be reached
 	timers  timers
 	actions []Action
 	random  *rand.Rand
@@ -90,8 +91,12 @@
 	b.pumps = append(b.pumps, s)
 }
 
-// end records the result of a job for the answers controller.
+// end records the result of a job for the answers controller. A job of which an
+// earlier run may have started is never said not to have run.
 func (b *Board) end(j *Job, r Result) {
+	if j.Doubt && r.Outcome == OutcomeNotRun {
+		r.Outcome = OutcomeUnknown
+	}
 	b.ended = append(b.ended, ended{job: j, result: r})
 }
 
@@ -110,6 +115,7 @@
 	Places    map[string][]Place // by data centre: instances that dispatch its endpoints
 	Short     []*Job             // waiting, first come first
 	Long      []*Job             // waiting, first come first
+	Held      []*Job             // no instance or backend server takes them now
 	Budget    float64            // retries allowed now
 	Times     [3]Average         // run time by class, in ms
 	pumping   bool
@@ -164,6 +170,9 @@
 	At      *Endpoint    // endpoint that runs it, or nil
 	Peer    *Member      // instance it is handed over to, or nil
 	Avoid   *Member      // instance that just refused it, or nil
+	Held    clock.Millis // when no place was found for it at first, or 0
+	Doubt   bool         // an earlier run may have started
+	Silent  int          // runs given up since nothing came back
 	Dropped bool         // no longer wanted
 }
 
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -59,6 +59,10 @@
 	}
 	jobs := append(s.Short, s.Long...)
 	s.Short, s.Long = nil, nil
+	if gone {
+		jobs = append(jobs, s.Held...)
+		s.Held = nil
+	}
 	for _, j := range jobs {
 		switch {
 		case gone:
@@ -181,6 +185,7 @@
 	again = again && !j.Dropped && j.Tries < maxTries && b.Now < j.Work.Deadline
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
+		j.Doubt = true
 	}
 	if !again {
 		b.end(j, settle(r))
@@ -227,6 +232,7 @@
 	remove := func(other *Job) bool { return other == j }
 	j.Service.Short = slices.DeleteFunc(j.Service.Short, remove)
 	j.Service.Long = slices.DeleteFunc(j.Service.Long, remove)
+	j.Service.Held = slices.DeleteFunc(j.Service.Held, remove)
 	reason := packet.ReasonCancelled
 	if b.Now >= j.Work.Deadline {
 		reason = packet.ReasonDeadline
@@ -271,6 +277,8 @@
 		return
 	}
 	for _, s := range c.b.sortedServices() {
+		c.b.ready = append(c.b.ready, s.Held...)
+		s.Held = nil
 		if s.Waiting() == 0 {
 			continue
 		}
--- a/instance/doc.go
+++ b/instance/doc.go
@@ -14,6 +14,7 @@
 //	packets     routing by token, flows, request parts, answers
 //	dispatch    queues, slots, choice of endpoint or of another instance
 //	health      what is learnt about each endpoint
+//	silence     runs given up since nothing comes back
 //	report      conditions for the status record
 //
 // # Usage
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -21,6 +21,7 @@
 	Draining  bool         // it said that it is draining
 	Misrouted bool         // it said that it serves another service
 	Probed    clock.Millis // when it was last probed, or 0
+	Doubted   bool         // it was silent and the probe has not ended
 	Speed     Average      // speed relative to the service's mean
 }
 
--- a/instance/engine.go
+++ b/instance/engine.go
@@ -22,6 +22,7 @@
 	place    placeController
 	dispatch dispatchController
 	health   healthController
+	silence  silenceController
 	report   reportController
 	stop     stopController
 }
@@ -32,7 +33,7 @@
 	e := &Engine{
 		board: b, records: recordController{b}, members: memberController{b},
 		requests: requestController{b}, answers: answerController{b}, place: placeController{b},
-		dispatch: dispatchController{b}, health: healthController{b}, report: reportController{b},
+		dispatch: dispatchController{b}, health: healthController{b}, silence: silenceController{b}, report: reportController{b},
 	}
 	e.packets = packetController{b: b, requests: e.requests, answers: e.answers}
 	e.stop = stopController{b: b, members: e.members, state: &stopState{}}
@@ -105,6 +106,7 @@
 	}
 	e.dispatch.tick()
 	e.health.tick()
+	e.silence.tick()
 	e.stop.tick()
 	e.report.tick()
 	e.board.Flows.expire(e.board.Now)
@@ -127,5 +129,8 @@
 	for _, m := range e.board.used {
 		e.members.used(m)
 	}
-	e.board.used = e.board.used[:0]
+	for _, m := range e.board.doubted {
+		e.members.doubt(m)
+	}
+	e.board.used, e.board.doubted = e.board.used[:0], e.board.doubted[:0]
 }
--- a/instance/health.go
+++ b/instance/health.go
@@ -98,7 +98,11 @@
 // counts only for that: work that fails ejects it anew.
 func (c healthController) probeEnded(ev ProbeEnded) {
 	ep := c.b.Endpoints[ev.Endpoint]
-	if ep == nil || !ev.Answered {
+	if ep == nil {
+		return
+	}
+	c.b.probed(ep, ev)
+	if !ev.Answered {
 		return
 	}
 	if ep.Draining && !ev.Draining {
--- a/instance/members.go
+++ b/instance/members.go
@@ -38,6 +38,7 @@
 	Sent        clock.Millis // when the latest heartbeat was sent
 	Misses      int          // heartbeats unanswered in a row
 	Ahead       clock.Millis // since when its configuration is newer than ours, or 0
+	Until       clock.Millis // gets no work before, since it could not be reached
 	Loads       map[uint64]*PeerLoad
 }
 
@@ -360,6 +361,13 @@
 	}
 }
 
+// doubt asks an instance that could not be reached for a sign of life at once.
+func (c memberController) doubt(m *Member) {
+	if m.Asked == 0 {
+		c.ping(m)
+	}
+}
+
 // derive works out which instances take work, and which of them dispatches each
 // endpoint.
 func (c memberController) derive() {
--- a/instance/place.go
+++ b/instance/place.go
@@ -16,6 +16,8 @@
 	unknownLoad = 0.25             // queue per capacity assumed of instances not heard of
 	retryShare  = 0.1              // retries allowed per request
 	retryBurst  = 20.0             // retries saved up at most
+	holdLimit   = 3 * clock.Second // how long a request is held while no place takes it
+	refusedRest = beatTimeout      // an instance that refused a connection gets no work for so long
 )
 
 // placeController decides which instance runs each whole request: this one, when
@@ -43,7 +45,7 @@
 		c.b.refuse(j, packet.ReasonDeadline)
 	case c.b.Services[j.Service.Hash] != j.Service:
 		c.b.refuse(j, packet.ReasonService)
-	case j.Peer != nil && j.Peer.Takes():
+	case j.Peer != nil && j.Peer.Takes() && c.b.Now >= j.Peer.Until:
 		c.handOver(j, j.Peer)
 	case j.Tries >= maxTries:
 		c.b.refuse(j, packet.ReasonBusy)
@@ -60,6 +62,7 @@
 		other = c.shorter(j.Service, nil)
 	}
 	switch {
+	case here < 0 && other == nil && c.hold(j):
 	case here < 0 && other == nil:
 		c.b.refuse(j, packet.ReasonBackend)
 		c.b.Report.raise(c.b.Now, conditionNoBackend, "service/"+j.Service.Record.Name, "no backend server takes work", "refused as not run")
@@ -73,6 +76,24 @@
 	}
 }
 
+// hold lets a job wait until an instance that died is replaced or a backend
+// server takes work again, and reports whether it may.
+func (c placeController) hold(j *Job) bool {
+	s := j.Service
+	if len(s.Places) == 0 || len(s.Held) >= s.Record.Queue {
+		return false
+	}
+	if j.Held == 0 {
+		j.Held = c.b.Now
+		c.b.do(Note{Decision: "hold", Reason: packet.ReasonBackend.String(), Service: s.Record.Name, Subject: runSubject(&j.Work), Level: LevelDebug})
+	}
+	if c.b.Now-j.Held >= holdLimit {
+		return false
+	}
+	s.Held = append(s.Held, j)
+	return true
+}
+
 // local returns this instance's queue per capacity, or -1 when it dispatches no
 // endpoint of the service that can be used.
 func (c placeController) local(s *Service) float64 {
@@ -109,7 +130,7 @@
 func (c placeController) others(s *Service, avoid *Member) []Place {
 	var found []Place
 	for _, p := range s.Places[c.b.Self.Instance.Centre] {
-		if p.Member != c.b.Self && p.Member != avoid && p.Member.Takes() {
+		if p.Member != c.b.Self && p.Member != avoid && p.Member.Takes() && c.b.Now >= p.Member.Until {
 			found = append(found, p)
 		}
 	}
@@ -118,7 +139,7 @@
 	}
 	for _, centre := range c.farCentres(s) {
 		for _, p := range s.Places[centre] {
-			if p.Member != avoid && p.Member.Takes() {
+			if p.Member != avoid && p.Member.Takes() && c.b.Now >= p.Member.Until {
 				found = append(found, p)
 			}
 		}
@@ -178,6 +199,13 @@
 		return
 	}
 	delete(c.b.Runs, ev.Run)
+	if ev.Result.Outcome == OutcomeNotRun && !ev.Result.Dialled {
+		// Its process is gone or cut off: heartbeats find out which, and this
+		// was no try.
+		j.Tries--
+		j.Peer.Until = c.b.Now + refusedRest
+		c.b.doubted = append(c.b.doubted, j.Peer)
+	}
 	j.Run, j.Avoid, j.Peer = 0, j.Peer, nil
 	c.b.resolve(j, ev.Result)
 }
--- /dev/null
+++ b/instance/silence.go
@@ -0,0 +1,101 @@
+package instance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// Bounded silence: a run of an idempotent request that takes several times its
+// usual time is given up and repeated elsewhere, out of the retry budget.
+const (
+	silencePeriod = 50 * clock.Millisecond  // between looks
+	minSilence    = 300 * clock.Millisecond // shorter runs are never given up
+	silenceFactor = 6                       // usual run times until a run counts as silent
+	slowFactor    = 2                       // the same, when the deadline is near
+	usualRuns     = 5                       // runs seen before there is a usual time
+	maxSilent     = 3                       // runs of one request given up
+)
+
+// silenceController gives up runs on connections that went silent, before their
+// deadline.
+//
+// A run that takes long may be on a silent connection, at a backend server that
+// is gone, or just slow. The endpoint is probed on a new connection, which tells
+// the second from the others; its connections are not trusted until then. A
+// request that is slow by itself is slow elsewhere too, so each time it is given
+// up the next run gets twice as long. A request that must not be repeated is left
+// alone: its answer may still come.
+type silenceController struct{ b *Board }
+
+func (c silenceController) tick() {
+	if c.b.Now%silencePeriod >= TickPeriod {
+		return
+	}
+	var silent []*Job
+	for _, j := range c.b.Runs {
+		if !j.Work.Once && !j.Dropped && c.lost(j) && j.Service.Budget >= 1 {
+			silent = append(silent, j)
+		}
+	}
+	slices.SortFunc(silent, func(x, y *Job) int { return cmp.Compare(x.Run, y.Run) })
+	for _, j := range silent {
+		c.giveUp(j)
+	}
+}
+
+// lost reports whether a run has been silent for too long, or was handed over
+// to an instance that died.
+func (c silenceController) lost(j *Job) bool {
+	if j.At == nil {
+		return j.Peer != nil && !j.Peer.Alive
+	}
+	return j.Silent < maxSilent && c.b.Now-j.Begun >= silenceLimit(j)
+}
+
+// silenceLimit returns how long a run may stay without an answer.
+func silenceLimit(j *Job) clock.Millis {
+	left := (j.Work.Deadline - j.Begun) / 2
+	usual := j.Service.Times[j.Work.Class]
+	if usual.Count < usualRuns {
+		return left
+	}
+	limit := max(minSilence, clock.Millis(silenceFactor*usual.Value)) << j.Silent
+	return min(limit, max(left, clock.Millis(slowFactor*usual.Value)))
+}
+
+func (c silenceController) giveUp(j *Job) {
+	j.Silent++
+	subject := runSubject(&j.Work)
+	if j.At == nil {
+		c.b.note("silent", "instance", j.Work.Service, "instance/"+j.Peer.Instance.Name, subject)
+	} else {
+		c.b.note("silent", "run", j.Work.Service, j.At.subject(), subject)
+		c.probe(j.At, j.Service)
+	}
+	c.b.do(CancelRun{Run: j.Run})
+}
+
+// probe asks an endpoint on a new connection whether it lives.
+func (c silenceController) probe(ep *Endpoint, s *Service) {
+	if c.b.Now-ep.Probed < probePeriod && ep.Probed != 0 {
+		return
+	}
+	ep.Probed = c.b.Now
+	ep.Doubted = true
+	c.b.do(ProbeEndpoint{Endpoint: ep.Record.Address, Host: s.Record.Host})
+}
+
+// probed takes in the answer: an endpoint that does not answer a new connection
+// either is dead or cut off, and rests.
+func (b *Board) probed(ep *Endpoint, ev ProbeEnded) {
+	if !ep.Doubted {
+		return
+	}
+	ep.Doubted = false
+	if ev.Answered {
+		return
+	}
+	b.rest(ep, "it answers neither requests nor probes", ev.Detail)
+}
