Work handed over goes back when the endpoints it waits for rest; the last instances of a data centre leave to another

Cause: (1) handed-over work stayed in the queue of an instance whose endpoints all rested, for up to the longest pause; (2) with every instance of a data centre leaving, new requests were refused as stopping although other data centres were up. Ruled out: retry budgets.

Change: a queue whose endpoints all rest is emptied: own requests are placed again, work of others is given back as not run; held requests are placed again after a pause that doubles; a stopping instance without a successor in its data centre passes flows to another.

--- a/instance/board.go
+++ b/instance/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
@@ -143,6 +144,11 @@
 	return free
 }
 
+// usable reports whether an endpoint dispatched here may get work now.
+func (s *Service) usable(now clock.Millis) bool {
+	return slices.ContainsFunc(s.Mine, func(ep *Endpoint) bool { return ep.Usable(now) })
+}
+
 // Capacity returns slots times weight of the endpoints dispatched here.
 func (s *Service) Capacity() float64 {
 	sum := 0.0
@@ -171,6 +177,8 @@
 	Peer    *Member      // instance it is handed over to, or nil
 	Avoid   *Member      // instance that just refused it, or nil
 	Held    clock.Millis // when no place was found for it at first, or 0
+	Again   clock.Millis // when a held job is placed again
+	Holds   int          // how often it was held
 	Doubt   bool         // an earlier run may have started
 	Silent  int          // runs given up since nothing came back
 	Dropped bool         // no longer wanted
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -54,7 +54,7 @@
 func (c dispatchController) moveAway(s *Service) bool {
 	gone := c.b.Services[s.Hash] != s
 	leaving := c.b.Stopping != 0 && len(placeController(c).others(s, nil)) > 0
-	if !gone && !leaving && len(s.Mine) > 0 {
+	if !gone && !leaving && s.usable(c.b.Now) {
 		return false
 	}
 	jobs := append(s.Short, s.Long...)
@@ -67,8 +67,10 @@
 		switch {
 		case gone:
 			c.b.refuse(j, packet.ReasonService)
-		case j.Request == nil:
+		case j.Request == nil && leaving:
 			c.b.refuse(j, packet.ReasonStopping)
+		case j.Request == nil:
+			c.b.refuse(j, packet.ReasonBackend)
 		default:
 			c.b.ready = append(c.b.ready, j)
 		}
@@ -277,8 +279,7 @@
 		return
 	}
 	for _, s := range c.b.sortedServices() {
-		c.b.ready = append(c.b.ready, s.Held...)
-		s.Held = nil
+		c.placeHeld(s)
 		if s.Waiting() == 0 {
 			continue
 		}
@@ -291,6 +292,19 @@
 	}
 }
 
+// placeHeld lets held jobs look for a place again.
+func (c dispatchController) placeHeld(s *Service) {
+	held := s.Held
+	s.Held = nil
+	for _, j := range held {
+		if c.b.Now >= j.Again {
+			c.b.ready = append(c.b.ready, j)
+		} else {
+			s.Held = append(s.Held, j)
+		}
+	}
+}
+
 // runSubject names a run in notes.
 func runSubject(w *Work) string {
 	return strconv.FormatUint(w.Flow, 16) + "-" + strconv.FormatUint(w.Request, 10)
--- a/instance/faults_test.go
+++ b/instance/faults_test.go
@@ -23,6 +23,7 @@
 
 var (
 	printCells = flag.Bool("cells", false, "print one line a cell of the fault matrix")
+	traced     = flag.String("trace", "", "log the notes of instances and the packets of this caller")
 	pairSeed   = flag.String("seed", "1", "seed of the generated pairs of faults")
 	pairCount  = flag.String("count", "60", "number of generated pairs of faults")
 )
@@ -114,6 +115,7 @@
 		c.loses = c.loses || x.Loses
 		away = away || x.Away
 	}
+	c.f.trace = *traced
 	c.start(away)
 	if !c.reach() {
 		c.problem("the step was not reached")
--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -35,7 +35,7 @@
 	backends map[string]*fakeBackend
 	store    *fakeStore
 	keys     *token.Keys
-	trace    bool
+	trace    string // logs notes and the packets of this caller when not empty
 
 	// fault decides about one datagram; nil delivers everything.
 	fault func(from, to string) fate
@@ -116,6 +116,18 @@
 	heap.Push(&f.queue, delivery{at: when, order: f.order, run: run})
 }
 
+func (f *frame) logf(format string, args ...any) {
+	if f.trace != "" {
+		f.t.Logf("%d "+format, append([]any{f.now - frameStart}, args...)...)
+	}
+}
+
+func (f *frame) logPacket(c *fakeCaller, from, to string, p packet.Packet) {
+	if c.name == f.trace {
+		f.logf("%s > %s %s request=%d part=%d/%d next=%d %s", from, to, p.Kind, p.Request, p.Part, p.Count, p.Next, p.Reason)
+	}
+}
+
 func (f *frame) after(span clock.Millis, run func()) { f.at(f.now+span, run) }
 
 // run lets time pass.
@@ -303,9 +315,7 @@
 		}
 	case instance.Note:
 		d.notes = append(d.notes, a)
-		if d.f.trace {
-			d.f.t.Logf("%d %s %+v", d.f.now-frameStart, d.self.Name, a)
-		}
+		d.f.logf("%s %+v", d.self.Name, a)
 	case instance.Stopped:
 		d.stopped = true
 	}
@@ -341,6 +351,7 @@
 	d.observe(a.To, a.Packet)
 	for _, c := range d.f.callers {
 		if c.address == a.To {
+			d.f.logPacket(c, d.self.Name, c.name, a.Packet)
 			d.f.datagram(d.self.Name, c.name, func() { c.handle(caller.PacketReceived{Packet: a.Packet}) })
 		}
 	}
@@ -393,7 +404,9 @@
 // handOver carries a twirp call to another instance.
 func (d *node) handOver(a instance.HandOver) {
 	to := d.f.byAddress(a.Control)
+	d.f.logf("%s hands %d to %s %.12q", d.self.Name, a.Run, a.Peer, a.Work.Body)
 	end := func(r instance.Result) {
+		d.f.logf("%s has %d back: %d %s", d.self.Name, a.Run, r.Outcome, r.Reason)
 		if d.runs[a.Run] != nil {
 			delete(d.runs, a.Run)
 			d.handle(instance.HandOverEnded{Run: a.Run, Result: r})
@@ -420,6 +433,7 @@
 		to.calls++
 		call = uint64(len(d.f.nodes))<<32 | to.calls
 		to.pending(call, func(r instance.Result) {
+			r.Dialled = true
 			if !d.f.links[to.self.Name+">"+d.self.Name] {
 				d.f.after(frameHop, func() { end(r) })
 			}
@@ -597,6 +611,7 @@
 }
 
 func (r *backendRun) report(result instance.Result) {
+	r.f.logf("%s ended %d at %s: %d silent=%v", r.d.self.Name, r.a.Run, r.a.Endpoint, result.Outcome, result.Silent)
 	if r.d.runs[r.a.Run] != nil {
 		delete(r.d.runs, r.a.Run)
 		r.d.handle(instance.RunEnded{Run: r.a.Run, Result: result})
@@ -623,6 +638,7 @@
 
 // backendRun carries one HTTP request to a fake backend server.
 func (f *frame) backendRun(d *node, a instance.RunRequest) {
+	f.logf("%s runs %d at %s %.12q", d.self.Name, a.Run, a.Endpoint, a.Work.Body)
 	f.reach(pointDispatched, f.asker[string(a.Work.Body)], d, a.Endpoint)
 	b := f.backends[a.Endpoint]
 	r := &backendRun{f: f, d: d, b: b, a: a}
@@ -773,6 +789,7 @@
 	data, err := packet.Encode(p)
 	require.NoError(c.f.t, err)
 	to := up[c.f.random.IntN(len(up))]
+	c.f.logPacket(c, c.name, to.self.Name, p)
 	c.f.datagram(c.name, to.self.Name, func() {
 		got, err := packet.Decode(data)
 		require.NoError(c.f.t, err)
--- a/instance/members.go
+++ b/instance/members.go
@@ -380,7 +380,7 @@
 			s.Live[m.Instance.Centre] = append(s.Live[m.Instance.Centre], m)
 		}
 	}
-	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live[here]) == 0 {
+	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live) == 0 {
 		s.Live[here] = []*Member{c.b.Self} // no other can take over
 	}
 	for _, v := range c.b.sortedServices() {
--- a/instance/place.go
+++ b/instance/place.go
@@ -10,14 +10,16 @@
 
 // Choice of the instance that runs a request.
 const (
-	maxTries    = 6                // places tried for one request
-	loadAge     = 2 * clock.Second // older queue states of others count as unknown
-	placeMargin = 0.5              // queue per capacity by which another must be shorter
-	unknownLoad = 0.25             // queue per capacity assumed of instances not heard of
-	retryShare  = 0.1              // retries allowed per request
-	retryBurst  = 20.0             // retries saved up at most
-	holdLimit   = 3 * clock.Second // how long a request is held while no place takes it
-	refusedRest = beatTimeout      // an instance that refused a connection gets no work for so long
+	maxTries    = 6                      // places tried for one request
+	loadAge     = 2 * clock.Second       // older queue states of others count as unknown
+	placeMargin = 0.5                    // queue per capacity by which another must be shorter
+	unknownLoad = 0.25                   // queue per capacity assumed of instances not heard of
+	retryShare  = 0.1                    // retries allowed per request
+	retryBurst  = 20.0                   // retries saved up at most
+	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
+	firstHold   = 50 * clock.Millisecond // between tries to place a held request; doubles
+	maxHolds    = 3                      // doublings
+	refusedRest = beatTimeout            // an instance that refused a connection gets no work for so long
 )
 
 // placeController decides which instance runs each whole request: this one, when
@@ -47,6 +49,7 @@
 		c.b.refuse(j, packet.ReasonService)
 	case j.Peer != nil && j.Peer.Takes() && c.b.Now >= j.Peer.Until:
 		c.handOver(j, j.Peer)
+	case j.Tries >= maxTries && c.hold(j):
 	case j.Tries >= maxTries:
 		c.b.refuse(j, packet.ReasonBusy)
 	default:
@@ -90,6 +93,9 @@
 	if c.b.Now-j.Held >= holdLimit {
 		return false
 	}
+	j.Again = c.b.Now + firstHold<<min(j.Holds, maxHolds)
+	j.Holds++
+	j.Tries, j.Avoid = 0, nil
 	s.Held = append(s.Held, j)
 	return true
 }
@@ -97,11 +103,7 @@
 // local returns this instance's queue per capacity, or -1 when it dispatches no
 // endpoint of the service that can be used.
 func (c placeController) local(s *Service) float64 {
-	usable := false
-	for _, ep := range s.Mine {
-		usable = usable || ep.Usable(c.b.Now)
-	}
-	if !usable || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
+	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
 		return -1
 	}
 	if s.Free(c.b.Now) > s.Waiting() {
@@ -216,7 +218,7 @@
 	places := s.Places[b.Self.Instance.Centre]
 	if len(places) == 0 {
 		if b.Stopping != 0 {
-			return rendezvous(b.random.Uint64(), b.Members.Live[b.Self.Instance.Centre])
+			return b.taker(b.random.Uint64())
 		}
 		return b.Self
 	}
--- a/instance/route.go
+++ b/instance/route.go
@@ -43,15 +43,31 @@
 }
 
 // successor returns the instance that takes up the flow of an owner that is gone:
-// one of the token's data centre, or of this one when none of that is left.
+// one of the token's data centre, else of this one, else of any other, when none
+// of the former is left.
 func (b *Board) successor(t token.Token) *Member {
 	for centre, live := range b.Members.Live {
 		if token.Hash(centre) == t.Centre {
 			return rendezvous(t.Flow, live)
 		}
 	}
-	if m := rendezvous(t.Flow, b.Members.Live[b.Self.Instance.Centre]); m != nil {
+	if m := b.taker(t.Flow); m != nil {
 		return m
 	}
 	return b.Self
 }
+
+// taker returns an instance that takes new flows: one of this data centre, or of
+// any other when none here does, or nil.
+func (b *Board) taker(key uint64) *Member {
+	if m := rendezvous(key, b.Members.Live[b.Self.Instance.Centre]); m != nil {
+		return m
+	}
+	var far []*Member
+	for _, m := range b.Members.All {
+		if m != b.Self && m.Takes() {
+			far = append(far, m)
+		}
+	}
+	return rendezvous(key, far)
+}
