--- /dev/null
+++ b/standin/backend_test.go
@@ -0,0 +1,295 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// patience bounds waits for what is bound to happen.
+const patience = time.Minute
+
+func startBackend(t *testing.T, s BackendSettings) *Backend {
+	t.Helper()
+	s.Listen, s.Host = "127.0.0.1:0", "orders"
+	b, err := StartBackend(s)
+	require.NoError(t, err)
+	t.Cleanup(b.Close)
+	return b
+}
+
+// newHTTP returns a client that shares no connections with others.
+func newHTTP(t *testing.T) *http.Client {
+	c := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// post sends one request and returns the answer with its whole body.
+func post(ctx context.Context, c *http.Client, b *Backend, host, body string, headers map[string]string) (*http.Response, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Address()+"/", strings.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	r.Host = host
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
+	response, err := c.Do(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, data, err
+}
+
+type backendCase struct {
+	Name     string            `yaml:"name"`
+	Fault    string            `yaml:"fault"`
+	Host     string            `yaml:"host"` // default orders
+	Body     string            `yaml:"body"`
+	Pad      int               `yaml:"pad"` // work with an id of that length
+	Headers  map[string]string `yaml:"headers"`
+	Status   int               `yaml:"status"`
+	Whole    bool              `yaml:"whole"`  // the answer is the whole answer
+	Echo     bool              `yaml:"echo"`   // the answer is the body
+	Broken   bool              `yaml:"broken"` // there is no whole answer
+	NotRun   bool              `yaml:"notrun"`
+	Draining bool              `yaml:"draining"`
+	Runs     int               `yaml:"runs"`
+	Finished int               `yaml:"finished"`
+	Once     bool              `yaml:"once"`
+}
+
+func TestBackend(t *testing.T) {
+	for _, c := range readCases[backendCase](t, "testdata/backend.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			if c.Host == "" {
+				c.Host = "orders"
+			}
+			if c.Pad > 0 {
+				c.Body = "work=0 answer=1 id=" + strings.Repeat("x", c.Pad) + "\n"
+			}
+			b := startBackend(t, BackendSettings{})
+			setFaults(t, b, c.Fault)
+			response, answer, err := post(context.Background(), newHTTP(t), b, c.Host, c.Body, c.Headers)
+			checkLedger(t, c, b)
+			if c.Broken {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.Status, response.StatusCode)
+			require.Equal(t, c.NotRun, response.Header.Get(headerNotRun) == "true")
+			require.Equal(t, c.Draining, response.Header.Get(headerDraining) == "true")
+			if c.Echo {
+				require.Equal(t, c.Body, string(answer))
+			}
+			if c.Whole {
+				w, ordered := ParseWork([]byte(c.Body))
+				require.True(t, ordered)
+				host, _, _ := strings.Cut(c.Host, ":")
+				require.True(t, CheckAnswer(w, host, []byte(c.Body), answer))
+			}
+		})
+	}
+}
+
+func setFaults(t *testing.T, b *Backend, faults string) {
+	t.Helper()
+	if faults != "" {
+		status, answer := callHandler(b.Control(), http.MethodPut, "/fault", faults)
+		require.Equal(t, http.StatusOK, status, answer)
+	}
+}
+
+func checkLedger(t *testing.T, c backendCase, b *Backend) {
+	t.Helper()
+	if c.Runs == 0 {
+		require.Empty(t, b.Ledger())
+		return
+	}
+	host, _, _ := strings.Cut(c.Host, ":")
+	require.Equal(t, []Entry{{ID: "a", Service: host, Once: c.Once, Runs: c.Runs, Finished: c.Finished}}, b.Ledger())
+}
+
+// The form of an answer is an agreement with callers that check it.
+func TestAnswerForm(t *testing.T) {
+	body := []byte("work=5 answer=60 id=a1\nrest")
+	w, ordered := ParseWork(body)
+	require.True(t, ordered)
+	require.Equal(t, Work{Time: 5, Answer: 60, ID: "a1"}, w)
+	answer := AnswerTo(w, "orders", body)
+	require.Len(t, answer, 60)
+	line := "service=orders id=a1 sum=bc3a3711da2a8ece\n"
+	require.Equal(t, line, string(answer[:len(line)]))
+	for i := len(line); i < len(answer); i++ {
+		require.Equal(t, int((uint64(i)*131+xxhash.Sum64String("a1"))%251), int(answer[i]))
+	}
+	require.False(t, CheckAnswer(w, "gallery", body, answer))
+	require.False(t, CheckAnswer(w, "orders", body, answer[:59]))
+}
+
+type healthCase struct {
+	Fault  string `yaml:"fault"`
+	Status int    `yaml:"status"`
+	Health Health `yaml:"health"`
+}
+
+func TestHealth(t *testing.T) {
+	b := startBackend(t, BackendSettings{})
+	for _, c := range readCases[healthCase](t, "testdata/health.yaml") {
+		setFaults(t, b, c.Fault)
+		status, answer := callHandler(b.route(), http.MethodGet, "/health", "")
+		require.Equal(t, c.Status, status, c.Fault)
+		var h Health
+		require.NoError(t, json.Unmarshal([]byte(answer), &h))
+		require.Equal(t, c.Health, h, c.Fault)
+	}
+}
+
+func loadOf(t *testing.T, b *Backend) Load {
+	_, answer := callHandler(b.route(), http.MethodGet, "/load", "")
+	var l Load
+	require.NoError(t, json.Unmarshal([]byte(answer), &l))
+	return l
+}
+
+// await waits until a condition holds that is bound to hold in the end.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		require.True(t, time.Now().Before(end), "waited in vain")
+	}
+}
+
+func TestSlotsAndCancellation(t *testing.T) {
+	b := startBackend(t, BackendSettings{Slots: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	results := make(chan error, 2)
+	go func() {
+		_, _, err := post(ctx, newHTTP(t), b, "orders", "work=600000 answer=1 id=long\n", nil)
+		results <- err
+	}()
+	await(t, func() bool { return loadOf(t, b) == Load{Slots: 1, Busy: 1} })
+	go func() {
+		_, _, err := post(context.Background(), newHTTP(t), b, "orders", "work=0 answer=1 id=short\n", nil)
+		results <- err
+	}()
+	await(t, func() bool { return loadOf(t, b) == Load{Slots: 1, Busy: 1, Queued: 1} })
+	setFaults(t, b, `{"lie":"fine"}`)
+	require.Equal(t, Load{Slots: 1}, loadOf(t, b))
+	require.Len(t, b.Ledger(), 1)
+	cancel()
+	require.ErrorIs(t, <-results, context.Canceled)
+	require.NoError(t, <-results)
+	await(t, func() bool { return loadOf(t, b) == Load{Slots: 1} })
+	require.Equal(t, []Entry{
+		{ID: "long", Service: "orders", Runs: 1},
+		{ID: "short", Service: "orders", Runs: 1, Finished: 1},
+	}, b.Ledger())
+}
+
+func TestWorkTime(t *testing.T) {
+	b := startBackend(t, BackendSettings{Speed: 2, Cold: clock.Hour, Chill: 3})
+	require.Equal(t, clock.Millis(150), b.workTime(100))
+	setFaults(t, b, `{"slow":10}`)
+	require.Equal(t, clock.Millis(1500), b.workTime(100))
+	b.started -= clock.Hour
+	require.Equal(t, clock.Millis(500), b.workTime(100))
+}
+
+func TestSilentOpenConnections(t *testing.T) {
+	b := startBackend(t, BackendSettings{})
+	old := newHTTP(t)
+	_, _, err := post(context.Background(), old, b, "orders", "before", nil)
+	require.NoError(t, err)
+	setFaults(t, b, `{"silent":"open"}`)
+	setFaults(t, b, `{}`) // what is silent stays so
+	requireSilent(t, old, b)
+	_, answer, err := post(context.Background(), newHTTP(t), b, "orders", "after", nil)
+	require.NoError(t, err)
+	require.Equal(t, "after", string(answer))
+}
+
+// Work that was taken before its connection went silent runs, and its answer
+// never arrives.
+func TestSilenceDuringWork(t *testing.T) {
+	b := startBackend(t, BackendSettings{Slots: 1})
+	holdCtx, release := context.WithCancel(context.Background())
+	defer release()
+	workCtx, giveUp := context.WithCancel(context.Background())
+	defer giveUp()
+	held, worked := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, _, err := post(holdCtx, newHTTP(t), b, "orders", "work=600000 answer=1 id=hold\n", nil)
+		held <- err
+	}()
+	await(t, func() bool { return loadOf(t, b).Busy == 1 })
+	go func() {
+		_, _, err := post(workCtx, newHTTP(t), b, "orders", "work=0 answer=1 id=work\n", nil)
+		worked <- err
+	}()
+	await(t, func() bool { return loadOf(t, b).Queued == 1 })
+	setFaults(t, b, `{"silent":"open"}`)
+	release()
+	require.ErrorIs(t, <-held, context.Canceled)
+	await(t, func() bool { return b.Counts()["finished"] == 1 })
+	giveUp()
+	require.ErrorIs(t, <-worked, context.Canceled)
+	require.Contains(t, b.Ledger(), Entry{ID: "work", Service: "orders", Runs: 1, Finished: 1})
+}
+
+func TestAllConnectionsSilent(t *testing.T) {
+	b := startBackend(t, BackendSettings{})
+	setFaults(t, b, `{"silent":"all"}`)
+	requireSilent(t, newHTTP(t), b)
+	require.Empty(t, b.Counts())
+}
+
+func requireSilent(t *testing.T, c *http.Client, b *Backend) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), (20 * clock.Millisecond).Duration())
+	defer cancel()
+	_, _, err := post(ctx, c, b, "orders", "work=0 answer=1 id=a\n", nil)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Empty(t, b.Ledger())
+}
+
+func TestDownRefusesAndReturns(t *testing.T) {
+	b := startBackend(t, BackendSettings{})
+	address := b.Address()
+	setFaults(t, b, `{"down":true}`)
+	_, err := net.Dial("tcp", address)
+	require.Error(t, err)
+	setFaults(t, b, `{}`)
+	_, _, err = post(context.Background(), newHTTP(t), b, "orders", "hello", nil)
+	require.NoError(t, err)
+	require.Equal(t, address, b.Address())
+}
+
+func TestConnectionLimit(t *testing.T) {
+	b := startBackend(t, BackendSettings{Connections: 1})
+	first := newHTTP(t)
+	_, _, err := post(context.Background(), first, b, "orders", "hello", nil)
+	require.NoError(t, err)
+	_, _, err = post(context.Background(), newHTTP(t), b, "orders", "hello", nil)
+	require.Error(t, err)
+	first.CloseIdleConnections()
+	await(t, func() bool {
+		_, _, err := post(context.Background(), newHTTP(t), b, "orders", "hello", nil)
+		return err == nil
+	})
+}
--- a/standin/control.go
+++ b/standin/control.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -19,6 +21,7 @@
 	maxDelay   = clock.Minute // longest delay a fault can cause
 	maxFactor  = 10_000       // strongest slowdown
 	maxControl = 1 << 20      // largest body of a control call, in bytes
+	maxShown   = 200          // bytes of it in an error
 )
 
 // faulty is something whose faults can be set while it runs.
@@ -70,19 +73,31 @@
 // readJSON decodes the body of a control call. It answers the call and returns
 // false when it cannot.
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControl))
-	d.DisallowUnknownFields()
-	err := d.Decode(v)
-	if err == nil && d.More() {
-		err = io.ErrUnexpectedEOF
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControl))
+	if err == nil {
+		err = decodeStrictly(data, v)
 	}
 	if err != nil {
-		http.Error(w, errors.Wrapf(err, "%s %s: body", r.Method, r.URL.Path).Error(), http.StatusBadRequest)
+		shown := data[:min(len(data), maxShown)]
+		http.Error(w, fmt.Sprintf("%s %s: body %q: %v", r.Method, r.URL.Path, shown, err), http.StatusBadRequest)
 		return false
 	}
 	return true
 }
 
+// decodeStrictly decodes one JSON value. Fields that v does not have are faults.
+func decodeStrictly(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if d.More() {
+		return errors.Errorf("more than one value")
+	}
+	return nil
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	e := json.NewEncoder(w)
--- /dev/null
+++ b/standin/control_test.go
@@ -0,0 +1,73 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/require"
+)
+
+// readCases reads a list of cases; fields that a case does not have are faults.
+func readCases[C any](t *testing.T, file string) []C {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	require.NoError(t, err)
+	var cases []C
+	require.NoError(t, yaml.UnmarshalWithOptions(data, &cases, yaml.DisallowUnknownField()))
+	require.NotEmpty(t, cases)
+	return cases
+}
+
+// callHandler makes one call of a handler.
+func callHandler(handler http.Handler, method, path, body string) (int, string) {
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	data, _ := io.ReadAll(w.Body) // reads from memory
+	return w.Code, strings.TrimSpace(string(data))
+}
+
+type faultCase struct {
+	Standin string `yaml:"standin"`
+	Body    string `yaml:"body"`
+	Names   string `yaml:"names"`
+}
+
+func TestFaultsAreChecked(t *testing.T) {
+	handlers := map[string]http.Handler{
+		"platform": NewPlatform(PlatformSettings{}),
+		"backend":  startBackend(t, BackendSettings{}).Control(),
+		"fabric":   startFabric(t, FabricSettings{}).Control(),
+	}
+	for _, c := range readCases[faultCase](t, "testdata/faults.yaml") {
+		status, answer := callHandler(handlers[c.Standin], http.MethodPut, "/fault", c.Body)
+		require.Equal(t, http.StatusBadRequest, status, c.Body)
+		require.Contains(t, answer, c.Names)
+	}
+	for name, h := range handlers {
+		status, answer := callHandler(h, http.MethodGet, "/fault", "")
+		require.Equal(t, http.StatusOK, status, name)
+		require.Equal(t, "{}", answer, name)
+	}
+}
+
+func TestFaultsAreReplacedAsAWhole(t *testing.T) {
+	p := NewPlatform(PlatformSettings{})
+	_, answer := callHandler(p, http.MethodPut, "/fault", `{"slow":5,"cut":["entry-1"]}`)
+	require.Equal(t, `{"slow":5,"cut":["entry-1"]}`, answer)
+	_, answer = callHandler(p, http.MethodPut, "/fault", `{"stale":true}`)
+	require.Equal(t, `{"stale":true}`, answer)
+}
+
+func TestCallsAreCounted(t *testing.T) {
+	p := NewPlatform(PlatformSettings{})
+	callHandler(p, http.MethodGet, "/v1/objects/service", "")
+	callHandler(p, http.MethodGet, "/v1/objects/service", "")
+	callHandler(p, http.MethodGet, "/v1/watch?since=9&wait=0&kinds=service", "")
+	_, answer := callHandler(p, http.MethodGet, "/calls", "")
+	require.JSONEq(t, `{"list":2,"watch":1}`, answer)
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -113,6 +113,22 @@
 	return err
 }
 
+// positive reports a flag's value that is not above 0.
+func positive(name string, value float64) error {
+	if !(value > 0) {
+		return errors.Wrapf(errUsage, "flag %s: %v is not above 0", name, value)
+	}
+	return nil
+}
+
+// notNegative reports a flag's value below 0.
+func notNegative(name string, value float64) error {
+	if !(value >= 0) {
+		return errors.Wrapf(errUsage, "flag %s: %v is below 0", name, value)
+	}
+	return nil
+}
+
 // listenHTTP serves a handler on an address until the returned server is
 // closed.
 func listenHTTP(address string, handler http.Handler) (string, *http.Server, error) {
--- a/standin/verb_backend.go
+++ b/standin/verb_backend.go
@@ -36,8 +36,8 @@
 		return running{}, err
 	}
 	s.Cold = clock.Millis(*cold)
-	if s.Host == "" {
-		return running{}, errors.Wrap(errUsage, "flag -host is missing")
+	if err := checkBackendFlags(s); err != nil {
+		return running{}, err
 	}
 	b, err := StartBackend(s)
 	if err != nil {
@@ -54,3 +54,16 @@
 	}
 	return running{listen: b.Address(), control: address, close: stop}, nil
 }
+
+func checkBackendFlags(s BackendSettings) error {
+	if s.Host == "" {
+		return errors.Wrap(errUsage, "flag -host is missing")
+	}
+	return firstError(
+		positive("-slots", float64(s.Slots)),
+		positive("-connections", float64(s.Connections)),
+		positive("-speed", s.Speed),
+		notNegative("-cold", float64(s.Cold)),
+		positive("-chill", s.Chill),
+	)
+}
--- a/standin/verb_fabric.go
+++ b/standin/verb_fabric.go
@@ -31,6 +31,10 @@
 		return running{}, err
 	}
 	s.Idle = clock.Millis(*idle)
+	err := firstError(positive("-callers", float64(s.Callers)), positive("-idle", float64(*idle)))
+	if err != nil {
+		return running{}, err
+	}
 	if *entries != "" {
 		s.Entries = strings.Split(*entries, ",")
 	}
--- a/standin/verb_platform.go
+++ b/standin/verb_platform.go
@@ -30,6 +30,10 @@
 		return running{}, err
 	}
 	s.Lag = clock.Millis(*lag)
+	err := firstError(positive("-history", float64(s.History)), notNegative("-lag", float64(*lag)))
+	if err != nil {
+		return running{}, err
+	}
 	address, server, err := listenHTTP(*listen, NewPlatform(s))
 	if err != nil {
 		return running{}, err
