--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
 // patience bounds waits for what is bound to happen.
@@ -73,7 +74,10 @@
 }
 
 func TestBackend(t *testing.T) {
-	for _, c := range readCases[backendCase](t, "testdata/backend.yaml") {
+	var cases []backendCase
+	script.Read(t, "testdata/backend.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			if c.Host == "" {
 				c.Host = "orders"
@@ -149,7 +153,10 @@
 
 func TestHealth(t *testing.T) {
 	b := startBackend(t, BackendSettings{})
-	for _, c := range readCases[healthCase](t, "testdata/health.yaml") {
+	var cases []healthCase
+	script.Read(t, "testdata/health.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for _, c := range cases {
 		setFaults(t, b, c.Fault)
 		status, answer := callHandler(b.route(), http.MethodGet, "/health", "")
 		require.Equal(t, c.Status, status, c.Fault)
--- a/standin/control_test.go
+++ b/standin/control_test.go
@@ -4,24 +4,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
-)
 
-// readCases reads a list of cases; fields that a case does not have are faults.
-func readCases[C any](t *testing.T, file string) []C {
-	t.Helper()
-	data, err := os.ReadFile(file)
-	require.NoError(t, err)
-	var cases []C
-	require.NoError(t, yaml.UnmarshalWithOptions(data, &cases, yaml.DisallowUnknownField()))
-	require.NotEmpty(t, cases)
-	return cases
-}
+	"github.com/tanagerdock/tanagerdock/internal/script"
+)
 
 // callHandler makes one call of a handler.
 func callHandler(handler http.Handler, method, path, body string) (int, string) {
@@ -43,7 +32,10 @@
 		"backend":  startBackend(t, BackendSettings{}).Control(),
 		"fabric":   startFabric(t, FabricSettings{}).Control(),
 	}
-	for _, c := range readCases[faultCase](t, "testdata/faults.yaml") {
+	var cases []faultCase
+	script.Read(t, "testdata/faults.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for _, c := range cases {
 		status, answer := callHandler(handlers[c.Standin], http.MethodPut, "/fault", c.Body)
 		require.Equal(t, http.StatusBadRequest, status, c.Body)
 		require.Contains(t, answer, c.Names)
--- a/standin/main_test.go
+++ b/standin/main_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
 type usageCase struct {
@@ -20,7 +22,10 @@
 }
 
 func TestUsage(t *testing.T) {
-	for _, c := range readCases[usageCase](t, "testdata/usage.yaml") {
+	var cases []usageCase
+	script.Read(t, "testdata/usage.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for _, c := range cases {
 		t.Run(fmt.Sprint(c.Args), func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel() // a stand-in that starts all the same ends at once
