Refuse a hello that is not the sender's own

An envelope's hello replaced what the receiver knew of the instance it named, whoever had sent it. It must now be of the sender and of its incarnation.

--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
 // MaxEnvelope is the largest datagram between entry instances, in bytes.
@@ -70,8 +71,8 @@
 	if e.Hello == nil {
 		return e, nil
 	}
-	if err := e.Hello.Check(); err != nil {
-		return Envelope{}, errors.Wrapf(ErrMalformed, "envelope: hello: %v", err)
+	if err := e.checkHello(); err != nil {
+		return Envelope{}, err
 	}
 	return e, nil
 }
@@ -94,3 +95,17 @@
 	}
 	return nil
 }
+
+// checkHello reports a description that is not the sender's own.
+func (e *Envelope) checkHello() error {
+	if err := e.Hello.Check(); err != nil {
+		return errors.Wrapf(ErrMalformed, "envelope: hello: %v", err)
+	}
+	if token.Hash(e.Hello.Name) != e.Sender {
+		return errors.Wrapf(ErrMalformed, "envelope: hello of %q is not from sender %d", e.Hello.Name, e.Sender)
+	}
+	if uint64(e.Hello.Incarnation) != e.Incarnation {
+		return errors.Wrapf(ErrMalformed, "envelope: hello of incarnation %d is not from incarnation %d", e.Hello.Incarnation, e.Incarnation)
+	}
+	return nil
+}
