--- /dev/null
+++ b/entry/daemon_test.go
@@ -0,0 +1,338 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// dial returns a socket that sends to address.
+func dial(t *testing.T, address string) *net.UDPConn {
+	t.Helper()
+	to, err := net.ResolveUDPAddr("udp", address)
+	require.NoError(t, err)
+	c, err := net.DialUDP("udp", nil, to)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func send(t *testing.T, c *net.UDPConn, data []byte) {
+	t.Helper()
+	_, err := c.Write(data)
+	require.NoError(t, err)
+}
+
+// metric returns the value of a line of the metrics page, or "".
+func (r *running) metric(t *testing.T, name string) string {
+	t.Helper()
+	for _, line := range strings.Split(r.page(t, "/metrics"), "\n") {
+		if value, found := strings.CutPrefix(line, name+"="); found {
+			return value
+		}
+	}
+	return ""
+}
+
+func (r *running) page(t *testing.T, path string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + r.Status() + path)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+func (r *running) awaitMetric(t *testing.T, name, value string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return r.metric(t, name) == value }, patience, time.Millisecond, "%s=%s", name, value)
+}
+
+func TestPacketsReachTheEngineAndAnswersTheCaller(t *testing.T) {
+	s := &scriptedEngine{script: func(e instance.Event) []instance.Action {
+		p, is := e.(instance.PacketReceived)
+		if !is {
+			return nil
+		}
+		echo := packet.Packet{Kind: packet.KindEcho, Token: p.Packet.Token, Nonce: p.Packet.Nonce}
+		return []instance.Action{instance.SendPacket{To: p.From, Packet: echo}}
+	}}
+	r := start(t, "entry-1", quiet(), s)
+	caller := dial(t, r.Self().Packets)
+	data, err := packet.Encode(packet.Packet{Kind: packet.KindProbe, Token: []byte("token"), Nonce: 9})
+	require.NoError(t, err)
+	send(t, caller, data)
+
+	received := await[instance.PacketReceived](t, s)
+	require.Equal(t, caller.LocalAddr().String(), received.From.String())
+	require.EqualValues(t, 9, received.Packet.Nonce)
+
+	answer := make([]byte, packet.MaxDatagram)
+	n, err := caller.Read(answer)
+	require.NoError(t, err)
+	p, err := packet.Decode(answer[:n])
+	require.NoError(t, err)
+	require.Equal(t, packet.KindEcho, p.Kind)
+	require.Equal(t, "token", string(p.Token))
+	r.awaitMetric(t, "packets.in.probe", "1")
+	r.awaitMetric(t, "packets.out.echo", "1")
+}
+
+// A packet's payload must not lie in the buffer that the next datagram is read
+// into.
+func TestDecodedPacketOwnsItsBytes(t *testing.T) {
+	payload := bytes.Repeat([]byte("s"), packet.MaxPayload)
+	data, err := packet.Encode(packet.Packet{Kind: packet.KindPart, Token: []byte("token"), Request: 1, Count: 1, Payload: payload})
+	require.NoError(t, err)
+	p, err := packet.Decode(data)
+	require.NoError(t, err)
+	clear(data)
+	require.Equal(t, payload, p.Payload)
+	require.Equal(t, "token", string(p.Token))
+}
+
+func TestBadDatagramsAreCountedAndDropped(t *testing.T) {
+	s := &scriptedEngine{}
+	r := start(t, "entry-1", quiet(), s)
+	caller, peer := dial(t, r.Self().Packets), dial(t, r.Self().Peers)
+	good, err := packet.Encode(packet.Packet{Kind: packet.KindProbe})
+	require.NoError(t, err)
+	old := bytes.Clone(good)
+	old[bytes.IndexByte(old, packet.Version)+1] = packet.Version + 1
+	send(t, caller, []byte("no packet"))
+	send(t, caller, old)
+	send(t, caller, make([]byte, packet.MaxDatagram+1))
+	send(t, caller, nil)
+	send(t, peer, []byte("no envelope"))
+	send(t, peer, make([]byte, packet.MaxEnvelope+1))
+	envelope, err := packet.EncodeEnvelope(packet.Envelope{
+		Sender: 1, Caller: netip.MustParseAddrPort("127.0.0.1:1"), Data: []byte("no packet"),
+	})
+	require.NoError(t, err)
+	send(t, peer, envelope)
+	send(t, caller, good)
+
+	await[instance.PacketReceived](t, s)
+	r.awaitMetric(t, "packets.bad.malformed", "2")
+	r.awaitMetric(t, "packets.bad.version", "1")
+	r.awaitMetric(t, "packets.bad.too_large", "1")
+	r.awaitMetric(t, "peers.bad.malformed", "2")
+	r.awaitMetric(t, "peers.bad.too_large", "1")
+	for len(s.events) > 0 {
+		_, envelope := (<-s.events).(instance.EnvelopeReceived)
+		require.False(t, envelope)
+	}
+}
+
+func TestEnvelopesTravelBetweenInstances(t *testing.T) {
+	caller := netip.MustParseAddrPort("127.0.0.1:9")
+	data, err := packet.Encode(packet.Packet{Kind: packet.KindProbe, Nonce: 5})
+	require.NoError(t, err)
+	receiving := &scriptedEngine{}
+	second := start(t, "entry-2", quiet(), receiving)
+	to := netip.MustParseAddrPort(second.Self().Peers)
+	sending := &scriptedEngine{start: []instance.Action{
+		instance.SendEnvelope{To: to, Envelope: packet.Envelope{Sender: 1, Beat: 3}},
+		instance.SendEnvelope{To: to, Envelope: packet.Envelope{Sender: 1, Caller: caller, Data: data}},
+	}}
+	first := start(t, "entry-1", quiet(), sending)
+
+	for range 2 {
+		got := await[instance.EnvelopeReceived](t, receiving)
+		require.Equal(t, first.Self().Peers, got.From.String())
+		if got.Packet == nil {
+			require.EqualValues(t, 3, got.Envelope.Beat)
+			continue
+		}
+		require.Equal(t, caller, got.Envelope.Caller)
+		require.EqualValues(t, 5, got.Packet.Nonce)
+	}
+	first.awaitMetric(t, "peers.beat.out", "1")
+	first.awaitMetric(t, "peers.passed.out", "1")
+	second.awaitMetric(t, "peers.beat.in", "1")
+	second.awaitMetric(t, "peers.passed.in", "1")
+	second.awaitMetric(t, "peers.in.probe", "1")
+}
+
+// A full queue drops datagrams and never the end of a request.
+func TestFloodDropsDatagramsOnly(t *testing.T) {
+	backend := startScripted(t, []string{"read", "write HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
+	released := make(chan struct{})
+	c := runCase{}
+	s := &scriptedEngine{
+		start: []instance.Action{c.request(backend.address(), 1)},
+		script: func(e instance.Event) []instance.Action {
+			if _, is := e.(instance.PacketReceived); is {
+				<-released
+			}
+			return nil
+		},
+	}
+	r := start(t, "entry-1", quiet(), s)
+	data, err := packet.Encode(packet.Packet{Kind: packet.KindProbe})
+	require.NoError(t, err)
+	caller := dial(t, r.Self().Packets)
+	require.Eventually(t, func() bool {
+		for range 1000 {
+			send(t, caller, data)
+		}
+		return r.metric(t, "packets.dropped") != "0"
+	}, patience, time.Millisecond)
+	close(released)
+	ended := await[instance.RunEnded](t, s)
+	require.Equal(t, instance.OutcomeAnswered, ended.Result.Outcome)
+}
+
+func TestRunIsReportedAndCancelled(t *testing.T) {
+	backend := startScripted(t, []string{"read", "hang"})
+	c := runCase{}
+	s := &scriptedEngine{
+		start: []instance.Action{c.request(backend.address(), 4)},
+		script: func(e instance.Event) []instance.Action {
+			if _, is := e.(instance.PacketReceived); is {
+				return []instance.Action{instance.CancelRun{Run: 4}, instance.CancelRun{Run: 5}}
+			}
+			return nil
+		},
+	}
+	r := start(t, "entry-1", quiet(), s)
+	require.Eventually(t, func() bool { return backend.reads.Load() == 1 }, patience, time.Millisecond)
+	data, err := packet.Encode(packet.Packet{Kind: packet.KindProbe})
+	require.NoError(t, err)
+	send(t, dial(t, r.Self().Packets), data)
+	ended := await[instance.RunEnded](t, s)
+	require.EqualValues(t, 4, ended.Run)
+	require.Equal(t, instance.OutcomeUnknown, ended.Result.Outcome)
+}
+
+func TestProbeIsReported(t *testing.T) {
+	backend := startScripted(t, []string{"read", "write HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{\"healthy\":true}"})
+	s := &scriptedEngine{start: []instance.Action{instance.ProbeEndpoint{Endpoint: backend.address(), Host: "orders"}}}
+	start(t, "entry-1", quiet(), s)
+	ended := await[instance.ProbeEnded](t, s)
+	require.Equal(t, backend.address(), ended.Endpoint)
+	require.True(t, ended.Healthy)
+}
+
+func TestGracefulShutdown(t *testing.T) {
+	p := quiet()
+	s := &scriptedEngine{script: func(e instance.Event) []instance.Action {
+		if _, stop := e.(instance.StopRequested); !stop {
+			return nil
+		}
+		return []instance.Action{
+			instance.WriteStatus{Status: record.Status{Instance: "entry-1", Centre: "riga-1"}},
+			instance.Announce{Instance: record.Instance{Name: "entry-1", State: record.StateLeaving}},
+			instance.Stopped{},
+		}
+	}}
+	r := start(t, "entry-1", p, s)
+	require.Contains(t, r.page(t, "/health"), `"healthy":true`)
+	r.Stop()
+	require.NoError(t, r.end(t))
+	p.look(func() {
+		require.Len(t, p.puts, 1, "the last status")
+		require.Equal(t, record.KindStatus, p.puts[0].Kind)
+		require.Len(t, p.leases, 1, "the last announcement")
+		require.Equal(t, record.StateLeaving, p.leases[0].Instance.State)
+		require.Equal(t, []string{"entry-1 " + r.holder()}, p.released)
+		require.Equal(t, r.holder(), p.leases[0].Holder)
+	})
+	_, err := net.Dial("tcp", r.Self().Control)
+	require.Error(t, err, "sockets are closed")
+}
+
+func TestShutdownWaitsForTheEngine(t *testing.T) {
+	s := &scriptedEngine{}
+	r := start(t, "entry-1", quiet(), s)
+	r.Stop()
+	await[instance.StopRequested](t, s)
+	require.Contains(t, r.page(t, "/health"), `"healthy":false,"draining":true`)
+	require.Empty(t, r.ended)
+}
+
+func TestInterruption(t *testing.T) {
+	d := start(t, "entry-1", quiet(), &scriptedEngine{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	settings, err := parseSettings("entry.yaml", []byte(usable))
+	require.NoError(t, err)
+	second, err := Open(Options{Settings: settings, Platform: quiet(), Log: d.log})
+	require.NoError(t, err)
+	require.ErrorIs(t, second.Run(ctx), ErrInterrupted)
+}
+
+func TestOpenNamesTheAddressInUse(t *testing.T) {
+	r := start(t, "entry-1", quiet(), &scriptedEngine{})
+	settings, err := parseSettings("entry.yaml", []byte(usable))
+	require.NoError(t, err)
+	settings.Control = r.Self().Control
+	_, err = Open(Options{Settings: settings, Platform: quiet(), Log: r.log})
+	require.ErrorContains(t, err, `open field "control": value "`+r.Self().Control+`"`)
+}
+
+func TestEngineIsToldWhoItIs(t *testing.T) {
+	s := &scriptedEngine{}
+	r := start(t, "entry-1", quiet(), s)
+	self := s.settings.Self
+	require.NoError(t, self.Check())
+	require.Equal(t, r.Self(), self)
+	require.EqualValues(t, instance.DefaultMemory, s.settings.Memory)
+	require.Equal(t, instance.DefaultFlows, s.settings.Flows)
+	require.Equal(t, "ready packets="+self.Packets+" peers="+self.Peers+" control="+self.Control+" status="+r.Status(), r.Ready())
+}
+
+// lineWriter hands on what is written, line by line.
+type lineWriter chan string
+
+func (w lineWriter) Write(data []byte) (int, error) {
+	w <- string(data)
+	return len(data), nil
+}
+
+func TestFirstSignalIsAGracefulShutdown(t *testing.T) {
+	d := open(t, "entry-1", quiet(), &scriptedEngine{script: stopAtOnce})
+	signals := make(chan os.Signal, 1)
+	signals <- syscall.SIGTERM
+	require.NoError(t, runUntil(signals, d.Daemon))
+}
+
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	d := open(t, "entry-1", quiet(), &scriptedEngine{})
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGINT
+	require.ErrorIs(t, runUntil(signals, d.Daemon), ErrInterrupted)
+}
+
+// SIGTERM and SIGINT both count from the moment the daemon says it is ready.
+func TestMainTakesSignals(t *testing.T) {
+	for _, signals := range [][]syscall.Signal{{syscall.SIGTERM, syscall.SIGINT}, {syscall.SIGINT, syscall.SIGTERM}} {
+		out := make(lineWriter, 10)
+		code := make(chan int, 1)
+		connect := func(string) platform.Platform { return quiet() }
+		args := []string{"-settings", writeSettings(t, usable)}
+		go func() { code <- Main(args, out, io.Discard, connect) }()
+		require.Contains(t, <-out, "ready packets=127.0.0.1:")
+		for _, s := range signals {
+			require.NoError(t, syscall.Kill(syscall.Getpid(), s))
+		}
+		require.Equal(t, exitError, <-code)
+	}
+}
--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// parseObject reads name=revision or, for a deleted record, name-revision.
+func parseObject(t *testing.T, text string) record.Object {
+	t.Helper()
+	at := strings.IndexAny(text, "=-")
+	require.Positive(t, at, text)
+	revision, err := strconv.ParseUint(text[at+1:], 10, 64)
+	require.NoError(t, err)
+	kind := record.KindService
+	if strings.HasPrefix(text, "status") {
+		kind = record.KindStatus
+	}
+	return record.Object{Kind: kind, Name: text[:at], Revision: revision, Deleted: text[at] == '-'}
+}
+
+func showObject(o record.Object) string {
+	return fmt.Sprintf("%s=%d", o.Name, o.Revision)
+}
+
+// page returns the lines of the metrics page that are not 0.
+func (c *counts) page(t *testing.T) []string {
+	t.Helper()
+	var page bytes.Buffer
+	require.NoError(t, c.write(&page))
+	var lines []string
+	for _, line := range strings.Split(strings.TrimSpace(page.String()), "\n") {
+		if !strings.HasSuffix(line, "=0") {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func TestMetricsPage(t *testing.T) {
+	c := newCounts()
+	for v := range int64(100) {
+		c.observe(instance.Observe{Metric: "run_ms", Service: "orders", Class: packet.ClassShort, Value: v + 1})
+	}
+	c.observe(instance.Observe{Metric: "run_ms", Service: "gallery", Class: packet.ClassLong, Value: 7})
+	for range 3 {
+		c.decide(instance.Note{Decision: "refuse", Reason: "busy", Service: "orders", Subject: "a", Detail: "b"})
+	}
+	c.decide(instance.Note{Decision: "adopt", Reason: "owner gone"})
+	c.packets.in[packet.KindOpen].Inc(2)
+	c.packets.refuse(errors.Wrap(packet.ErrVersion, "version 9"))
+	c.beats.countOut(40)
+	require.Equal(t, []string{
+		"adopt.owner_gone=1",
+		"packets.bad.version=1",
+		"packets.in.open=2",
+		"peers.beat.bytes_out=40",
+		"peers.beat.out=1",
+		"refuse.busy.orders=3",
+		"run_ms.gallery.long.count=1",
+		"run_ms.gallery.long.max=7",
+		"run_ms.gallery.long.p50=7",
+		"run_ms.gallery.long.p99=7",
+		"run_ms.orders.short.count=100",
+		"run_ms.orders.short.max=100",
+		"run_ms.orders.short.p50=50",
+		"run_ms.orders.short.p99=99",
+	}, c.page(t))
+}
+
+func TestMetricsAreSorted(t *testing.T) {
+	var page bytes.Buffer
+	require.NoError(t, newCounts().write(&page))
+	lines := strings.Split(strings.TrimSpace(page.String()), "\n")
+	require.IsIncreasing(t, lines)
+	for _, line := range lines {
+		require.Regexp(t, `^[a-z0-9_.]+=\d+$`, line)
+	}
+}
+
+// Names in packets must not grow the daemon's memory, nor break the page.
+func TestMetricsAreBounded(t *testing.T) {
+	c := newCounts()
+	for i := range maxDecisions + 10 {
+		c.decide(instance.Note{Decision: "refuse", Reason: "service", Service: fmt.Sprintf("made-up-%d", i)})
+	}
+	for i := range maxHistograms + 10 {
+		c.observe(instance.Observe{Metric: "run_ms", Service: fmt.Sprintf("made-up-%d", i), Value: 1})
+	}
+	require.Len(t, c.decisions, maxDecisions+1)
+	require.Len(t, c.histograms, maxHistograms+1)
+	page := c.page(t)
+	require.Contains(t, page, "refuse.service.other=10")
+	require.Contains(t, page, "run_ms.other.unknown.count=10")
+
+	c = newCounts()
+	c.decide(instance.Note{Decision: "refuse", Reason: "service", Service: "a=1\nb é"})
+	require.Equal(t, []string{"refuse.service.a_1_b__=1"}, c.page(t))
+}
+
+func TestNotesAreLoggedAndCounted(t *testing.T) {
+	var log bytes.Buffer
+	c := newCounts()
+	n := newNotes(slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{
+		Level: slog.LevelInfo,
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if a.Key == slog.TimeKey {
+				return slog.Attr{}
+			}
+			return a
+		},
+	})), c)
+	n.start()
+	n.add(instance.Note{Decision: "refuse", Reason: "busy", Service: "orders", Subject: "flow/1", Detail: "queue is full", Level: instance.LevelInfo})
+	n.add(instance.Note{Decision: "eject", Reason: "silent", Level: instance.LevelWarn})
+	n.add(instance.Note{Decision: "route", Reason: "owner", Level: instance.LevelDebug})
+	n.stop()
+	require.Equal(t, `level=INFO msg=refuse reason=busy service=orders subject=flow/1 detail="queue is full"
+level=WARN msg=eject reason=silent
+`, log.String())
+	require.Equal(t, []string{"eject.silent=1", "refuse.busy.orders=1", "route.owner=1"}, c.page(t))
+}
+
+// A log that nobody reads costs notes, not the engine's time.
+func TestNotesNeverWait(t *testing.T) {
+	blocked := make(chan struct{})
+	c := newCounts()
+	n := newNotes(slog.New(slog.NewTextHandler(blockingWriter(blocked), nil)), c)
+	n.start()
+	const more = 10
+	for range noteQueue + 1 + more {
+		n.add(instance.Note{Decision: "refuse", Reason: "busy", Level: instance.LevelWarn})
+	}
+	require.GreaterOrEqual(t, c.unlogged.Count(), int64(more))
+	close(blocked)
+	n.stop()
+}
+
+type blockingWriter chan struct{}
+
+func (w blockingWriter) Write(data []byte) (int, error) {
+	<-w
+	return len(data), nil
+}
