entry: answer every handed-over call at the end, list instances faster while joining

Work that waited behind the stop was swallowed, and the peer had to take it for unknown; now it is answered as not run. A joining instance polls the list every 500 ms until it finds itself there, since until then it cannot pass packets on.

--- a/entry/command.go
+++ b/entry/command.go
@@ -117,7 +117,8 @@
 		return printSettings(stdout, s)
 	}
 	d, err := Open(Options{
-		Settings: s, Keys: keys, Platform: connect(s.Platform), Log: newLogger(stderr, s.Log),
+		Settings: s, Keys: keys, Platform: connect(s.Platform),
+		Log: newLogger(stderr, s.Log).With("instance", s.Name),
 	})
 	if err != nil {
 		return err
--- a/entry/control.go
+++ b/entry/control.go
@@ -77,14 +77,6 @@
 	case <-ctx.Done():
 		d.send(input{event: instance.PeerCancelled{Call: number}})
 		return nil, twirp.NewError(twirp.Canceled, "the calling instance gave up")
-	case <-d.done:
-	}
-	// The engine's last answers were given before it ended.
-	select {
-	case result := <-reply:
-		return runMessage(result), nil
-	default:
-		return nil, twirp.NewError(twirp.Unavailable, "instance has stopped")
 	}
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
 	"github.com/tanagerdock/tanagerdock/token"
@@ -205,6 +206,8 @@
 	err := d.loop(ctx)
 
 	close(d.done)
+	d.endCalls()
+	d.work.Go(func() { d.refuseCalls(ctx) })
 	d.statuses.close()
 	d.announcements.close()
 	if err == nil {
@@ -222,6 +225,28 @@
 	return err
 }
 
+// endCalls answers the calls that the engine took and did not answer.
+func (d *Daemon) endCalls() {
+	for call, reply := range d.replies {
+		delete(d.replies, call)
+		reply <- unknownResult("instance ended")
+	}
+}
+
+// refuseCalls answers the calls that the engine did not take, until ctx ends.
+func (d *Daemon) refuseCalls(ctx context.Context) {
+	for {
+		select {
+		case i := <-d.inputs:
+			if i.reply != nil {
+				i.reply <- notRun(packet.ReasonStopping, "instance has stopped")
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // finishControl lets answers to other instances leave.
 func finishControl(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout.Duration())
@@ -232,6 +257,11 @@
 // send hands an event to the engine and waits while its queue is full. It
 // reports false when the daemon has ended.
 func (d *Daemon) send(i input) bool {
+	select {
+	case <-d.done:
+		return false
+	default:
+	}
 	select {
 	case d.inputs <- i:
 		return true
@@ -265,6 +295,9 @@
 	now := clock.Now()
 	d.handleDatagram(ctx, now, g)
 	for range batchSize {
+		if d.stopped {
+			return
+		}
 		select {
 		case g = <-d.packets:
 			d.handleDatagram(ctx, now, g)
@@ -286,6 +319,9 @@
 	now := clock.Now()
 	d.handleInput(ctx, now, i)
 	for range batchSize {
+		if d.stopped {
+			return
+		}
 		select {
 		case i = <-d.inputs:
 			d.handleInput(ctx, now, i)
@@ -318,9 +354,6 @@
 }
 
 func (d *Daemon) handle(ctx context.Context, now clock.Millis, e instance.Event) {
-	if d.stopped {
-		return
-	}
 	d.ticked.Store(int64(now))
 	for _, a := range d.engine.Handle(now, e) {
 		d.perform(ctx, a)
--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -138,6 +138,28 @@
 	require.Equal(t, instance.OutcomeUnknown, (<-ended).Outcome)
 }
 
+// Work that waits for an engine that then ends did not run.
+func TestHandOverToAStoppingPeer(t *testing.T) {
+	release := make(chan struct{})
+	s := &scriptedEngine{script: func(e instance.Event) []instance.Action {
+		if _, stop := e.(instance.StopRequested); stop {
+			<-release
+		}
+		return stopAtOnce(e)
+	}}
+	r := start(t, "entry-2", quiet(), s)
+	r.Stop()
+	await[instance.StopRequested](t, s)
+	ended := make(chan instance.Result, 1)
+	go func() { ended <- handOverTo(context.Background(), r.Self().Control, work(longTime)) }()
+	require.Eventually(t, func() bool { return r.calls.Load() == 1 && len(r.inputs) > 0 }, patience, time.Millisecond)
+	close(release)
+	got := <-ended
+	require.Equal(t, instance.OutcomeNotRun, got.Outcome, got.Detail)
+	require.Equal(t, packet.ReasonStopping, got.Reason)
+	require.NoError(t, r.end(t))
+}
+
 // What answers at a peer's address need not be an instance.
 func TestHandOverToStrangers(t *testing.T) {
 	var cases struct {
--- a/entry/platform_test.go
+++ b/entry/platform_test.go
@@ -85,6 +85,16 @@
 	require.Equal(t, p.instances, await[instance.InstancesListed](t, s).Instances)
 }
 
+func TestListPeriod(t *testing.T) {
+	r := open(t, "entry-1", quiet(), &scriptedEngine{})
+	defer r.closeSockets()
+	older := r.Self()
+	older.Incarnation--
+	require.Equal(t, joiningPeriod, r.listPeriod(nil))
+	require.Equal(t, joiningPeriod, r.listPeriod([]record.Instance{older}), "an earlier process of that name")
+	require.Equal(t, instancePeriod, r.listPeriod([]record.Instance{older, r.Self()}))
+}
+
 func TestStatusIsRepeatedUntilWritten(t *testing.T) {
 	p := quiet()
 	p.failures = 1
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -14,9 +15,10 @@
 // Times of calls to the platform.
 const (
 	watchWait      = 30 * clock.Second
-	callTimeout    = 5 * clock.Second // beyond watchWait for a watch
-	earlyWatch     = 1 * clock.Second // a watch that ends sooner without news is paced like a failed one
-	instancePeriod = 2 * clock.Second // between lists of instances
+	callTimeout    = 5 * clock.Second        // beyond watchWait for a watch
+	earlyWatch     = 1 * clock.Second        // a watch that ends sooner without news is paced like a failed one
+	instancePeriod = 2 * clock.Second        // between lists of instances
+	joiningPeriod  = 500 * clock.Millisecond // the same, until the platform lists this instance
 )
 
 // startFeeds starts the goroutines that bring records and instances from the
@@ -138,13 +140,24 @@
 			list, err = d.platform.Instances(ctx, d.self.Centre)
 			return err
 		})
-		wait := jitter(instancePeriod)
 		if err != nil {
-			wait = max(wait, b.next())
-		} else {
-			b.reset()
-			d.send(input{event: instance.InstancesListed{Instances: list}})
+			pause(ctx, max(jitter(instancePeriod), b.next()))
+			continue
 		}
-		pause(ctx, wait)
+		b.reset()
+		d.send(input{event: instance.InstancesListed{Instances: list}})
+		pause(ctx, jitter(d.listPeriod(list)))
+	}
+}
+
+// listPeriod is the time until the next list of instances. A joining instance
+// asks more often, since it cannot pass packets on to those it does not know.
+func (d *Daemon) listPeriod(list []record.Instance) clock.Millis {
+	listed := slices.ContainsFunc(list, func(i record.Instance) bool {
+		return i.Name == d.self.Name && i.Incarnation == d.self.Incarnation
+	})
+	if listed {
+		return instancePeriod
 	}
+	return joiningPeriod
 }
