A stopping instance serves on while it knows of no other, and one that left is not called silent

Ruled out: the caller's retries, which had spent their budget. Change: requests are taken for 10 s after the stop while no other instance is known. Also, an instance that announced its leaving and is gone is no longer reported as silent.

--- a/instance/members.go
+++ b/instance/members.go
@@ -315,12 +315,8 @@
 	case m.Alive && m.Misses < beatTries:
 		c.ping(m)
 	case m.Alive:
-		m.Alive = false
-		m.Knows = false
-		c.b.Members.changed = true
-		c.b.note("suspect", "silent", "", "instance/"+m.Instance.Name, "")
-		c.b.Report.raise(c.b.Now, conditionInstance, "instance/"+m.Instance.Name, "heartbeats are not answered", "its flows are taken over by other instances")
 		m.Asked = 0
+		c.lost(m)
 	default:
 		m.Asked = 0
 	}
@@ -330,6 +326,20 @@
 	}
 }
 
+// lost counts an instance as dead. One that said that it was leaving has just
+// done so.
+func (c memberController) lost(m *Member) {
+	subject := "instance/" + m.Instance.Name
+	m.Alive, m.Knows = false, false
+	c.b.Members.changed = true
+	if m.Leaving {
+		c.b.note("leave", "gone", "", subject, "")
+		return
+	}
+	c.b.note("suspect", "silent", "", subject, "")
+	c.b.Report.raise(c.b.Now, conditionInstance, subject, "heartbeats are not answered", "its flows are taken over by other instances")
+}
+
 // join lets this instance dispatch endpoints once the others know of it, so that
 // two instances do not dispatch the same endpoint for longer than need be.
 func (c memberController) join() {
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -52,7 +52,7 @@
 	}
 	r.Deadline = c.b.Now + span
 	switch {
-	case c.b.Stopping != 0:
+	case c.b.Stopping != 0 && c.b.Now-c.b.Stopping > stopAlone:
 		c.b.refuseRequest(r, packet.ReasonStopping, "no other instance takes it")
 	case int64(p.Count-1)*packet.MaxPayload >= s.Record.Limit:
 		c.b.refuseRequest(r, packet.ReasonSize, "parts exceed the service's limit")
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -9,6 +9,10 @@
 // the fabric and the other instances learn that it leaves.
 const stopLinger = 2 * clock.Second
 
+// stopAlone is how long a stopping instance that knows of no other goes on
+// taking requests: others may have started and not be listed yet.
+const stopAlone = 10 * clock.Second
+
 // announcePeriod is the time between renewals of the instance's lease.
 const announcePeriod = 10 * clock.Second
 
