--- /dev/null
+++ b/command/apply.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+var applyVerb = &verb{
+	name:    "apply",
+	summary: "write records from files",
+	usage: `[-force] FILE...
+
+Writes the records in YAML or JSON files, separated by --- lines, each with kind,
+name, schema and body. All are checked before the first is written. A record that
+another operator changes in the same moment is not overwritten, nor is one that
+differs from a revision given in the file; -force writes all the same.`,
+	run: apply,
+}
+
+func apply(ctx context.Context, i *invocation) error {
+	url := i.platformFlag()
+	force := i.flags.Bool("force", false, "overwrite changes of others")
+	if err := i.parse(1, -1); err != nil {
+		return err
+	}
+	p, err := connect(*url)
+	if err != nil {
+		return err
+	}
+	documents, err := readChecked(i.flags.Args())
+	if err != nil {
+		return err
+	}
+	for _, d := range documents {
+		outcome, err := applyOne(ctx, p, d, *force)
+		if err != nil {
+			return errors.Wrapf(err, "%s:%d: %s", d.file, d.line, d.object.Key())
+		}
+		fmt.Fprintf(i.Out, "%s %s\n", d.object.Key(), outcome)
+	}
+	return nil
+}
+
+// readChecked reads all records of the files and checks every one.
+func readChecked(files []string) ([]document, error) {
+	var all []document
+	for _, file := range files {
+		documents, err := readDocuments(file)
+		if err != nil {
+			return nil, err
+		}
+		for _, d := range documents {
+			if err := d.check(); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, documents...)
+	}
+	return all, nil
+}
+
+// applyOne writes one record and tells what became of it.
+func applyOne(ctx context.Context, p platform.Platform, d document, force bool) (string, error) {
+	current, err := p.Get(ctx, d.object.Kind, d.object.Name)
+	absent := errors.Is(err, platform.ErrAbsent)
+	if err != nil && !absent {
+		return "", err
+	}
+	if !absent && current.Schema == d.object.Schema && sameJSON(current.Body, d.object.Body) {
+		return "unchanged", nil
+	}
+	expect := int64(current.Revision)
+	switch {
+	case force:
+		expect = platform.AnyRevision
+	case d.object.Revision != 0:
+		expect = int64(d.object.Revision)
+	}
+	written, err := p.Put(ctx, d.object, expect)
+	if err != nil {
+		return "", err
+	}
+	if absent {
+		return fmt.Sprintf("created revision %d", written.Revision), nil
+	}
+	return fmt.Sprintf("changed revision %d", written.Revision), nil
+}
+
+func sameJSON(x, y json.RawMessage) bool {
+	var a, b any
+	if json.Unmarshal(x, &a) != nil || json.Unmarshal(y, &b) != nil {
+		return false
+	}
+	first, _ := json.Marshal(a)
+	second, _ := json.Marshal(b)
+	return bytes.Equal(first, second)
+}
+
+// parseKind reads the kind of a record from the command line.
+func parseKind(word string) (record.Kind, error) {
+	k := record.Kind(word)
+	if !k.Known() {
+		return "", errors.Wrapf(ErrUsage, "kind %q is not one of %v", word, record.Kinds)
+	}
+	return k, nil
+}
--- /dev/null
+++ b/command/documents.go
@@ -0,0 +1,134 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+// ErrFile reports a file that does not hold records.
+var ErrFile = errors.New("file does not hold records")
+
+// document is one record in a file.
+type document struct {
+	file   string
+	line   int
+	node   ast.Node
+	object record.Object
+}
+
+// head is the form of a record in a file. Revision, when given, is the revision
+// that the record must still have when it is written.
+type head struct {
+	Kind     record.Kind `yaml:"kind"`
+	Name     string      `yaml:"name"`
+	Schema   int         `yaml:"schema"`
+	Revision uint64      `yaml:"revision"`
+	Body     any         `yaml:"body"`
+}
+
+// readDocuments reads every record of a YAML or JSON file, without checking it.
+func readDocuments(file string) ([]document, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	parsed, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, errors.Wrapf(ErrFile, "%s: %v", file, yamlProblem(err))
+	}
+	var found []document
+	for _, doc := range parsed.Docs {
+		if doc.Body == nil || doc.Body.Type() == ast.NullType {
+			continue
+		}
+		d, err := readDocument(file, doc.Body)
+		if err != nil {
+			return nil, err
+		}
+		found = append(found, d)
+	}
+	if len(found) == 0 {
+		return nil, errors.Wrapf(ErrFile, "%s: holds no record", file)
+	}
+	return found, nil
+}
+
+func readDocument(file string, node ast.Node) (document, error) {
+	var h head
+	line := firstTokenLine(node)
+	if err := yaml.NodeToValue(node, &h, yaml.Strict()); err != nil {
+		return document{}, errors.Wrapf(ErrFile, "%s: %v", file, yamlProblem(err))
+	}
+	if !h.Kind.Known() {
+		return document{}, errors.Wrapf(ErrFile, "%s:%d: field \"kind\": value %q is not one of %v", file, line, h.Kind, record.OperatorKinds)
+	}
+	body, err := json.Marshal(h.Body)
+	if err != nil {
+		return document{}, errors.Wrapf(ErrFile, "%s:%d: field \"body\": %v", file, line, err)
+	}
+	o := record.Object{Kind: h.Kind, Name: h.Name, Schema: h.Schema, Revision: h.Revision, Body: body}
+	return document{file: file, line: line, node: node, object: o}, nil
+}
+
+// yamlProblem shortens an error of the YAML library to its position and message.
+func yamlProblem(err error) string {
+	return yaml.FormatError(err, false, false)
+}
+
+func firstTokenLine(node ast.Node) int {
+	t := node.GetToken()
+	for t.Prev != nil && t.Prev.Position.Line == t.Position.Line {
+		t = t.Prev
+	}
+	return t.Position.Line
+}
+
+// check checks the record, and names file and line of the field that is wrong.
+func (d document) check() error {
+	err := d.object.Check()
+	if err == nil {
+		return nil
+	}
+	line := d.line
+	var field *record.FieldError
+	if errors.As(err, &field) {
+		line = d.fieldLine(field.Field)
+	}
+	return errors.Wrapf(err, "%s:%d", d.file, line)
+}
+
+// fieldLine returns the line of a field of the body, or the first of the record.
+func (d document) fieldLine(field string) int {
+	path, err := yaml.PathString("$.body." + field)
+	if err != nil {
+		return d.line
+	}
+	node, err := path.FilterNode(d.node)
+	if err != nil || node == nil {
+		return d.line
+	}
+	return node.GetToken().Position.Line
+}
+
+// writeDocument prints an object in the form that readDocuments reads.
+func writeDocument(o record.Object) ([]byte, error) {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "kind: %s\nname: %s\nschema: %d\nrevision: %d\nbody:\n", o.Kind, o.Name, o.Schema, o.Revision)
+	body, err := yaml.JSONToYAML(o.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "print %s", o.Key())
+	}
+	for _, line := range bytes.Split(bytes.TrimRight(body, "\n"), []byte("\n")) {
+		fmt.Fprintf(&b, "  %s\n", line)
+	}
+	return b.Bytes(), nil
+}
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,130 @@
+package command
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/record"
+)
+
+var statusVerb = &verb{
+	name:    "status",
+	summary: "show what is wrong and what was done about it",
+	usage: `[-o table|json]
+
+Shows the conditions that the entry instances report, worst first: since when,
+what was seen, what the system did. An instance whose status has grown old is
+shown as StatusStale. Exits with 3 when there are conditions.`,
+	run: status,
+}
+
+// conditionStale is the type of the condition that this command adds for an
+// instance that no longer writes its status.
+const conditionStale = "StatusStale"
+
+// staleAfter is the age from which a status is stale. Instances write one a minute.
+const staleAfter = 3 * clock.Minute
+
+// row is one condition of one instance.
+type row struct {
+	Instance string `json:"instance"`
+	Centre   string `json:"centre"`
+	record.Condition
+}
+
+func status(ctx context.Context, i *invocation) error {
+	url := i.platformFlag()
+	form := i.flags.String("o", "table", "`FORM` of the output: table or json")
+	if err := i.parse(0, 0); err != nil {
+		return err
+	}
+	p, err := connect(*url)
+	if err != nil {
+		return err
+	}
+	statuses, err := fetchStatuses(ctx, p)
+	if err != nil {
+		return err
+	}
+	rows := rowsOf(statuses, clock.Now())
+	switch *form {
+	case "table":
+		err = printStatus(i, statuses, rows)
+	case "json":
+		err = json.NewEncoder(i.Out).Encode(rows)
+	default:
+		return errors.Wrapf(ErrUsage, "flag -o: value %q is not one of table, json", *form)
+	}
+	if err == nil && len(rows) > 0 {
+		return errors.WithStack(ErrConditions)
+	}
+	return errors.WithStack(err)
+}
+
+func fetchStatuses(ctx context.Context, p platform.Platform) ([]record.Status, error) {
+	listing, err := p.List(ctx, record.KindStatus)
+	if err != nil {
+		return nil, errors.Wrap(err, "list status")
+	}
+	var statuses []record.Status
+	for _, o := range listing.Objects {
+		s, err := record.DecodeStatus(o)
+		if err != nil {
+			return nil, err
+		}
+		statuses = append(statuses, s)
+	}
+	slices.SortFunc(statuses, func(x, y record.Status) int { return cmp.Compare(x.Instance, y.Instance) })
+	return statuses, nil
+}
+
+// rowsOf returns all conditions, worst first.
+func rowsOf(statuses []record.Status, now clock.Millis) []row {
+	rows := []row{}
+	for _, s := range statuses {
+		for _, c := range s.Conditions {
+			rows = append(rows, row{Instance: s.Instance, Centre: s.Centre, Condition: c})
+		}
+		if now-s.Updated > staleAfter {
+			rows = append(rows, row{Instance: s.Instance, Centre: s.Centre, Condition: record.Condition{
+				Type: conditionStale, Subject: "instance/" + s.Instance, Since: s.Updated, Count: 1,
+				Reason: "its status is not renewed", Action: "none: it may be gone or cut off from the platform",
+			}})
+		}
+	}
+	slices.SortStableFunc(rows, func(x, y row) int {
+		return cmp.Or(cmp.Compare(instance.ConditionRank(x.Type), instance.ConditionRank(y.Type)), cmp.Compare(x.Since, y.Since))
+	})
+	return rows
+}
+
+func printStatus(i *invocation, statuses []record.Status, rows []row) error {
+	oldest, newest := uint64(0), uint64(0)
+	for n, s := range statuses {
+		if n == 0 || s.Revision < oldest {
+			oldest = s.Revision
+		}
+		newest = max(newest, s.Revision)
+	}
+	fmt.Fprintf(i.Out, "%d instances report, configuration revision %d to %d in force, %d conditions\n", len(statuses), oldest, newest, len(rows))
+	if len(rows) == 0 {
+		return nil
+	}
+	t := tabwriter.NewWriter(i.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "TYPE\tSUBJECT\tSINCE\tINSTANCE\tCENTRE\tREASON\tACTION\tCOUNT")
+	for _, r := range rows {
+		since := r.Since.Time().UTC().Format(time.RFC3339)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n", r.Type, r.Subject, since, r.Instance, r.Centre, r.Reason, r.Action, r.Count)
+	}
+	return t.Flush()
+}
--- a/instance/report.go
+++ b/instance/report.go
@@ -28,6 +28,14 @@
 	conditionInstance, conditionRejected, conditionOverload, conditionDraining, conditionStopping,
 }
 
+// ConditionRank orders types of conditions: worse ones come first.
+func ConditionRank(kind string) int {
+	if rank := slices.Index(conditionOrder, kind); rank >= 0 {
+		return rank
+	}
+	return len(conditionOrder)
+}
+
 // How often a status is written.
 const (
 	statusPause   = 5 * clock.Second  // at least this long between two
@@ -108,7 +116,7 @@
 	}
 	slices.SortFunc(s.Conditions, func(x, y record.Condition) int {
 		return cmp.Or(
-			cmp.Compare(slices.Index(conditionOrder, x.Type), slices.Index(conditionOrder, y.Type)),
+			cmp.Compare(ConditionRank(x.Type), ConditionRank(y.Type)),
 			cmp.Compare(x.Subject, y.Subject),
 		)
 	})
--- a/record/record.go
+++ b/record/record.go
@@ -233,12 +233,28 @@
 	{KindRule, "backends[0]"}:             "backend",
 }
 
+// FieldError tells which field of which record is wrong. It matches ErrInvalid.
+type FieldError struct {
+	Key     Key
+	Field   string // path of the field in the body, such as endpoints[0].slots
+	Value   string
+	Problem string
+}
+
+// Error names the record, the field and the value.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: field %q: value %s is %s: %v", e.Key, e.Field, e.Value, e.Problem, ErrInvalid)
+}
+
+// Unwrap returns ErrInvalid.
+func (e *FieldError) Unwrap() error { return ErrInvalid }
+
 // invalid reports a field of o by the name it has in o's schema.
 func invalid(o Object, field string, value any, format string, args ...any) error {
 	if old, ok := schema1Fields[Key{o.Kind, field}]; ok && o.Schema == Schema1 {
 		field = old
 	}
-	return errors.Wrapf(ErrInvalid, "%s: field %q: value %v is %s", o.Key(), field, value, fmt.Sprintf(format, args...))
+	return &FieldError{Key: o.Key(), Field: field, Value: fmt.Sprint(value), Problem: fmt.Sprintf(format, args...)}
 }
 
 // checkHeld reports a setting that schema 1 has no field for and that is not the
