--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/standin"
+)
+
+// Addresses, versions and write ids differ between runs.
+var varying = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`http://127\.0\.0\.1:[0-9]+`), "$PLATFORM"},
+	{regexp.MustCompile(`"write": "[A-Z0-9]+"`), `"write": "ID"`},
+	{regexp.MustCompile(`tanagerdock (\(devel\)|v[0-9][^ \n]*|unknown)`), "tanagerdock VERSION"},
+}
+
+// TestCases runs each folder of testdata/cases: its file cmd holds command lines,
+// which share one platform; its file expected holds what they print and the exit
+// code of each. The other files are their input.
+func TestCases(t *testing.T) {
+	folders, err := filepath.Glob("testdata/cases/*")
+	require.NoError(t, err)
+	require.NotEmpty(t, folders)
+	for _, folder := range folders {
+		t.Run(filepath.Base(folder), func(t *testing.T) { runCase(t, folder) })
+	}
+}
+
+func runCase(t *testing.T, folder string) {
+	commands, err := os.ReadFile(filepath.Join(folder, "cmd"))
+	require.NoError(t, err)
+	expected, err := os.ReadFile(filepath.Join(folder, "expected"))
+	require.NoError(t, err)
+	server := httptest.NewServer(standin.NewPlatform(standin.PlatformSettings{}))
+	defer server.Close()
+	t.Setenv(platformVariable, server.URL)
+	t.Chdir(folder)
+	var out bytes.Buffer
+	for _, line := range strings.Split(strings.TrimSpace(string(commands)), "\n") {
+		fmt.Fprintf(&out, "$ %s\n", line)
+		streams := Streams{In: strings.NewReader("input"), Out: &out, Err: &out}
+		code := Main(context.Background(), strings.Fields(line)[1:], streams)
+		fmt.Fprintf(&out, "exit %d\n", code)
+	}
+	got := out.String()
+	for _, v := range varying {
+		got = v.pattern.ReplaceAllString(got, v.text)
+	}
+	require.Equal(t, string(expected), got)
+}
--- a/command/documents.go
+++ b/command/documents.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"regexp"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -102,10 +103,41 @@
 	var field *record.FieldError
 	if errors.As(err, &field) {
 		line = d.fieldLine(field.Field)
+	} else if unknown := unknownField.FindStringSubmatch(err.Error()); unknown != nil {
+		line = d.keyLine(unknown[1])
 	}
 	return errors.Wrapf(err, "%s:%d", d.file, line)
 }
 
+// unknownField matches the JSON decoder's error about a field that a body does
+// not have.
+var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
+
+// keyLine returns the line of the first key with a name, or the first line of
+// the record.
+func (d document) keyLine(name string) int {
+	finder := &keyFinder{name: name, line: d.line}
+	ast.Walk(finder, d.node)
+	return finder.line
+}
+
+// keyFinder is an ast.Visitor that finds a key.
+type keyFinder struct {
+	name  string
+	line  int
+	found bool
+}
+
+// Visit looks at one node.
+func (f *keyFinder) Visit(n ast.Node) ast.Visitor {
+	pair, ok := n.(*ast.MappingValueNode)
+	if ok && !f.found && pair.Key.GetToken().Value == f.name {
+		f.found = true
+		f.line = pair.Key.GetToken().Position.Line
+	}
+	return f
+}
+
 // fieldLine returns the line of a field of the body, or the first of the record.
 func (d document) fieldLine(field string) int {
 	path, err := yaml.PathString("$.body." + field)
