A request refused by instances that see another membership is held, not refused

Cause: an instance that notices a death before the successor does hands work to a successor that does not yet dispatch the endpoint; six refusals within milliseconds ended the request as not run. Ruled out: the hold limit. Change: a certain refusal other than an overload never ends a request of an own flow before the hold limit; the instance that refused last is not asked again at once.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -184,7 +184,7 @@
 // certainly did not run, else only if it may be repeated.
 func (b *Board) resolve(j *Job, r Result) {
 	again := r.Outcome == OutcomeNotRun || r.Outcome == OutcomeMisrouted || (r.Outcome == OutcomeUnknown && !j.Work.Once)
-	again = again && !j.Dropped && j.Tries < maxTries && b.Now < j.Work.Deadline
+	again = again && !j.Dropped && (j.Tries < maxTries || j.mayHold(r)) && b.Now < j.Work.Deadline
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
 		j.Doubt = true
@@ -201,6 +201,12 @@
 	b.enqueue(j)
 }
 
+// mayHold reports whether a job that found no place may wait for one: its flow is
+// owned here, and what refused it was not an overload.
+func (j *Job) mayHold(r Result) bool {
+	return j.Request != nil && r.Outcome != OutcomeUnknown && r.Reason != packet.ReasonBusy
+}
+
 // settle gives a result that ends a job a reason the caller understands.
 func settle(r Result) Result {
 	switch {
--- a/instance/place.go
+++ b/instance/place.go
@@ -61,9 +61,6 @@
 func (c placeController) choose(j *Job) {
 	j.Peer = nil
 	here, other := c.local(j.Service), c.shorter(j.Service, j.Avoid)
-	if other == nil && j.Avoid != nil && here < 0 {
-		other = c.shorter(j.Service, nil)
-	}
 	switch {
 	case here < 0 && other == nil && c.hold(j):
 	case here < 0 && other == nil:
