Held requests may run at an endpoint of an unreachable instance; silence is learnt from the first run on

Cause: an instance cut off from the one that dispatches a service's only endpoint sent work to the successor it saw, which did not dispatch; and with fewer than five runs seen a silent connection was only noticed after half the deadline. Change: after a second without a place one run an endpoint is borrowed; the usual run time counts from the first run, with more latitude while it is young.

--- a/instance/place.go
+++ b/instance/place.go
@@ -17,6 +17,7 @@
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
+	borrowAfter = 1 * clock.Second // until a held request runs at an endpoint of another instance
 	firstHold   = 50 * clock.Millisecond // between tries to place a held request; doubles
 	maxHolds    = 3                      // doublings
 	refusedRest = beatTimeout            // an instance that refused a connection gets no work for so long
@@ -62,6 +63,7 @@
 	j.Peer = nil
 	here, other := c.local(j.Service), c.shorter(j.Service, j.Avoid)
 	switch {
+	case here < 0 && other == nil && c.borrow(j):
 	case here < 0 && other == nil && c.hold(j):
 	case here < 0 && other == nil:
 		c.b.refuse(j, packet.ReasonBackend)
@@ -97,6 +99,42 @@
 	return true
 }
 
+// borrow runs a job that was held for long at an endpoint that another instance
+// dispatches: that one can't be reached, and may be gone for all others too. One
+// run an endpoint bounds what is added to the slots that the other fills.
+func (c placeController) borrow(j *Job) bool {
+	if j.Held == 0 || c.b.Now-j.Held < borrowAfter || c.b.Stopping != 0 {
+		return false
+	}
+	ep := c.lendable(j.Service)
+	if ep == nil {
+		return false
+	}
+	if !j.mayStart() {
+		c.b.ask(j.Request)
+		return false
+	}
+	c.b.note("borrow", packet.ReasonBackend.String(), j.Work.Service, ep.subject(), runSubject(&j.Work))
+	dispatchController(c).start(j, ep)
+	return true
+}
+
+// lendable returns an endpoint without a run from here, of this data centre
+// rather than of another, or nil.
+func (c placeController) lendable(s *Service) *Endpoint {
+	var far *Endpoint
+	for _, ep := range s.Endpoints {
+		switch {
+		case !ep.Usable(c.b.Now) || ep.Busy > 0:
+		case ep.Backend.Centre == c.b.Self.Instance.Centre:
+			return ep
+		case far == nil:
+			far = ep
+		}
+	}
+	return far
+}
+
 // local returns this instance's queue per capacity, or -1 when it dispatches no
 // endpoint of the service that can be used.
 func (c placeController) local(s *Service) float64 {
--- a/instance/silence.go
+++ b/instance/silence.go
@@ -11,10 +11,10 @@
 // usual time is given up and repeated elsewhere, out of the retry budget.
 const (
 	silencePeriod = 50 * clock.Millisecond  // between looks
-	minSilence    = 300 * clock.Millisecond // shorter runs are never given up
+	minSilence    = 500 * clock.Millisecond // shorter runs are never given up
 	silenceFactor = 6                       // usual run times until a run counts as silent
 	slowFactor    = 2                       // the same, when the deadline is near
-	usualRuns     = 5                       // runs seen before there is a usual time
+	usualRuns     = 5.0                     // with fewer runs seen, the usual time is not trusted much
 	maxSilent     = 3                       // runs of one request given up
 )
 
@@ -58,10 +58,11 @@
 func silenceLimit(j *Job) clock.Millis {
 	left := (j.Work.Deadline - j.Begun) / 2
 	usual := j.Service.Times[j.Work.Class]
-	if usual.Count < usualRuns {
+	if usual.Count == 0 {
 		return left
 	}
-	limit := max(minSilence, clock.Millis(silenceFactor*usual.Value)) << j.Silent
+	factor := silenceFactor * (1 + usualRuns/float64(usual.Count))
+	limit := max(minSilence, clock.Millis(factor*usual.Value)) << j.Silent
 	return min(limit, max(left, clock.Millis(slowFactor*usual.Value)))
 }
 
