No work waits behind slots whose runs went silent

Cause: runs that must not be repeated keep their slots on silent connections until the deadline, and repeatable requests waited behind them. Change: when all slots of an endpoint are held by silent runs its queue goes elsewhere.

--- a/instance/board.go
+++ b/instance/board.go
@@ -181,6 +181,7 @@
 	Holds   int          // how often it was held
 	Doubt   bool         // an earlier run may have started
 	Silent  int          // runs given up since nothing came back
+	Stalled bool         // nothing came back of the present run for long
 	Dropped bool         // no longer wanted
 }
 
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -170,6 +170,7 @@
 	}
 	delete(c.b.Runs, ev.Run)
 	ep := j.At
+	c.b.unstall(j)
 	j.Run, j.At = 0, nil
 	ep.Busy--
 	if j.Work.Class == packet.ClassLong {
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -16,6 +16,7 @@
 
 	Busy      int          // runs under way from this instance
 	BusyLong  int          // those of class long
+	Stalled   int          // runs under way from which nothing came back for long
 	Fails     int          // failures in a row
 	Until     clock.Millis // takes no new work before
 	Draining  bool         // it said that it is draining
@@ -31,7 +32,13 @@
 
 // Usable reports whether the endpoint may get new work.
 func (ep *Endpoint) Usable(now clock.Millis) bool {
-	return ep.Backend.State == record.StateActive && !ep.Draining && !ep.Misrouted && now >= ep.Until
+	return ep.Backend.State == record.StateActive && !ep.Draining && !ep.Misrouted && now >= ep.Until && !ep.stuck()
+}
+
+// stuck reports whether every slot is held by a run from which nothing came back
+// for long.
+func (ep *Endpoint) stuck() bool {
+	return ep.Stalled > 0 && ep.Stalled >= ep.Record.Slots
 }
 
 // Capacity returns the work it can take: slots times relative speed.
--- a/instance/place.go
+++ b/instance/place.go
@@ -17,7 +17,7 @@
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
-	borrowAfter = 1 * clock.Second // until a held request runs at an endpoint of another instance
+	borrowAfter = 1 * clock.Second       // until a held request runs at an endpoint of another instance
 	firstHold   = 50 * clock.Millisecond // between tries to place a held request; doubles
 	maxHolds    = 3                      // doublings
 	refusedRest = beatTimeout            // an instance that refused a connection gets no work for so long
--- a/instance/silence.go
+++ b/instance/silence.go
@@ -26,7 +26,7 @@
 // the second from the others; its connections are not trusted until then. A
 // request that is slow by itself is slow elsewhere too, so each time it is given
 // up the next run gets twice as long. A request that must not be repeated is left
-// alone: its answer may still come.
+// alone, since its answer may still come, but no other work waits for its slot.
 type silenceController struct{ b *Board }
 
 func (c silenceController) tick() {
@@ -35,23 +35,46 @@
 	}
 	var silent []*Job
 	for _, j := range c.b.Runs {
-		if !j.Work.Once && !j.Dropped && c.lost(j) && j.Service.Budget >= 1 {
+		if !j.Dropped && c.silent(j) {
 			silent = append(silent, j)
 		}
 	}
 	slices.SortFunc(silent, func(x, y *Job) int { return cmp.Compare(x.Run, y.Run) })
 	for _, j := range silent {
-		c.giveUp(j)
+		c.stall(j)
+		if !j.Work.Once && j.Silent < maxSilent && j.Service.Budget >= 1 {
+			c.giveUp(j)
+		}
 	}
 }
 
-// lost reports whether a run has been silent for too long, or was handed over
-// to an instance that died.
-func (c silenceController) lost(j *Job) bool {
+// silent reports whether nothing came back of a run for too long, or whether it
+// was handed over to an instance that died.
+func (c silenceController) silent(j *Job) bool {
 	if j.At == nil {
 		return j.Peer != nil && !j.Peer.Alive
 	}
-	return j.Silent < maxSilent && c.b.Now-j.Begun >= silenceLimit(j)
+	return c.b.Now-j.Begun >= silenceLimit(j)
+}
+
+// stall takes the slot of a silent run out of account: when all slots of an
+// endpoint are held by such runs, no work waits for them.
+func (c silenceController) stall(j *Job) {
+	if j.At == nil || j.Stalled {
+		return
+	}
+	j.Stalled = true
+	j.At.Stalled++
+	c.probe(j.At, j.Service)
+	c.b.pump(j.Service)
+}
+
+// unstall takes back what stall did, when the run ends.
+func (b *Board) unstall(j *Job) {
+	if j.Stalled {
+		j.Stalled = false
+		j.At.Stalled--
+	}
 }
 
 // silenceLimit returns how long a run may stay without an answer.
@@ -73,7 +96,6 @@
 		c.b.note("silent", "instance", j.Work.Service, "instance/"+j.Peer.Instance.Name, subject)
 	} else {
 		c.b.note("silent", "run", j.Work.Service, j.At.subject(), subject)
-		c.probe(j.At, j.Service)
 	}
 	c.b.do(CancelRun{Run: j.Run})
 }
