An endpoint with a silent run gets no work until its probe is answered

Cause: a run given up on a silent connection was started again at the same endpoint before the probe could tell that it was gone; and the first runs of a service were only given up after half of their time. Change: a doubted endpoint is not usable; the first run is given up after a quarter of the time left, each later one after twice the share; silent work goes back to its owner.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -186,6 +186,9 @@
 func (b *Board) resolve(j *Job, r Result) {
 	again := r.Outcome == OutcomeNotRun || r.Outcome == OutcomeMisrouted || (r.Outcome == OutcomeUnknown && !j.Work.Once)
 	again = again && !j.Dropped && (j.Tries < maxTries || j.mayHold(r)) && b.Now < j.Work.Deadline
+	if r.Silent && j.Request == nil {
+		again = false // its owner may find a place that is less in doubt
+	}
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
 		j.Doubt = true
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -32,7 +32,7 @@
 
 // Usable reports whether the endpoint may get new work.
 func (ep *Endpoint) Usable(now clock.Millis) bool {
-	return ep.Backend.State == record.StateActive && !ep.Draining && !ep.Misrouted && now >= ep.Until && !ep.stuck()
+	return ep.Backend.State == record.StateActive && !ep.Draining && !ep.Misrouted && now >= ep.Until && !ep.Doubted && !ep.stuck()
 }
 
 // stuck reports whether every slot is held by a run from which nothing came back
--- a/instance/health.go
+++ b/instance/health.go
@@ -86,7 +86,8 @@
 	for _, s := range c.b.sortedServices() {
 		for _, ep := range s.Mine {
 			troubled := ep.Draining || ep.Misrouted || ep.Until > c.b.Now
-			if troubled && c.b.Now-ep.Probed >= probePeriod {
+			age := c.b.Now - ep.Probed
+			if troubled && age >= probePeriod || ep.Doubted && age >= doubtPeriod {
 				ep.Probed = c.b.Now
 				c.b.do(ProbeEndpoint{Endpoint: ep.Record.Address, Host: s.Record.Host})
 			}
--- a/instance/silence.go
+++ b/instance/silence.go
@@ -15,6 +15,8 @@
 	silenceFactor = 6                       // usual run times until a run counts as silent
 	slowFactor    = 2                       // the same, when the deadline is near
 	usualRuns     = 5.0                     // with fewer runs seen, the usual time is not trusted much
+	doubtPeriod   = 200 * clock.Millisecond // between probes of an endpoint with silent runs
+	firstShare    = 4                       // part of the time left, when no usual time is known
 	maxSilent     = 3                       // runs of one request given up
 )
 
@@ -79,14 +81,14 @@
 
 // silenceLimit returns how long a run may stay without an answer.
 func silenceLimit(j *Job) clock.Millis {
-	left := (j.Work.Deadline - j.Begun) / 2
+	left := j.Work.Deadline - j.Begun
 	usual := j.Service.Times[j.Work.Class]
 	if usual.Count == 0 {
-		return left
+		return left / firstShare << j.Silent
 	}
 	factor := silenceFactor * (1 + usualRuns/float64(usual.Count))
 	limit := max(minSilence, clock.Millis(factor*usual.Value)) << j.Silent
-	return min(limit, max(left, clock.Millis(slowFactor*usual.Value)))
+	return min(limit, max(left/2, clock.Millis(slowFactor*usual.Value)))
 }
 
 func (c silenceController) giveUp(j *Job) {
@@ -100,13 +102,14 @@
 	c.b.do(CancelRun{Run: j.Run})
 }
 
-// probe asks an endpoint on a new connection whether it lives.
+// probe asks an endpoint on a new connection whether it lives. It gets no work
+// until it has answered.
 func (c silenceController) probe(ep *Endpoint, s *Service) {
-	if c.b.Now-ep.Probed < probePeriod && ep.Probed != 0 {
-		return
+	ep.Doubted = true
+	if c.b.Now-ep.Probed < doubtPeriod && ep.Probed != 0 {
+		return // the health controller probes it soon
 	}
 	ep.Probed = c.b.Now
-	ep.Doubted = true
 	c.b.do(ProbeEndpoint{Endpoint: ep.Record.Address, Host: s.Record.Host})
 }
 
