--- a/instance/silence.go
+++ b/instance/silence.go
@@ -11,10 +11,12 @@
 // usual time is given up and repeated elsewhere, out of the retry budget.
 const (
 	silencePeriod = 50 * clock.Millisecond  // between looks
-	minSilence    = 300 * clock.Millisecond // shorter runs are never given up
+	minSilence    = 500 * clock.Millisecond // shorter runs are never given up
 	silenceFactor = 6                       // usual run times until a run counts as silent
 	slowFactor    = 2                       // the same, when the deadline is near
-	usualRuns     = 5                       // runs seen before there is a usual time
+	usualRuns     = 5.0                     // with fewer runs seen, the usual time is not trusted much
+	doubtPeriod   = 200 * clock.Millisecond // between probes of an endpoint with silent runs
+	firstShare    = 4                       // part of the time left, when no usual time is known
 	maxSilent     = 3                       // runs of one request given up
 )
 
@@ -26,7 +28,7 @@
 // the second from the others; its connections are not trusted until then. A
 // request that is slow by itself is slow elsewhere too, so each time it is given
 // up the next run gets twice as long. A request that must not be repeated is left
-// alone: its answer may still come.
+// alone, since its answer may still come, but no other work waits for its slot.
 type silenceController struct{ b *Board }
 
 func (c silenceController) tick() {
@@ -35,34 +37,58 @@
 	}
 	var silent []*Job
 	for _, j := range c.b.Runs {
-		if !j.Work.Once && !j.Dropped && c.lost(j) && j.Service.Budget >= 1 {
+		if !j.Dropped && c.silent(j) {
 			silent = append(silent, j)
 		}
 	}
 	slices.SortFunc(silent, func(x, y *Job) int { return cmp.Compare(x.Run, y.Run) })
 	for _, j := range silent {
-		c.giveUp(j)
+		c.stall(j)
+		if !j.Work.Once && j.Silent < maxSilent && j.Service.Budget >= 1 {
+			c.giveUp(j)
+		}
 	}
 }
 
-// lost reports whether a run has been silent for too long, or was handed over
-// to an instance that died.
-func (c silenceController) lost(j *Job) bool {
+// silent reports whether nothing came back of a run for too long, or whether it
+// was handed over to an instance that died.
+func (c silenceController) silent(j *Job) bool {
 	if j.At == nil {
 		return j.Peer != nil && !j.Peer.Alive
 	}
-	return j.Silent < maxSilent && c.b.Now-j.Begun >= silenceLimit(j)
+	return c.b.Now-j.Begun >= silenceLimit(j)
+}
+
+// stall takes the slot of a silent run out of account: when all slots of an
+// endpoint are held by such runs, no work waits for them.
+func (c silenceController) stall(j *Job) {
+	if j.At == nil || j.Stalled {
+		return
+	}
+	j.Stalled = true
+	j.At.Stalled++
+	c.probe(j.At, j.Service)
+	c.b.pump(j.Service)
+}
+
+// unstall takes back what stall did, when the run ends.
+func (b *Board) unstall(j *Job) {
+	if j.Stalled {
+		j.Stalled = false
+		j.At.Stalled--
+	}
 }
 
 // silenceLimit returns how long a run may stay without an answer.
 func silenceLimit(j *Job) clock.Millis {
-	left := (j.Work.Deadline - j.Begun) / 2
+	left := j.Work.Deadline - j.Begun
 	usual := j.Service.Times[j.Work.Class]
-	if usual.Count < usualRuns {
-		return left
+	if usual.Count == 0 {
+		return left / firstShare << j.Silent
 	}
-	limit := max(minSilence, clock.Millis(silenceFactor*usual.Value)) << j.Silent
-	return min(limit, max(left, clock.Millis(slowFactor*usual.Value)))
+	factor := silenceFactor * (1 + usualRuns/float64(usual.Count))
+	limit := max(minSilence, clock.Millis(factor*usual.Value)) << j.Silent
+	return min(limit, max(left/2, clock.Millis(slowFactor*usual.Value)))
 }
 
 func (c silenceController) giveUp(j *Job) {
@@ -72,18 +98,18 @@
 		c.b.note("silent", "instance", j.Work.Service, "instance/"+j.Peer.Instance.Name, subject)
 	} else {
 		c.b.note("silent", "run", j.Work.Service, j.At.subject(), subject)
-		c.probe(j.At, j.Service)
 	}
 	c.b.do(CancelRun{Run: j.Run})
 }
 
-// probe asks an endpoint on a new connection whether it lives.
+// probe asks an endpoint on a new connection whether it lives. It gets no work
+// until it has answered.
 func (c silenceController) probe(ep *Endpoint, s *Service) {
-	if c.b.Now-ep.Probed < probePeriod && ep.Probed != 0 {
-		return
+	ep.Doubted = true
+	if c.b.Now-ep.Probed < doubtPeriod && ep.Probed != 0 {
+		return // the health controller probes it soon
 	}
 	ep.Probed = c.b.Now
-	ep.Doubted = true
 	c.b.do(ProbeEndpoint{Endpoint: ep.Record.Address, Host: s.Record.Host})
 }
 
