--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,12 @@
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative control/control.proto
 
+# Measures on this machine and prints name=value lines; see docs/MEASUREMENTS.md.
+# MEASURE names the measurements.
+MEASURE ?= relay flows control slopes
+
+measure: build
+	@for m in $(MEASURE); do echo "# $$m"; bin/tanagerdock-measure $$m || exit 1; done
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/measure/bare.go
@@ -0,0 +1,70 @@
+package measure
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+var bareVerb = verb{
+	name:    "bare",
+	summary: "a bare UDP relay, the baseline of relay; runs until it is ended",
+	usage: `Copies each datagram to one address and decides nothing: one system call to
+receive and one to send, no batches. Prints "ready listen=IP:PORT".`,
+	setUp: func(flags *flag.FlagSet) work {
+		to := flags.String("to", "", "IP `address` and UDP port to copy to")
+		readers := flags.Int("readers", 1, "goroutines that copy")
+		return func(ctx context.Context, p *printer) error {
+			return runBare(ctx, p, *to, *readers)
+		}
+	},
+}
+
+// socketBuffer is the size asked for each way, the same as in the entry daemon.
+const socketBuffer = 4 << 20 // bytes
+
+func runBare(ctx context.Context, p *printer, to string, readers int) error {
+	target, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return errors.Wrapf(err, "flag -to: value %q", to)
+	}
+	in, err := listenLoopback()
+	if err != nil {
+		return err
+	}
+	out, err := listenLoopback()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(p.out, "ready listen=%s\n", in.LocalAddr())
+	for range readers {
+		go copyDatagrams(in, out, target)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func copyDatagrams(in, out *net.UDPConn, to netip.AddrPort) {
+	var buffer [2048]byte
+	for {
+		n, _, err := in.ReadFromUDPAddrPort(buffer[:])
+		if err != nil {
+			return
+		}
+		_, _ = out.WriteToUDPAddrPort(buffer[:n], to)
+	}
+}
+
+func listenLoopback() (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	_ = c.SetReadBuffer(socketBuffer)
+	_ = c.SetWriteBuffer(socketBuffer)
+	return c, nil
+}
--- /dev/null
+++ b/measure/peer.go
@@ -0,0 +1,89 @@
+package measure
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// peer stands in for another entry instance: it holds a lease, answers
+// heartbeats and counts the packets passed on to it.
+type peer struct {
+	self   record.Instance
+	socket *net.UDPConn
+	passed atomic.Int64
+}
+
+// minPassed is the size from which a datagram is taken for a packet passed on.
+const minPassed = 900 // bytes
+
+// renewPeriod is the time between renewals of the peer's lease.
+const renewPeriod = 5 * time.Second
+
+// startPeer runs a peer until ctx ends.
+func startPeer(ctx context.Context, name string, client platform.Platform) (*peer, error) {
+	socket, err := listenLoopback()
+	if err != nil {
+		return nil, err
+	}
+	p := &peer{socket: socket, self: record.Instance{
+		Name: name, Centre: centre, Packets: "127.0.0.1:1", Peers: socket.LocalAddr().String(), Control: "127.0.0.1:1",
+		Size: 1, Incarnation: clock.Now(), State: record.StateActive, Schema: record.Schema2,
+	}}
+	if err := p.renew(ctx, client); err != nil {
+		return nil, err
+	}
+	go receive(socket, p.take)
+	go func() {
+		for tick := time.NewTicker(renewPeriod); ; {
+			select {
+			case <-tick.C:
+				_ = p.renew(ctx, client)
+			case <-ctx.Done():
+				_ = socket.Close()
+				return
+			}
+		}
+	}()
+	return p, nil
+}
+
+func (p *peer) renew(ctx context.Context, client platform.Platform) error {
+	return client.Renew(ctx, platform.Lease{Name: p.self.Name, Holder: p.self.Name, Span: 30 * clock.Second, Instance: &p.self})
+}
+
+// take counts a packet passed on, or answers a heartbeat.
+func (p *peer) take(from net.Addr, data []byte) {
+	if len(data) >= minPassed {
+		p.passed.Add(1)
+		return
+	}
+	e, err := packet.DecodeEnvelope(data)
+	if err != nil || e.Beat == 0 || e.Reply {
+		return
+	}
+	answer, err := packet.EncodeEnvelope(packet.Envelope{
+		Sender: token.Hash(p.self.Name), Incarnation: uint64(p.self.Incarnation), Beat: e.Beat, Reply: true, Hello: &p.self,
+	})
+	if err == nil {
+		_, _ = p.socket.WriteTo(answer, from)
+	}
+}
+
+// seal returns a token of a flow that an instance owns.
+func (s *stage) seal(owner record.Instance, flow uint64) []byte {
+	return s.keys.Seal(token.Token{
+		Flow: flow, Owner: token.Hash(owner.Name), Incarnation: uint64(owner.Incarnation),
+		Centre: token.Hash(owner.Centre), Service: token.Hash(service), Issued: clock.Now(),
+	})
+}
+
+func mustAddrPort(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
--- /dev/null
+++ b/measure/process.go
@@ -0,0 +1,143 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of child processes.
+const (
+	readyTimeout = 10 * time.Second
+	stopTimeout  = 10 * time.Second
+)
+
+// process is a child process that printed its line "ready key=value ...".
+type process struct {
+	cmd    *exec.Cmd
+	ready  map[string]string
+	exited chan struct{}
+}
+
+// startProcess starts a program and waits until it is ready. Its errors go to
+// this program's standard error.
+func startProcess(ctx context.Context, name string, args ...string) (*process, error) {
+	cmd := exec.CommandContext(ctx, name, args...)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	first := make(chan string, 1)
+	go func() {
+		line, _ := bufio.NewReader(out).ReadString('\n')
+		first <- line
+		_, _ = io.Copy(io.Discard, out)
+		_ = cmd.Wait()
+		close(p.exited)
+	}()
+	select {
+	case line := <-first:
+		p.ready = pairs(line)
+	case <-time.After(readyTimeout):
+	}
+	if len(p.ready) == 0 {
+		p.stop()
+		return nil, errors.Errorf("start %s %s: it did not become ready", name, strings.Join(args, " "))
+	}
+	return p, nil
+}
+
+// pairs reads the words key=value of a line.
+func pairs(line string) map[string]string {
+	found := make(map[string]string)
+	for _, word := range strings.Fields(line) {
+		if key, value, is := strings.Cut(word, "="); is {
+			found[key] = value
+		}
+	}
+	return found
+}
+
+// stop ends the process gracefully, or at once when that takes too long.
+func (p *process) stop() {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(stopTimeout):
+		p.kill()
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// clockTick is the unit of processor time in /proc/PID/stat.
+const clockTick = 10 * time.Millisecond
+
+// cpu returns the processor time the process has used.
+func (p *process) cpu() (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	const user, system = 11, 12 // fields after the command's name
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) <= system {
+		return 0, errors.Errorf("stat of process %d has %d fields", p.cmd.Process.Pid, len(fields))
+	}
+	u, _ := strconv.ParseInt(fields[user], 10, 64)
+	s, _ := strconv.ParseInt(fields[system], 10, 64)
+	return time.Duration(u+s) * clockTick, nil
+}
+
+// resident returns the resident memory of the process, in bytes.
+func (p *process) resident() (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if kilobytes, is := strings.CutPrefix(line, "VmRSS:"); is {
+			n, err := strconv.ParseInt(strings.Fields(kilobytes)[0], 10, 64)
+			return n << 10, errors.WithStack(err)
+		}
+	}
+	return 0, errors.Errorf("status of process %d shows no resident memory", p.cmd.Process.Pid)
+}
+
+// metrics returns the metrics page of an entry daemon.
+func (p *process) metrics() (map[string]float64, error) {
+	resp, err := http.Get("http://" + p.ready["status"] + "/metrics")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	values := make(map[string]float64)
+	for name, text := range pairs(string(data)) {
+		values[name], _ = strconv.ParseFloat(text, 64)
+	}
+	return values, nil
+}
