--- a/entry/command.go
+++ b/entry/command.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"runtime/pprof"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -25,7 +26,7 @@
 
 const program = "tanagerdock-entry"
 
-const usage = `Usage: tanagerdock-entry -settings FILE [-check]
+const usage = `Usage: tanagerdock-entry -settings FILE [-check] [-profile FILE]
        tanagerdock-entry -version
 
 Runs one entry instance. Prints a line starting with "ready" to standard output
@@ -42,6 +43,7 @@
 	settings string
 	check    bool
 	version  bool
+	profile  string // file for a CPU profile, or empty
 }
 
 func parseCommand(args []string, stderr io.Writer) (command, error) {
@@ -55,6 +57,7 @@
 	flags.StringVar(&c.settings, "settings", "", "read settings from `FILE`")
 	flags.BoolVar(&c.check, "check", false, "print the settings in force as YAML and exit")
 	flags.BoolVar(&c.version, "version", false, "print the version and exit")
+	flags.StringVar(&c.profile, "profile", "", "write a CPU profile of the whole run to `FILE`")
 	if err := flags.Parse(args); err != nil {
 		return c, err
 	}
@@ -123,6 +126,11 @@
 	if err != nil {
 		return err
 	}
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
@@ -130,6 +138,26 @@
 	return runUntil(signals, d)
 }
 
+// startProfile writes a CPU profile to a file until the returned function is
+// called. Without a name it does nothing.
+func startProfile(file string) (stop func(), err error) {
+	if file == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		_ = f.Close()
+		return nil, errors.Wrapf(err, "profile to %s", file)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = f.Close()
+	}, nil
+}
+
 func printSettings(w io.Writer, s Settings) error {
 	data, err := s.YAML()
 	if err != nil {
--- a/measure/flows.go
+++ b/measure/flows.go
@@ -67,10 +67,10 @@
 		return err
 	}
 	time.Sleep(4 * time.Second) // until it dispatches the endpoints
-	if err := f.open(ctx, p); err != nil {
+	if err := f.hold(ctx, p, owner); err != nil {
 		return err
 	}
-	return f.hold(ctx, p, owner)
+	return f.open(ctx, p)
 }
 
 // settle is how long memory may come to rest after a burst.
--- a/measure/relay.go
+++ b/measure/relay.go
@@ -32,14 +32,16 @@
 		flags.IntVar(&r.flows, "flows", 1000, "flows that the packets belong to")
 		flags.IntVar(&r.senders, "senders", 2, "sockets that send")
 		flags.IntVar(&r.readers, "readers", 2, "goroutines of the bare relay; the daemon has 2")
-		flags.DurationVar(&r.hold, "hold", 0, "only forward for this time, so that the daemon can be profiled")
+		flags.StringVar(&r.profile, "profile", "", "write a CPU profile of the daemon to `FILE`")
+		flags.StringVar(&r.only, "only", "", "drive only the lane of this name, without a ratio")
 		return func(ctx context.Context, p *printer) error { return r.run(ctx, p, *bin) }
 	},
 }
 
 type relay struct {
 	rounds, flows, senders, readers int
-	span, hold                      time.Duration
+	span                            time.Duration
+	profile, only                   string
 
 	stage *stage
 	entry *process
@@ -67,6 +69,7 @@
 		return err
 	}
 	defer r.stage.close()
+	r.stage.profile = r.profile
 	if err := r.start(ctx); err != nil {
 		return err
 	}
@@ -74,12 +77,11 @@
 	if err != nil {
 		return err
 	}
-	if r.hold > 0 {
-		lanes[1].driver.drive(ctx, r.hold)
-		return nil
-	}
 	for range r.rounds {
 		for _, l := range lanes {
+			if r.only != "" && r.only != l.name {
+				continue
+			}
 			if err := l.measure(ctx, r.span); err != nil {
 				return err
 			}
@@ -184,10 +186,13 @@
 func printLanes(p *printer, lanes []*lane) {
 	bare := lanes[0]
 	for _, l := range lanes {
+		if len(l.pps) == 0 {
+			continue
+		}
 		p.spread(l.name+"_pps", l.pps)
 		p.spread(l.name+"_us", l.micros)
 		p.spread(l.name+"_lost", l.lost)
-		if l == bare {
+		if l == bare || len(bare.pps) == 0 {
 			continue
 		}
 		var ratios, costs []float64
--- a/measure/stage.go
+++ b/measure/stage.go
@@ -37,6 +37,7 @@
 	client   *platform.Client
 	entries  []*process
 	others   []*process
+	profile  string // file for a CPU profile of each entry daemon, or empty
 }
 
 // binFlag declares the flag for the directory of the programs.
@@ -86,7 +87,11 @@
 	if err := os.WriteFile(s.file(name), []byte(settings), 0o600); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p, err := startProcess(ctx, s.program("tanagerdock-entry"), "-settings", s.file(name))
+	args := []string{"-settings", s.file(name)}
+	if s.profile != "" {
+		args = append(args, "-profile", s.profile)
+	}
+	p, err := startProcess(ctx, s.program("tanagerdock-entry"), args...)
 	if err != nil {
 		return nil, err
 	}
