--- a/caller/answer.go
+++ b/caller/answer.go
@@ -32,7 +32,7 @@
 // answered ends a request with a whole answer, and tells a later owner.
 func (e *Engine) answered(c *call, a *assembly) {
 	if e.phase == phaseOpen && c.flow == e.held.token.Flow && a.source.owner != ownerOf(e.held.token) {
-		e.sendCancel(c)
+		e.send(packet.Packet{Kind: packet.KindCancel, Request: c.number})
 	}
 	e.counters.Answered++
 	e.end(c, RequestEnded{Call: c.id, Answer: Answer{Status: int(a.source.status), Body: a.parts.Body()}})
--- a/caller/upload.go
+++ b/caller/upload.go
@@ -22,6 +22,7 @@
 	at    clock.Millis
 	again bool // sent more than once: its Ack tells no round-trip time
 	lost  bool // to be sent again
+	hole  bool // lost while later parts arrived: sent again at once
 }
 
 // upload sends the parts of one request to one owner.
@@ -57,8 +58,9 @@
 	}
 	var parts []uint32
 	for _, p := range missing {
-		if u.mark(p).lost && flying < u.limit {
-			*u.mark(p) = mark{at: now, again: true}
+		m := u.mark(p)
+		if m.lost && (m.hole || flying < u.limit) {
+			*m = mark{at: now, again: true}
 			parts = append(parts, p)
 			flying++
 		}
@@ -122,7 +124,7 @@
 		if m.lost || now-m.at < r.holeAge() {
 			continue
 		}
-		m.lost = true
+		m.lost, m.hole = true, true
 		u.halve(now, r)
 	}
 }
@@ -137,7 +139,9 @@
 	if u.window.Done() {
 		u.pokes = min(u.pokes+1, 8)
 		u.waitForAnswer(now)
-		return []uint32{u.window.Count - 1}
+		last := u.window.Count - 1
+		*u.mark(last) = mark{at: now, again: true}
+		return []uint32{last}
 	}
 	for _, p := range u.window.Missing() {
 		u.mark(p).lost = true
