Tell the caller a newer token when a flow returns to an earlier owner

An instance that had held a flow, lost it to another and got it back answered with the token it had kept, which is older than the one of the owner in between. Callers ignore older tokens, and with them the acknowledgements of an owner that their token does not name: uploads of more than one window never moved on, and each request ended at its deadline.

Ruled out: loss (no socket or queue dropped a datagram) and disagreement about the successor.

The kept token is now replaced when a packet carries a newer one.

--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -85,3 +86,38 @@
 		}
 	}
 }
+
+// seclude cuts an instance off from the other instances and the callers.
+func (f *frame) seclude(d *node, on bool) {
+	for _, other := range f.nodes {
+		if other != d {
+			f.cut(d.self.Name, other.self.Name, on)
+		}
+	}
+	for _, c := range f.callers {
+		f.cut(d.self.Name, c.name, on)
+	}
+}
+
+// A flow that comes back to an instance finds there what it had left behind,
+// an old token included. The caller must be told a newer one, or it goes on
+// sending under the token of the owner in between.
+func TestFlowsReturnToAnEarlierOwner(t *testing.T) {
+	f := newFrame(t, 7)
+	f.desk(2, 4)
+	for range 12 {
+		f.addCaller("orders")
+	}
+	f.wave("first")
+	f.run(2 * clock.Second)
+	for _, name := range []string{"entry-1", "entry-2", "entry-1", "entry-2"} {
+		away := f.node(name)
+		f.seclude(away, true)
+		f.run(2 * clock.Second)
+		f.wave("without " + name + strings.Repeat(" of many parts", 2000) + f.now.Time().String())
+		f.run(6 * clock.Second)
+		require.Zero(t, f.unanswered(), "without %s", name)
+		f.seclude(away, false)
+		f.run(2 * clock.Second)
+	}
+}
--- a/instance/packets.go
+++ b/instance/packets.go
@@ -110,7 +110,7 @@
 	if fresh && !mine {
 		c.b.do(Note{Decision: "adopt", Reason: "owner", Service: s.Record.Name, Subject: in.caller.String(), Level: LevelInfo})
 	}
-	if f.token == nil || c.b.Now-f.Issued > reissueAge {
+	if f.token == nil || t.Issued > f.Issued || c.b.Now-f.Issued > reissueAge {
 		c.b.reissue(f, t, in.packet.Token, mine)
 	}
 	switch in.packet.Kind {
