--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,10 @@
 	$(GO) tool staticcheck ./...
 	$(GO) tool revive -config revive.toml -exclude ./control/control.pb.go -exclude ./control/control.twirp.go ./...
 
+# Runs the whole system on loopback; see scripts/demo.sh.
+demo:
+	@scripts/demo.sh
+
 # Fuzzes each decoder for FUZZTIME. A crash leaves its input in testdata/fuzz,
 # which `make test` runs from then on.
 FUZZTIME ?= 10s
