The status of an instance that stopped or is gone is removed from the platform

Change: a stopping daemon removes its status last; of a dead instance that the platform no longer lists, one survivor removes it, unless a newer process of the same name has written it. Statuses carry the incarnation for that.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -383,6 +383,8 @@
 		d.work.Go(func() { d.fetchObjects(ctx, a) })
 	case instance.WriteStatus:
 		d.statuses.put(a.Status)
+	case instance.DropStatus:
+		d.work.Go(func() { d.dropStatus(ctx, a) })
 	case instance.Announce:
 		d.announcements.put(a.Instance)
 	case instance.Note:
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/platform"
@@ -253,11 +254,35 @@
 		require.Equal(t, record.StateLeaving, p.leases[0].Instance.State)
 		require.Equal(t, []string{"entry-1 " + r.holder()}, p.released)
 		require.Equal(t, r.holder(), p.leases[0].Holder)
+		require.Equal(t, []string{"status/entry-1 0"}, p.deleted, "its status goes with it")
 	})
 	_, err := net.Dial("tcp", r.Self().Control)
 	require.Error(t, err, "sockets are closed")
 }
 
+func TestStatusOfAnInstanceThatIsGoneIsDropped(t *testing.T) {
+	p := quiet()
+	for name, incarnation := range map[string]clock.Millis{"gone": 5, "restarted": 6} {
+		o, err := record.EncodeStatus(record.Status{Instance: name, Centre: "riga-1", Incarnation: incarnation})
+		require.NoError(t, err)
+		p.puts = append(p.puts, o)
+	}
+	s := &scriptedEngine{script: stopAtOnce, start: []instance.Action{
+		instance.DropStatus{Instance: "gone", Incarnation: 5},
+		instance.DropStatus{Instance: "restarted", Incarnation: 5},
+		instance.DropStatus{Instance: "absent", Incarnation: 5},
+	}}
+	r := start(t, "entry-1", p, s)
+	require.Eventually(t, func() bool {
+		var n int
+		p.look(func() { n = len(p.deleted) })
+		return n > 0
+	}, patience, time.Millisecond)
+	r.Stop()
+	require.NoError(t, r.end(t))
+	p.look(func() { require.Equal(t, []string{"status/gone 0"}, p.deleted) })
+}
+
 func TestShutdownWaitsForTheEngine(t *testing.T) {
 	s := &scriptedEngine{}
 	r := start(t, "entry-1", quiet(), s)
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -88,6 +90,7 @@
 	puts      []record.Object
 	leases    []platform.Lease
 	released  []string
+	deleted   []string
 }
 
 type watched struct {
@@ -139,6 +142,25 @@
 	return o, nil
 }
 
+// Get returns the newest object put.
+func (p *fakePlatform) Get(_ context.Context, kind record.Kind, name string) (record.Object, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range slices.Backward(p.puts) {
+		if o.Kind == kind && o.Name == name {
+			return o, nil
+		}
+	}
+	return record.Object{}, platform.ErrAbsent
+}
+
+func (p *fakePlatform) Delete(_ context.Context, kind record.Kind, name string, expect int64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deleted = append(p.deleted, fmt.Sprintf("%s/%s %d", kind, name, expect))
+	return nil
+}
+
 func (p *fakePlatform) Renew(_ context.Context, l platform.Lease) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/writes.go
+++ b/entry/writes.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
 )
@@ -92,6 +93,26 @@
 	if err != nil {
 		d.log.Info("release", "reason", "platform", "detail", err.Error())
 	}
+	d.dropStatus(ctx, instance.DropStatus{Instance: d.self.Name, Incarnation: d.self.Incarnation})
+}
+
+// dropStatus removes the status of an instance that is gone. An instance of the
+// same name that has started meanwhile keeps the status it wrote.
+func (d *Daemon) dropStatus(ctx context.Context, a instance.DropStatus) {
+	err := d.called(ctx, callTimeout, func(ctx context.Context) error {
+		o, err := d.platform.Get(ctx, record.KindStatus, a.Instance)
+		if err != nil {
+			return err
+		}
+		s, err := record.DecodeStatus(o)
+		if err == nil && s.Incarnation > a.Incarnation {
+			return nil
+		}
+		return d.platform.Delete(ctx, record.KindStatus, a.Instance, int64(o.Revision))
+	})
+	if err != nil && !errors.Is(err, platform.ErrAbsent) && !errors.Is(err, platform.ErrConflict) {
+		d.log.Info("drop", "reason", "platform", "subject", "status/"+a.Instance, "detail", err.Error())
+	}
 }
 
 // holder identifies this process as the holder of the lease.
--- a/instance/action.go
+++ b/instance/action.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/record"
 )
@@ -69,6 +70,13 @@
 	Status record.Status
 }
 
+// DropStatus removes the status of an instance that is gone, unless it was
+// written anew since.
+type DropStatus struct {
+	Instance    string
+	Incarnation clock.Millis // of the instance that is gone
+}
+
 // Announce renews the instance's lease on the platform.
 type Announce struct {
 	Instance record.Instance
@@ -115,6 +123,7 @@
 func (ProbeEndpoint) action() {}
 func (FetchObjects) action()  {}
 func (WriteStatus) action()   {}
+func (DropStatus) action()    {}
 func (Announce) action()      {}
 func (Note) action()          {}
 func (Observe) action()       {}
--- a/instance/alone_test.go
+++ b/instance/alone_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -37,3 +38,23 @@
 		}
 	}
 }
+
+func TestOneSurvivorDropsTheStatusOfADeadInstance(t *testing.T) {
+	f := busyDesk(t, 7)
+	f.node("entry-2").kill()
+	f.run(clock.Minute)
+	require.Empty(t, f.drops(), "it is still listed")
+	f.store.frozen = f.store.instances(f.now)
+	f.store.frozen = slices.DeleteFunc(f.store.frozen, func(i record.Instance) bool { return i.Name == "entry-2" })
+	f.run(clock.Minute)
+	require.Equal(t, []string{"entry-2"}, f.drops())
+}
+
+// drops lists the instances whose status was removed, once for each removal.
+func (f *frame) drops() []string {
+	var names []string
+	for _, d := range f.nodes {
+		names = append(names, d.drops...)
+	}
+	return names
+}
--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -187,7 +187,8 @@
 	runs    map[uint64]*fakeRun
 	notes   []instance.Note
 	status  record.Status
-	bytes   int // sent to other instances
+	drops   []string // instances whose status it removed
+	bytes   int      // sent to other instances
 	calls   uint64
 }
 
@@ -309,6 +310,8 @@
 		d.fetch(a)
 	case instance.WriteStatus:
 		d.status = a.Status
+	case instance.DropStatus:
+		d.drops = append(d.drops, a.Instance)
 	case instance.Announce:
 		if !d.f.store.down && !d.f.links[d.self.Name+">platform"] {
 			d.f.store.announce(a.Instance, d.f.now)
--- a/instance/members.go
+++ b/instance/members.go
@@ -321,8 +321,17 @@
 		m.Asked = 0
 	}
 	if !m.Alive && !m.Listed && c.b.Now-max(m.Heard, c.b.Started) > forgetAfter {
-		c.b.Members.remove(m)
-		c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+		c.forget(m)
+	}
+}
+
+// forget gives up an instance that is dead and no longer listed. One survivor
+// removes what it left on the platform.
+func (c memberController) forget(m *Member) {
+	c.b.Members.remove(m)
+	c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+	if rendezvous(m.Hash, c.b.Members.Live[m.Instance.Centre]) == c.b.Self {
+		c.b.do(DropStatus{Instance: m.Instance.Name, Incarnation: clock.Millis(m.Incarnation)})
 	}
 }
 
--- a/instance/report.go
+++ b/instance/report.go
@@ -109,7 +109,7 @@
 func (c reportController) status() record.Status {
 	s := record.Status{
 		Instance: c.b.Self.Instance.Name, Centre: c.b.Self.Instance.Centre,
-		Updated: c.b.Now, Revision: c.b.Records.Revision, Conditions: []record.Condition{},
+		Incarnation: c.b.Self.Instance.Incarnation, Updated: c.b.Now, Revision: c.b.Records.Revision, Conditions: []record.Condition{},
 	}
 	for _, condition := range c.b.Report.conditions {
 		s.Conditions = append(s.Conditions, *condition)
--- a/record/status.go
+++ b/record/status.go
@@ -8,11 +8,13 @@
 
 // Status is what one instance reports to operators, under the instance's name.
 type Status struct {
-	Instance   string       `json:"instance"`
-	Centre     string       `json:"centre"`
-	Updated    clock.Millis `json:"updated"`    // when this status was made
-	Revision   uint64       `json:"revision"`   // configuration in force
-	Conditions []Condition  `json:"conditions"` // what is wrong, worst first
+	Instance string       `json:"instance"`
+	Centre   string       `json:"centre"`
+	Updated  clock.Millis `json:"updated"` // when this status was made
+	// Incarnation is when the process that wrote the status started.
+	Incarnation clock.Millis `json:"incarnation,omitempty"`
+	Revision    uint64       `json:"revision"`   // configuration in force
+	Conditions  []Condition  `json:"conditions"` // what is wrong, worst first
 }
 
 // Condition is one thing that is wrong and what the system did about it.
