--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -30,6 +30,7 @@
 	random   *rand.Rand
 	queue    deliveries
 	order    uint64
+	carry    float64 // part of a ms not yet waited between two requests
 	nodes    []*node
 	callers  []*fakeCaller
 	backends map[string]*fakeBackend
@@ -192,10 +193,13 @@
 }
 
 // addNode starts an instance process; the same name again is a restart.
-func (f *frame) addNode(name, centre string) *node {
+func (f *frame) addNode(name, centre string) *node { return f.addSized(name, centre, 1) }
+
+// addSized starts an instance process that takes a share of work by its size.
+func (f *frame) addSized(name, centre string, size float64) *node {
 	n := len(f.nodes) + 1
 	self := record.Instance{
-		Name: name, Centre: centre, Size: 1, State: record.StateActive, Schema: record.Schema2, Incarnation: f.now,
+		Name: name, Centre: centre, Size: size, State: record.StateActive, Schema: record.Schema2, Incarnation: f.now,
 		Packets: fmt.Sprintf("127.1.0.%d:1000", n), Peers: fmt.Sprintf("127.1.0.%d:2000", n), Control: fmt.Sprintf("127.1.0.%d:3000", n),
 	}
 	d := &node{f: f, self: self, runs: make(map[uint64]*fakeRun)}
@@ -564,6 +568,7 @@
 	host     string
 	slots    int
 	work     clock.Millis
+	cost     func(body string) clock.Millis // run time by request body; nil means work
 	busy     int
 	peak     int            // most runs at once
 	runs     map[string]int // by request body
@@ -594,6 +599,14 @@
 	}
 }
 
+// span returns how long a request runs.
+func (b *fakeBackend) span(body string) clock.Millis {
+	if b.cost != nil {
+		return b.cost(body)
+	}
+	return b.work
+}
+
 // backendRun is one HTTP request at a fake backend server.
 type backendRun struct {
 	f    *frame
@@ -680,7 +693,7 @@
 	b.busy++
 	b.peak = max(b.peak, b.busy)
 	r.f.reach(pointRunning, r.f.asker[key], r.d, b.address)
-	r.f.after(b.work, func() {
+	r.f.after(b.span(key), func() {
 		if r.over {
 			return
 		}
