Learn each endpoint's speed and place work by the waiting expected there

Cause: places and endpoints were weighed by slots times the record's weight, and queues of short and long work were added up, so slow endpoints got the share of fast ones and long queues kept short work away.

Change: run times are learnt per endpoint and class; the load on envelopes tells learnt capacity and long work apart; a job goes where its class waits least.

--- a/instance/board.go
+++ b/instance/board.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -119,6 +120,8 @@
 	Held      []*Job             // no instance or backend server takes them now
 	Budget    float64            // retries allowed now
 	Times     [3]Average         // run time by class, in ms
+	Demand    [3]float64         // run time asked for of late by class, in ms
+	Running   [3]int             // runs under way here by class
 	pumping   bool
 }
 
@@ -133,6 +136,11 @@
 	return len(s.Short) + len(s.Long)
 }
 
+// Backlog returns the number of long jobs that wait or run here.
+func (s *Service) Backlog() int {
+	return len(s.Long) + s.Running[packet.ClassLong]
+}
+
 // Free returns the number of idle slots this instance may fill now.
 func (s *Service) Free(now clock.Millis) int {
 	free := 0
@@ -160,9 +168,16 @@
 
 // Load returns the queue state that is attached to envelopes.
 func (s *Service) Load(now clock.Millis) packet.Load {
-	return packet.Load{Service: s.Hash, Free: uint16(min(s.Free(now), 1<<16-1)), Queued: uint16(min(s.Waiting(), 1<<16-1))}
+	short := func(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
+	return packet.Load{
+		Service: s.Hash, Free: short(s.Free(now)), Queued: short(len(s.Short)), Long: short(s.Backlog()),
+		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)),
+	}
 }
 
+// rateSpan is the span that packet.Load.Rate counts requests in, in ms.
+const rateSpan = float64(1000 * clock.Second)
+
 // Job is one whole request that waits for a slot, holds one, or was handed over.
 type Job struct {
 	Work    Work
--- /dev/null
+++ b/instance/capacity.go
@@ -0,0 +1,92 @@
+package instance
+
+import (
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+)
+
+// Learning of capacity.
+const (
+	assumedRun  = 20.0 // run time of a short request before any was seen, in ms
+	assumedLong = 20.0 // run time of a long request in short ones before any was seen
+	demandKept  = 0.99 // share of Service.Demand that each request leaves
+	smallestRun = 0.5  // shortest run time counted, in ms
+)
+
+// shortRun returns the run time of a short request at an endpoint, in ms: from
+// its own short answers, else from its long ones, else from its weight.
+func (s *Service) shortRun(ep *Endpoint) float64 {
+	short, long := ep.Times[packet.ClassShort], ep.Times[packet.ClassLong]
+	switch {
+	case short.Count >= usualRuns:
+		return max(short.Value, smallestRun)
+	case long.Count > 0:
+		return max(long.Value/s.longFactor(), smallestRun)
+	case short.Count > 0:
+		return max(short.Value, smallestRun)
+	}
+	usual := assumedRun
+	if s.Times[packet.ClassShort].Count > 0 {
+		usual = s.Times[packet.ClassShort].Value
+	}
+	return max(usual/ep.Record.Weight, smallestRun)
+}
+
+// longFactor returns the run time of a long request in short ones.
+func (s *Service) longFactor() float64 {
+	short, long := s.Times[packet.ClassShort], s.Times[packet.ClassLong]
+	if short.Count < usualRuns || long.Count == 0 {
+		return assumedLong
+	}
+	return max(1, long.Value/max(short.Value, smallestRun))
+}
+
+// runTime returns the expected run time of a class at an endpoint, in ms.
+func (s *Service) runTime(ep *Endpoint, class packet.Class) float64 {
+	if class != packet.ClassLong {
+		return s.shortRun(ep)
+	}
+	if long := ep.Times[packet.ClassLong]; long.Count > 0 {
+		return long.Value
+	}
+	return s.shortRun(ep) * s.longFactor()
+}
+
+// Rate returns the learnt capacity of the endpoints dispatched here that can be
+// used, in short requests a ms.
+func (s *Service) Rate(now clock.Millis) float64 {
+	sum := 0.0
+	for _, ep := range s.Mine {
+		if ep.Usable(now) {
+			sum += float64(ep.Record.Slots) / s.shortRun(ep)
+		}
+	}
+	return sum
+}
+
+// ask counts the run time that a new job asks for.
+func (s *Service) ask(class packet.Class) {
+	for i := range s.Demand {
+		s.Demand[i] *= demandKept
+	}
+	if class == packet.ClassLong {
+		s.Demand[class] += s.longFactor()
+	} else {
+		s.Demand[packet.ClassShort]++
+	}
+}
+
+// longShare returns the share of the run time asked for that is long.
+func (s *Service) longShare() float64 {
+	sum := s.Demand[packet.ClassShort] + s.Demand[packet.ClassLong]
+	if sum == 0 {
+		return 0
+	}
+	return s.Demand[packet.ClassLong] / sum
+}
+
+// use returns how long an endpoint's slots would be busy with one more run, in ms
+// of its own time a slot.
+func (s *Service) use(ep *Endpoint) float64 {
+	return float64(ep.Busy+1) * s.shortRun(ep) / float64(ep.Record.Slots)
+}
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -36,6 +36,7 @@
 	} else {
 		j.Service.Short = append(j.Service.Short, j)
 	}
+	j.Service.ask(j.Work.Class)
 	b.pump(j.Service)
 }
 
@@ -128,7 +129,7 @@
 		if !ep.Usable(c.b.Now) || !ep.room(class) {
 			continue
 		}
-		use := float64(ep.Busy+1) / ep.Capacity()
+		use := s.use(ep)
 		if best == nil || use < bestUse {
 			best, bestUse = ep, use
 		}
@@ -158,6 +159,7 @@
 	if j.Work.Class == packet.ClassLong {
 		ep.BusyLong++
 	}
+	j.Service.Running[j.Work.Class]++
 	c.b.do(Observe{Metric: "queue_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(c.b.Now - j.Queued)})
 	c.b.do(RunRequest{Run: j.Run, Endpoint: ep.Record.Address, Host: j.Service.Record.Host, Work: j.Work})
 }
@@ -175,6 +177,7 @@
 	if j.Work.Class == packet.ClassLong {
 		ep.BusyLong--
 	}
+	j.Service.Running[j.Work.Class]--
 	c.b.learn(ep, j, ev.Result)
 	c.b.pump(j.Service)
 	c.b.resolve(j, ev.Result)
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -22,7 +22,7 @@
 	Misrouted bool         // it said that it serves another service
 	Probed    clock.Millis // when it was last probed, or 0
 	Doubted   bool         // it was silent and the probe has not ended
-	Speed     Average      // speed relative to the service's mean
+	Times     [3]Average   // run time by class, in ms
 }
 
 func newEndpoint(now clock.Millis) *Endpoint {
--- a/instance/health.go
+++ b/instance/health.go
@@ -44,6 +44,7 @@
 	b.Report.clear(conditionNoBackend, "service/"+j.Work.Service)
 	took := b.Now - j.Begun
 	j.Service.Times[j.Work.Class].Add(float64(took))
+	ep.Times[j.Work.Class].Add(float64(took))
 	j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
 	b.do(Observe{Metric: "run_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(took)})
 }
--- a/instance/members.go
+++ b/instance/members.go
@@ -44,9 +44,11 @@
 
 // PeerLoad is the newest queue state heard from another instance.
 type PeerLoad struct {
-	Free   int
-	Queued int
-	At     clock.Millis
+	Free   int          // idle slots
+	Queued int          // short requests waiting
+	Long   int          // long requests waiting or running
+	Rate   float64      // learnt capacity, in short requests a ms; 0 means not told
+	At     clock.Millis // when it was heard
 }
 
 // Takes reports whether the member takes new flows and work.
@@ -225,7 +227,7 @@
 			known = &PeerLoad{}
 			m.Loads[l.Service] = known
 		}
-		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), At: c.b.Now}
+		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), Long: int(l.Long), Rate: float64(l.Rate) / rateSpan, At: c.b.Now}
 	}
 }
 
--- a/instance/place.go
+++ b/instance/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
@@ -12,8 +13,7 @@
 const (
 	maxTries    = 6                      // places tried for one request
 	loadAge     = 2 * clock.Second       // older queue states of others count as unknown
-	placeMargin = 0.5                    // queue per capacity by which another must be shorter
-	unknownLoad = 0.25                   // queue per capacity assumed of instances not heard of
+	placeMargin = 5.0                    // ms of waiting by which another must be shorter
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
@@ -60,16 +60,16 @@
 // choose places a job here or at another instance.
 func (c placeController) choose(j *Job) {
 	j.Peer = nil
-	here, other := c.local(j.Service), c.shorter(j.Service, j.Avoid)
-	if other == nil && j.Avoid != nil && here < 0 {
-		other = c.shorter(j.Service, nil)
+	here, other := c.local(j.Service, j.Work.Class), c.shorter(j, j.Avoid)
+	if other == nil && j.Avoid != nil && math.IsInf(here, 1) {
+		other = c.shorter(j, nil)
 	}
 	switch {
-	case here < 0 && other == nil && c.hold(j):
-	case here < 0 && other == nil:
+	case math.IsInf(here, 1) && other == nil && c.hold(j):
+	case math.IsInf(here, 1) && other == nil:
 		c.b.refuse(j, packet.ReasonBackend)
 		c.b.Report.raise(c.b.Now, conditionNoBackend, "service/"+j.Service.Record.Name, "no backend server takes work", "refused as not run")
-	case other != nil && (here < 0 || c.score(j.Service, other)+placeMargin < here):
+	case other != nil && c.score(j.Service, other, j.Work.Class)+placeMargin < here:
 		c.handOver(j, other.Member)
 	case j.Service.Waiting() >= j.Service.Record.Queue:
 		c.b.refuse(j, packet.ReasonBusy)
@@ -100,28 +100,25 @@
 	return true
 }
 
-// local returns this instance's queue per capacity, or -1 when it dispatches no
-// endpoint of the service that can be used.
-func (c placeController) local(s *Service) float64 {
+// local returns how long a job of a class would wait here, in ms, or +Inf when
+// this instance dispatches no endpoint of the service that can be used. Idle slots
+// count as negative waiting.
+func (c placeController) local(s *Service, class packet.Class) float64 {
 	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
-		return -1
+		return math.Inf(1)
 	}
-	if s.Free(c.b.Now) > s.Waiting() {
-		return 0
-	}
-	return float64(s.Waiting()+1) / s.Capacity()
+	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now)})
 }
 
-// shorter draws two other instances and returns the one with the shorter queue
-// per capacity.
-func (c placeController) shorter(s *Service, avoid *Member) *Place {
-	others := c.others(s, avoid)
+// shorter draws two other instances by their capacity and returns the one where a
+// job would wait less.
+func (c placeController) shorter(j *Job, avoid *Member) *Place {
+	others := c.others(j.Service, avoid)
 	if len(others) == 0 {
 		return nil
 	}
-	best := &others[c.b.random.IntN(len(others))]
-	second := &others[c.b.random.IntN(len(others))]
-	if c.score(s, second) < c.score(s, best) {
+	best, second := c.b.drawPlace(j.Service, others), c.b.drawPlace(j.Service, others)
+	if c.score(j.Service, second, j.Work.Class) < c.score(j.Service, best, j.Work.Class) {
 		best = second
 	}
 	return best
@@ -155,16 +152,44 @@
 	return slices.DeleteFunc(centres, func(name string) bool { return name == c.b.Self.Instance.Centre })
 }
 
-// score returns another instance's queue per capacity as last heard.
-func (c placeController) score(s *Service, p *Place) float64 {
+// score returns how long a job of a class would wait at another instance, in ms,
+// as last heard.
+func (c placeController) score(s *Service, p *Place, class packet.Class) float64 {
 	l := p.Member.Loads[s.Hash]
 	if l == nil || c.b.Now-l.At > loadAge {
-		return unknownLoad
+		return 0
+	}
+	load := *l
+	load.Rate = c.b.placeRate(s, p)
+	return s.waiting(class, load)
+}
+
+// waiting returns how long a job of a class would wait in a queue, in ms. Long
+// work waits for long work only.
+func (s *Service) waiting(class packet.Class, l PeerLoad) float64 {
+	rate := max(l.Rate, 1/rateSpan)
+	if class == packet.ClassLong {
+		return float64(l.Long+1) * s.longFactor() / rate
+	}
+	return float64(l.Queued+1-l.Free) / rate
+}
+
+// placeRate returns the capacity of a place, in short requests a ms: as learnt
+// there, else as the records say.
+func (b *Board) placeRate(s *Service, p *Place) float64 {
+	if p.Member == b.Self {
+		if rate := s.Rate(b.Now); rate > 0 {
+			return rate
+		}
+	}
+	if l := p.Member.Loads[s.Hash]; l != nil && l.Rate > 0 {
+		return l.Rate
 	}
-	if l.Free > l.Queued {
-		return -float64(l.Free) / p.Capacity
+	usual := assumedRun
+	if s.Times[packet.ClassShort].Count > 0 {
+		usual = s.Times[packet.ClassShort].Value
 	}
-	return float64(l.Queued+1) / p.Capacity
+	return p.Capacity / usual
 }
 
 // handOver sends a job to another instance, after the caller's permit if the
@@ -180,16 +205,16 @@
 	j.Begun = c.b.Now
 	c.b.Runs[j.Run] = j
 	if l := m.Loads[j.Service.Hash]; l != nil {
-		l.add()
+		l.add(j.Work.Class)
 	}
 	c.b.do(HandOver{Run: j.Run, Peer: m.Instance.Name, Control: m.Instance.Control, Work: j.Work})
 	c.b.used = append(c.b.used, m)
 }
 
 // add counts work sent to an instance since its queue state was heard.
-func (l *PeerLoad) add() {
-	if l.Free > 0 {
-		l.Free--
+func (l *PeerLoad) add(class packet.Class) {
+	if class == packet.ClassLong {
+		l.Long++
 		return
 	}
 	l.Queued++
@@ -222,21 +247,22 @@
 		}
 		return b.Self
 	}
-	first, second := b.drawPlace(places), b.drawPlace(places)
+	first, second := b.drawPlace(s, places), b.drawPlace(s, places)
 	if b.placeScore(s, second) < b.placeScore(s, first) {
 		first = second
 	}
 	return first.Member
 }
 
-func (b *Board) drawPlace(places []Place) *Place {
+// drawPlace draws a place by capacity.
+func (b *Board) drawPlace(s *Service, places []Place) *Place {
 	sum := 0.0
 	for i := range places {
-		sum += places[i].Capacity
+		sum += b.placeRate(s, &places[i])
 	}
 	x := b.random.Float64() * sum
 	for i := range places {
-		x -= places[i].Capacity
+		x -= b.placeRate(s, &places[i])
 		if x < 0 {
 			return &places[i]
 		}
@@ -247,7 +273,7 @@
 func (b *Board) placeScore(s *Service, p *Place) float64 {
 	c := placeController{b}
 	if p.Member == b.Self {
-		return c.local(s)
+		return c.local(s, packet.ClassShort)
 	}
-	return c.score(s, p)
+	return c.score(s, p, packet.ClassShort)
 }
--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -20,8 +20,9 @@
 type Load struct {
 	Service uint64 `cbor:"1,keyasint,omitempty"` // token.Hash of the service
 	Free    uint16 `cbor:"2,keyasint,omitempty"` // idle slots of the endpoints it dispatches
-	Queued  uint16 `cbor:"3,keyasint,omitempty"` // requests waiting for a slot
+	Queued  uint16 `cbor:"3,keyasint,omitempty"` // short requests waiting for a slot
 	Rate    uint32 `cbor:"4,keyasint,omitempty"` // learnt capacity, in short requests per 1000 s
+	Long    uint16 `cbor:"5,keyasint,omitempty"` // long requests waiting or running
 }
 
 // Envelope is one datagram between two entry instances: a caller's packet
