--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -129,7 +129,7 @@
 		if !ep.Usable(c.b.Now) || !ep.room(class) {
 			continue
 		}
-		use := s.use(ep)
+		use := ep.usedAt(c.b.Now)
 		if best == nil || use < bestUse {
 			best, bestUse = ep, use
 		}
@@ -155,6 +155,7 @@
 	j.At, j.Begun = ep, c.b.Now
 	j.Run = c.b.nextRun()
 	c.b.Runs[j.Run] = j
+	ep.usedAt(c.b.Now)
 	ep.Busy++
 	if j.Work.Class == packet.ClassLong {
 		ep.BusyLong++
@@ -173,6 +174,7 @@
 	delete(c.b.Runs, ev.Run)
 	ep := j.At
 	j.Run, j.At = 0, nil
+	ep.usedAt(c.b.Now)
 	ep.Busy--
 	if j.Work.Class == packet.ClassLong {
 		ep.BusyLong--
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"math"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/record"
 )
@@ -23,6 +25,8 @@
 	Probed    clock.Millis // when it was last probed, or 0
 	Doubted   bool         // it was silent and the probe has not ended
 	Times     [3]Average   // run time by class, in ms
+	Spent     float64      // slot time used of late, in ms; see usedAt
+	SpentAt   clock.Millis // when Spent was last brought up to date
 }
 
 func newEndpoint(now clock.Millis) *Endpoint {
@@ -39,6 +43,20 @@
 	return float64(ep.Record.Slots) * ep.Record.Weight
 }
 
+// spentSpan is the span over which used slot time is remembered.
+const spentSpan = 2 * clock.Second
+
+// usedAt brings Spent up to now and returns the share of its slots' time that the
+// endpoint was used of late.
+func (ep *Endpoint) usedAt(now clock.Millis) float64 {
+	if passed := float64(now - ep.SpentAt); passed > 0 {
+		kept := math.Exp(-passed / float64(spentSpan))
+		ep.Spent = ep.Spent*kept + float64(ep.Busy)*float64(spentSpan)*(1-kept)
+		ep.SpentAt = now
+	}
+	return ep.Spent / float64(spentSpan) / float64(ep.Record.Slots)
+}
+
 // subject names the endpoint in notes and conditions.
 func (ep *Endpoint) subject() string {
 	return string(record.KindBackend) + "/" + ep.Backend.Name + " " + ep.Record.Address
