Keep slots by the mix, let long work age, and start nothing that can't end in time

Cause: one slot of each endpoint was kept from long work whatever the mix, so long work waited without bound when it was more than half of the work, and runs begun too late were cut at their deadline, which wasted their slots.

Change: an instance keeps the share of its slots that is not asked for by long work, at least one; long work that waited two usual run times may take one more, and any when its deadline is near. A job starts only where it is expected to end in time.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -81,30 +81,38 @@
 
 // startOne starts the next job that may run and reports whether there was one.
 func (c dispatchController) startOne(s *Service) bool {
-	if ep := c.slot(s, packet.ClassShort); ep != nil {
-		if j := take(&s.Short); j != nil {
-			c.start(j, ep)
-			return true
-		}
+	if j, ep := c.first(s, s.Short); j != nil {
+		s.Short = without(s.Short, j)
+		c.start(j, ep)
+		return true
 	}
-	if ep := c.slot(s, packet.ClassLong); ep != nil {
-		if j := take(&s.Long); j != nil {
-			c.start(j, ep)
-			return true
-		}
+	if j, ep := c.first(s, s.Long); j != nil {
+		s.Long = without(s.Long, j)
+		c.start(j, ep)
+		return true
 	}
 	return false
 }
 
-// take removes the first job that may start from a queue, or returns nil.
-func take(queue *[]*Job) *Job {
-	for i, j := range *queue {
-		if j.mayStart() {
-			*queue = slices.Delete(*queue, i, i+1)
-			return j
+func without(queue []*Job, j *Job) []*Job {
+	return slices.DeleteFunc(queue, func(x *Job) bool { return x == j })
+}
+
+// first returns the first job of a queue that may start, with an endpoint for it.
+func (c dispatchController) first(s *Service, queue []*Job) (*Job, *Endpoint) {
+	for _, j := range queue {
+		if !j.mayStart() {
+			continue
+		}
+		if ep := c.slot(s, j); ep != nil || j.Work.Class != packet.ClassLong {
+			if ep == nil {
+				return nil, nil
+			}
+			return j, ep
 		}
+		return nil, nil
 	}
-	return nil
+	return nil, nil
 }
 
 // mayStart reports whether a job needs no further permit.
@@ -121,15 +129,22 @@
 	}
 }
 
-// slot returns the endpoint with the most room for a job of a class, or nil.
-func (c dispatchController) slot(s *Service, class packet.Class) *Endpoint {
+// slot returns the endpoint with room for a job that was used least of late, or
+// nil.
+func (c dispatchController) slot(s *Service, j *Job) *Endpoint {
+	if j.Work.Class == packet.ClassLong && s.Running[packet.ClassLong] >= c.longSlots(s, j) {
+		return nil
+	}
 	var best *Endpoint
 	bestUse := 0.0
 	for _, ep := range s.Mine {
-		if !ep.Usable(c.b.Now) || !ep.room(class) {
+		if !ep.Usable(c.b.Now) || ep.Busy >= ep.Record.Slots || !c.fits(s, j, ep) {
 			continue
 		}
 		use := ep.usedAt(c.b.Now)
+		if j.Work.Class == packet.ClassLong && ep.BusyLong >= max(1, ep.Record.Slots-1) {
+			use++ // the last slot of an endpoint goes to long work last
+		}
 		if best == nil || use < bestUse {
 			best, bestUse = ep, use
 		}
@@ -137,15 +152,6 @@
 	return best
 }
 
-// room reports whether a job of a class finds a slot. One slot of an endpoint
-// that has several is kept from long work.
-func (ep *Endpoint) room(class packet.Class) bool {
-	if ep.Busy >= ep.Record.Slots {
-		return false
-	}
-	return class != packet.ClassLong || ep.BusyLong < max(1, ep.Record.Slots-1)
-}
-
 func (c dispatchController) start(j *Job, ep *Endpoint) {
 	if c.b.Now >= j.Work.Deadline {
 		c.b.refuse(j, packet.ReasonDeadline)
--- /dev/null
+++ b/instance/kept.go
@@ -0,0 +1,47 @@
+package instance
+
+import (
+	"math"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+)
+
+// Slots kept from long work.
+const (
+	longAge    = 2.0 // usual run times after which long work that waits has aged
+	urgentRuns = 2.0 // run times before its deadline when long work may take any slot
+	fitsFactor = 0.8 // share of the expected run time that must be left to start
+)
+
+// longSlots returns how many slots of the endpoints dispatched here a long job may
+// find in use by long work: the share of the work that is long, so that short work
+// finds the others, one more when the job has aged, and all when its deadline is
+// near. Short work comes first at every slot that comes free.
+func (c dispatchController) longSlots(s *Service, j *Job) int {
+	slots := 0
+	for _, ep := range s.Mine {
+		if ep.Usable(c.b.Now) {
+			slots += ep.Record.Slots
+		}
+	}
+	most := max(1, slots-1)
+	limit := min(max(1, int(math.Floor(float64(slots)*s.longShare()))), most)
+	run := s.Times[packet.ClassLong].Value
+	switch {
+	case float64(j.Work.Deadline-c.b.Now) < urgentRuns*run:
+		return slots
+	case float64(c.b.Now-j.Queued) > longAge*run:
+		return min(limit+1, most)
+	}
+	return limit
+}
+
+// fits reports whether a job is expected to end by its deadline at an endpoint.
+// An idle endpoint takes any job, so that run times that fell are learnt.
+func (c dispatchController) fits(s *Service, j *Job, ep *Endpoint) bool {
+	if ep.Busy == 0 || ep.Times[j.Work.Class].Count < usualRuns {
+		return true
+	}
+	return c.b.Now+clock.Millis(fitsFactor*s.runTime(ep, j.Work.Class)) <= j.Work.Deadline
+}
