Weigh instances with idle slots by the share that is idle

Cause: idle slots counted as negative waiting, so a slow endpoint's idle slot weighed more than a fast one's and slow ones were used more.

--- a/instance/board.go
+++ b/instance/board.go
@@ -129,6 +129,7 @@
 type Place struct {
 	Member   *Member
 	Capacity float64 // slots times weight of the endpoints
+	Slots    int
 }
 
 // Waiting returns the number of queued jobs.
@@ -136,6 +137,17 @@
 	return len(s.Short) + len(s.Long)
 }
 
+// Slots returns the number of slots this instance may use now.
+func (s *Service) Slots(now clock.Millis) int {
+	slots := 0
+	for _, ep := range s.Mine {
+		if ep.Usable(now) {
+			slots += ep.Record.Slots
+		}
+	}
+	return slots
+}
+
 // Backlog returns the number of long jobs that wait or run here.
 func (s *Service) Backlog() int {
 	return len(s.Long) + s.Running[packet.ClassLong]
--- a/instance/kept.go
+++ b/instance/kept.go
@@ -19,12 +19,7 @@
 // finds the others, one more when the job has aged, and all when its deadline is
 // near. Short work comes first at every slot that comes free.
 func (c dispatchController) longSlots(s *Service, j *Job) int {
-	slots := 0
-	for _, ep := range s.Mine {
-		if ep.Usable(c.b.Now) {
-			slots += ep.Record.Slots
-		}
-	}
+	slots := s.Slots(c.b.Now)
 	most := max(1, slots-1)
 	limit := min(max(1, int(math.Floor(float64(slots)*s.longShare()))), most)
 	run := s.Times[packet.ClassLong].Value
--- a/instance/members.go
+++ b/instance/members.go
@@ -48,6 +48,7 @@
 	Queued int          // short requests waiting
 	Long   int          // long requests waiting or running
 	Rate   float64      // learnt capacity, in short requests a ms; 0 means not told
+	Slots  int          // of its endpoints, as the records say
 	At     clock.Millis // when it was heard
 }
 
@@ -415,18 +416,19 @@
 			if m == c.b.Self {
 				v.Mine = append(v.Mine, endpoints[i])
 			}
-			v.addPlace(centre, m, endpoints[i].Capacity())
+			v.addPlace(centre, m, endpoints[i])
 		}
 	}
 }
 
-func (s *Service) addPlace(centre string, m *Member, capacity float64) {
+func (s *Service) addPlace(centre string, m *Member, ep *Endpoint) {
 	places := s.Places[centre]
 	for i := range places {
 		if places[i].Member == m {
-			places[i].Capacity += capacity
+			places[i].Capacity += ep.Capacity()
+			places[i].Slots += ep.Record.Slots
 			return
 		}
 	}
-	s.Places[centre] = append(places, Place{Member: m, Capacity: capacity})
+	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots})
 }
--- a/instance/place.go
+++ b/instance/place.go
@@ -107,7 +107,7 @@
 	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
 		return math.Inf(1)
 	}
-	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now)})
+	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now)})
 }
 
 // shorter draws two other instances by their capacity and returns the one where a
@@ -160,7 +160,7 @@
 		return 0
 	}
 	load := *l
-	load.Rate = c.b.placeRate(s, p)
+	load.Rate, load.Slots = c.b.placeRate(s, p), p.Slots
 	return s.waiting(class, load)
 }
 
@@ -171,6 +171,9 @@
 	if class == packet.ClassLong {
 		return float64(l.Long+1) * s.longFactor() / rate
 	}
+	if idle := l.Free - l.Queued; idle > 0 {
+		return -assumedRun * float64(idle) / float64(max(1, l.Slots))
+	}
 	return float64(l.Queued+1-l.Free) / rate
 }
 
