--- a/instance/board.go
+++ b/instance/board.go
@@ -122,6 +122,7 @@
 	Times     [3]Average         // run time by class, in ms
 	Demand    [3]float64         // run time asked for of late by class, in ms
 	Running   [3]int             // runs under way here by class
+	Blocked   clock.Millis       // since when none of Mine can be used, or 0
 	pumping   bool
 }
 
@@ -208,6 +209,7 @@
 	Holds   int          // how often it was held
 	Doubt   bool         // an earlier run may have started
 	Silent  int          // runs given up since nothing came back
+	Stalled bool         // nothing came back of the present run for long
 	Dropped bool         // no longer wanted
 }
 
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -13,6 +13,10 @@
 // that a permit is there when a slot comes free.
 const askAhead = 2
 
+// blockedLimit is how long a queue waits for endpoints that all rest, before its
+// requests go elsewhere.
+const blockedLimit = 150 * clock.Millisecond
+
 // dispatchController fills the slots of the endpoints this instance dispatches.
 type dispatchController struct{ b *Board }
 
@@ -55,7 +59,8 @@
 func (c dispatchController) moveAway(s *Service) bool {
 	gone := c.b.Services[s.Hash] != s
 	leaving := c.b.Stopping != 0 && len(placeController(c).others(s, nil)) > 0
-	if !gone && !leaving && s.usable(c.b.Now) {
+	blocked := c.blocked(s)
+	if !gone && !leaving && blocked < blockedLimit {
 		return false
 	}
 	jobs := append(s.Short, s.Long...)
@@ -79,6 +84,21 @@
 	return true
 }
 
+// blocked returns for how long no endpoint dispatched here could be used.
+func (c dispatchController) blocked(s *Service) clock.Millis {
+	if s.usable(c.b.Now) {
+		s.Blocked = 0
+		return 0
+	}
+	if len(s.Mine) == 0 {
+		return blockedLimit
+	}
+	if s.Blocked == 0 {
+		s.Blocked = c.b.Now
+	}
+	return c.b.Now - s.Blocked
+}
+
 // startOne starts the next job that may run and reports whether there was one.
 func (c dispatchController) startOne(s *Service) bool {
 	if j, ep := c.first(s, s.Short); j != nil {
@@ -179,6 +199,7 @@
 	}
 	delete(c.b.Runs, ev.Run)
 	ep := j.At
+	c.b.unstall(j)
 	j.Run, j.At = 0, nil
 	ep.usedAt(c.b.Now)
 	ep.Busy--
@@ -195,7 +216,10 @@
 // certainly did not run, else only if it may be repeated.
 func (b *Board) resolve(j *Job, r Result) {
 	again := r.Outcome == OutcomeNotRun || r.Outcome == OutcomeMisrouted || (r.Outcome == OutcomeUnknown && !j.Work.Once)
-	again = again && !j.Dropped && j.Tries < maxTries && b.Now < j.Work.Deadline
+	again = again && !j.Dropped && (j.Tries < maxTries || j.mayHold(r)) && b.Now < j.Work.Deadline
+	if r.Silent && j.Request == nil {
+		again = false // its owner may find a place that is less in doubt
+	}
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
 		j.Doubt = true
@@ -212,6 +236,12 @@
 	b.enqueue(j)
 }
 
+// mayHold reports whether a job that found no place may wait for one: its flow is
+// owned here, and what refused it was not an overload.
+func (j *Job) mayHold(r Result) bool {
+	return j.Request != nil && r.Outcome != OutcomeUnknown && r.Reason != packet.ReasonBusy
+}
+
 // settle gives a result that ends a job a reason the caller understands.
 func settle(r Result) Result {
 	switch {
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -18,15 +18,17 @@
 
 	Busy      int          // runs under way from this instance
 	BusyLong  int          // those of class long
+	Stalled   int          // runs under way from which nothing came back for long
 	Fails     int          // failures in a row
 	Until     clock.Millis // takes no new work before
 	Draining  bool         // it said that it is draining
 	Misrouted bool         // it said that it serves another service
 	Probed    clock.Millis // when it was last probed, or 0
-	Doubted   bool         // it was silent and the probe has not ended
 	Times     [3]Average   // run time by class, in ms
 	Spent     float64      // slot time used of late, in ms; see usedAt
 	SpentAt   clock.Millis // when Spent was last brought up to date
+	Doubted   clock.Millis // since when it was silent and no probe was answered, or 0
+	SilentAt  clock.Millis // when a run there was last found silent
 }
 
 func newEndpoint(now clock.Millis) *Endpoint {
@@ -35,7 +37,21 @@
 
 // Usable reports whether the endpoint may get new work.
 func (ep *Endpoint) Usable(now clock.Millis) bool {
-	return ep.Backend.State == record.StateActive && !ep.Draining && !ep.Misrouted && now >= ep.Until
+	return ep.Backend.State == record.StateActive && !ep.Draining && !ep.Misrouted && now >= ep.Until && !ep.doubted(now) && !ep.stuck()
+}
+
+// doubtLimit is how long an endpoint that answers no probe gets no work: one
+// that serves requests but no probes is found out then.
+const doubtLimit = 30 * clock.Second
+
+func (ep *Endpoint) doubted(now clock.Millis) bool {
+	return ep.Doubted != 0 && now-ep.Doubted < doubtLimit
+}
+
+// stuck reports whether every slot is held by a run from which nothing came back
+// for long.
+func (ep *Endpoint) stuck() bool {
+	return ep.Stalled > 0 && ep.Stalled >= ep.Record.Slots
 }
 
 // Capacity returns the work it can take: slots times relative speed.
