--- a/instance/members.go
+++ b/instance/members.go
@@ -44,9 +44,12 @@
 
 // PeerLoad is the newest queue state heard from another instance.
 type PeerLoad struct {
-	Free   int
-	Queued int
-	At     clock.Millis
+	Free   int          // idle slots
+	Queued int          // short requests waiting
+	Long   int          // long requests waiting or running
+	Rate   float64      // learnt capacity, in short requests a ms; 0 means not told
+	Slots  int          // of its endpoints, as the records say
+	At     clock.Millis // when it was heard
 }
 
 // Takes reports whether the member takes new flows and work.
@@ -225,7 +228,7 @@
 			known = &PeerLoad{}
 			m.Loads[l.Service] = known
 		}
-		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), At: c.b.Now}
+		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), Long: int(l.Long), Rate: float64(l.Rate) / rateSpan, At: c.b.Now}
 	}
 }
 
@@ -422,18 +425,19 @@
 			if m == c.b.Self {
 				v.Mine = append(v.Mine, endpoints[i])
 			}
-			v.addPlace(centre, m, endpoints[i].Capacity())
+			v.addPlace(centre, m, endpoints[i])
 		}
 	}
 }
 
-func (s *Service) addPlace(centre string, m *Member, capacity float64) {
+func (s *Service) addPlace(centre string, m *Member, ep *Endpoint) {
 	places := s.Places[centre]
 	for i := range places {
 		if places[i].Member == m {
-			places[i].Capacity += capacity
+			places[i].Capacity += ep.Capacity()
+			places[i].Slots += ep.Record.Slots
 			return
 		}
 	}
-	s.Places[centre] = append(places, Place{Member: m, Capacity: capacity})
+	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots})
 }
