--- a/instance/board.go
+++ b/instance/board.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -119,6 +120,8 @@
 	Held      []*Job             // no instance or backend server takes them now
 	Budget    float64            // retries allowed now
 	Times     [3]Average         // run time by class, in ms
+	Demand    [3]float64         // run time asked for of late by class, in ms
+	Running   [3]int             // runs under way here by class
 	Blocked   clock.Millis       // since when none of Mine can be used, or 0
 	pumping   bool
 }
@@ -127,6 +130,7 @@
 type Place struct {
 	Member   *Member
 	Capacity float64 // slots times weight of the endpoints
+	Slots    int
 }
 
 // Waiting returns the number of queued jobs.
@@ -134,6 +138,22 @@
 	return len(s.Short) + len(s.Long)
 }
 
+// Slots returns the number of slots this instance may use now.
+func (s *Service) Slots(now clock.Millis) int {
+	slots := 0
+	for _, ep := range s.Mine {
+		if ep.Usable(now) {
+			slots += ep.Record.Slots
+		}
+	}
+	return slots
+}
+
+// Backlog returns the number of long jobs that wait or run here.
+func (s *Service) Backlog() int {
+	return len(s.Long) + s.Running[packet.ClassLong]
+}
+
 // Free returns the number of idle slots this instance may fill now.
 func (s *Service) Free(now clock.Millis) int {
 	free := 0
@@ -161,9 +181,16 @@
 
 // Load returns the queue state that is attached to envelopes.
 func (s *Service) Load(now clock.Millis) packet.Load {
-	return packet.Load{Service: s.Hash, Free: uint16(min(s.Free(now), 1<<16-1)), Queued: uint16(min(s.Waiting(), 1<<16-1))}
+	short := func(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
+	return packet.Load{
+		Service: s.Hash, Free: short(s.Free(now)), Queued: short(len(s.Short)), Long: short(s.Backlog()),
+		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)),
+	}
 }
 
+// rateSpan is the span that packet.Load.Rate counts requests in, in ms.
+const rateSpan = float64(1000 * clock.Second)
+
 // Job is one whole request that waits for a slot, holds one, or was handed over.
 type Job struct {
 	Work    Work
