Skip the seal of a held flow's own token, and decode headers without tracking fields

Cause: opening the token was 12% and decoding 15% of a profile of probes answered by the owner. A flow's token was checked before or made here, so it is compared in constant time; its age is still checked. The header's decoder spent 1.6 of 2.6 us on noticing fields that stand twice, which the owner refuses anyway.

--- a/instance/packets.go
+++ b/instance/packets.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"crypto/subtle"
 	"net/netip"
 
 	"github.com/tanagerdock/tanagerdock/clock"
@@ -29,7 +30,7 @@
 		c.open(in)
 		return
 	}
-	t, err := c.b.Settings.Keys.Open(in.packet.Token, c.b.Now)
+	t, err := c.openToken(in.packet.Token)
 	if err != nil {
 		c.refuseToken(in, err)
 		return
@@ -42,6 +43,21 @@
 	c.take(in, t)
 }
 
+// openToken checks the seal and age of a token. The seal of the token that a held
+// flow carries was checked before, or made here, so it is only compared.
+func (c packetController) openToken(sealed []byte) (token.Token, error) {
+	t, err := token.Peek(sealed)
+	if err != nil {
+		return token.Token{}, err
+	}
+	f := c.b.Flows.ByID[t.Flow]
+	known := f != nil && subtle.ConstantTimeCompare(f.token, sealed) == 1
+	if known && c.b.Now-t.Issued <= token.Lifetime {
+		return t, nil
+	}
+	return c.b.Settings.Keys.Open(sealed, c.b.Now)
+}
+
 func (c packetController) refuseToken(in arrival, err error) {
 	c.b.do(Note{Decision: "refuse", Reason: packet.ReasonToken.String(), Subject: in.caller.String(), Detail: err.Error(), Level: LevelDebug})
 	c.b.do(SendPacket{To: in.caller, Packet: packet.Packet{
--- a/packet/packet.go
+++ b/packet/packet.go
@@ -186,7 +186,10 @@
 
 var (
 	encoder = mustEncoder()
-	decoder = mustDecoder()
+	decoder = mustDecoder(cbor.DupMapKeyEnforcedAPF)
+	// headerDecoder lets a field stand twice, which the owner refuses, since
+	// keeping track of them costs as much as all the rest.
+	headerDecoder = mustDecoder(cbor.DupMapKeyQuiet)
 )
 
 func mustEncoder() cbor.UserBufferEncMode {
@@ -200,9 +203,9 @@
 // maxFields bounds the number of fields a decoder accepts in one map.
 const maxFields = 32
 
-func mustDecoder() cbor.DecMode {
+func mustDecoder(twice cbor.DupMapKeyMode) cbor.DecMode {
 	options := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		DupMapKey:        twice,
 		MaxMapPairs:      maxFields,
 		MaxArrayElements: maxFields,
 		MaxNestedLevels:  4,
@@ -267,7 +270,7 @@
 		return errors.Wrapf(ErrTooLarge, "datagram has %d bytes, at most %d are allowed", len(data), MaxDatagram)
 	}
 	h.Version, h.Kind, h.Token = 0, 0, h.Token[:0]
-	if err := decoder.Unmarshal(data, h); err != nil {
+	if err := headerDecoder.Unmarshal(data, h); err != nil {
 		return errors.Wrapf(ErrMalformed, "decode datagram of %d bytes: %v", len(data), err)
 	}
 	switch {
