instance: keep decoded records and the order of services

Cause: a change of one record decoded every record again, and each of the 100 ticks a second sorted the services.

--- a/instance/board.go
+++ b/instance/board.go
@@ -19,7 +19,7 @@
 	Stopping clock.Millis // when the graceful shutdown began, or 0
 
 	Records   Records
-	Services  map[uint64]*Service  // by token.Hash of the name
+	Services  map[uint64]*Service  // by token.Hash of the name; see order
 	Endpoints map[string]*Endpoint // by address
 	Members   Members
 	Flows     Flows
@@ -28,6 +28,7 @@
 	Bytes     int64           // request and answer bodies held
 	Report    Report
 
+	sorted  []*Service // Services by name
 	ready   []*Job     // whole requests of flows owned here that need a place
 	ended   []ended    // jobs with a result not yet passed on
 	pumps   []*Service // services whose queue or slots changed
--- a/instance/records.go
+++ b/instance/records.go
@@ -19,10 +19,41 @@
 	Good     map[record.Key]record.Object // newest accepted and not deleted: these are in force
 	Revision uint64                       // newest revision among Objects
 	Loaded   bool                         // a whole list was received
+	decoded  map[record.Key]decoded       // of Good, as far as they were needed
+}
+
+// decoded is an accepted record in its decoded form, so that a change costs the
+// decoding of what changed only.
+type decoded struct {
+	revision uint64
+	value    any
+}
+
+// decode returns the decoded form of an accepted record. The revision tells
+// whether the form kept is still the one in force.
+func decodeGood[T any](r *Records, key record.Key, decode func(o record.Object) (T, error)) (T, error) {
+	o := r.Good[key]
+	if known, found := r.decoded[key]; found && known.revision == o.Revision {
+		return known.value.(T), nil
+	}
+	v, err := decode(o)
+	if err == nil {
+		r.decoded[key] = decoded{revision: o.Revision, value: v}
+	}
+	return v, err
+}
+
+// forget drops what a record in force was.
+func (r *Records) forget(key record.Key) {
+	delete(r.Good, key)
+	delete(r.decoded, key)
 }
 
 func newRecords() Records {
-	return Records{Objects: make(map[record.Key]record.Object), Good: make(map[record.Key]record.Object)}
+	return Records{
+		Objects: make(map[record.Key]record.Object), Good: make(map[record.Key]record.Object),
+		decoded: make(map[record.Key]decoded),
+	}
 }
 
 // recordController keeps the records in force: the newest accepted revision of
@@ -64,7 +95,7 @@
 	r.Objects[o.Key()] = o
 	r.Revision = max(r.Revision, o.Revision)
 	if o.Deleted {
-		delete(r.Good, o.Key())
+		r.forget(o.Key())
 		c.b.note("delete", "record", "", o.Key().String(), source)
 		c.b.Report.clear(conditionRejected, o.Key().String())
 		return true
@@ -104,7 +135,7 @@
 			continue
 		}
 		r.Objects[key] = record.Object{Kind: key.Kind, Name: key.Name, Revision: revision, Deleted: true}
-		delete(r.Good, key)
+		r.forget(key)
 		c.b.Report.clear(conditionRejected, key.String())
 		changed = true
 	}
@@ -146,7 +177,7 @@
 func (c recordController) derive() {
 	services := make(map[uint64]*Service)
 	for _, name := range c.goodNames(record.KindService) {
-		s, err := record.DecodeService(c.b.Records.Good[record.Key{Kind: record.KindService, Name: name}])
+		s, err := decodeGood(&c.b.Records, record.Key{Kind: record.KindService, Name: name}, record.DecodeService)
 		if err != nil {
 			continue
 		}
@@ -154,6 +185,7 @@
 	}
 	c.dropServices(services)
 	c.b.Services = services
+	c.b.order()
 	c.deriveRules()
 	c.deriveEndpoints()
 	c.b.Members.changed = true
@@ -184,7 +216,7 @@
 
 func (c recordController) deriveRules() {
 	for _, name := range c.goodNames(record.KindRule) {
-		r, err := record.DecodeRule(c.b.Records.Good[record.Key{Kind: record.KindRule, Name: name}])
+		r, err := decodeGood(&c.b.Records, record.Key{Kind: record.KindRule, Name: name}, record.DecodeRule)
 		if err != nil {
 			continue
 		}
@@ -199,7 +231,7 @@
 func (c recordController) deriveEndpoints() {
 	var backends []record.Backend
 	for _, name := range c.goodNames(record.KindBackend) {
-		r, err := record.DecodeBackend(c.b.Records.Good[record.Key{Kind: record.KindBackend, Name: name}])
+		r, err := decodeGood(&c.b.Records, record.Key{Kind: record.KindBackend, Name: name}, record.DecodeBackend)
 		if err == nil {
 			backends = append(backends, r)
 		}
@@ -237,15 +269,18 @@
 	return known
 }
 
-func (b *Board) sortedServices() []*Service {
-	all := make([]*Service, 0, len(b.Services))
+// order sorts the services anew.
+func (b *Board) order() {
+	b.sorted = b.sorted[:0:0]
 	for _, s := range b.Services {
-		all = append(all, s)
+		b.sorted = append(b.sorted, s)
 	}
-	slices.SortFunc(all, func(x, y *Service) int { return cmp.Compare(x.Record.Name, y.Record.Name) })
-	return all
+	slices.SortFunc(b.sorted, func(x, y *Service) int { return cmp.Compare(x.Record.Name, y.Record.Name) })
 }
 
+// sortedServices returns the services by name. The slice is never changed.
+func (b *Board) sortedServices() []*Service { return b.sorted }
+
 func (b *Board) sortedEndpoints() []*Endpoint {
 	all := make([]*Endpoint, 0, len(b.Endpoints))
 	for _, ep := range b.Endpoints {
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -21,6 +21,8 @@
 	usage: `Drives the decision engine in this process at several sizes and fits lines by
 least squares of the relative differences: cost = base + slope * size.
 
+Endpoints are spread over 11 data centres, members are of one.
+
   bytes_*    live memory, in bytes
   us_*       processor time of one event, in us, at the size named; *_slope a unit
   beats_*    heartbeats' bytes a second, sent and received, by members`,
@@ -39,7 +41,10 @@
 	perService    = 7  // endpoints a service: 6,900 behind 1,000 addresses
 )
 
-const quickEvents = 200 // events measured in a row
+const (
+	quickEvents = 200 // events measured in a row
+	centres     = 11  // data centres that the endpoints are spread over
+)
 
 type slopes struct {
 	p       *printer
@@ -158,9 +163,17 @@
 	return objects, nil
 }
 
+// centreOf spreads endpoints over the data centres; one in centres is near.
+func centreOf(n int) string {
+	if n%centres == 0 {
+		return centre
+	}
+	return fmt.Sprintf("centre-%d", n%centres)
+}
+
 func backendOf(n int, service string) (record.Object, error) {
 	return record.EncodeBackend(record.Backend{
-		Name: fmt.Sprintf("backend-%d", n), Service: service, Centre: centre, State: record.StateActive,
+		Name: fmt.Sprintf("backend-%d", n), Service: service, Centre: centreOf(n), State: record.StateActive,
 		Endpoints: []record.Endpoint{{Address: address(n, 80), Slots: 2}},
 	}, record.Schema2)
 }
