entry: the test engine keeps every event of a flood

Cause: the test's own engine dropped events silently once 1,000 were unread, so RunEnded was lost when the test's goroutine was not scheduled while the engine worked off 8,192 datagrams. Ruled out: the daemon, whose input channel blocks. The channel now holds more than a full queue; the check is the same.

--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -181,7 +181,7 @@
 	settings.Name = name
 	keys, err := token.NewKeys(1, map[uint8][]byte{1: make([]byte, 16)})
 	require.NoError(t, err)
-	s.events = make(chan instance.Event, 1000)
+	s.events = make(chan instance.Event, 4*packetQueue*readBatch)
 	d, err := Open(Options{
 		Settings: settings, Keys: keys, Platform: p, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Engine: func(given instance.Settings, _ clock.Millis) Engine {
