Renew leases every 30 s and list instances every 20 s

Heartbeats tell sooner that an instance is gone, and one that joins introduces itself to all it finds in the list, so neither needs the platform every few seconds. A joining instance still lists every 500 ms until it is listed.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -17,7 +17,7 @@
 	watchWait      = 30 * clock.Second
 	callTimeout    = 5 * clock.Second        // beyond watchWait for a watch
 	earlyWatch     = 1 * clock.Second        // a watch that ends sooner without news is paced like a failed one
-	instancePeriod = 2 * clock.Second        // between lists of instances
+	instancePeriod = 20 * clock.Second       // between lists of instances; new ones make themselves known
 	joiningPeriod  = 500 * clock.Millisecond // the same, until the platform lists this instance
 )
 
--- a/entry/writes.go
+++ b/entry/writes.go
@@ -14,8 +14,9 @@
 )
 
 // leaseSpan is how long an announcement holds without renewal. The engine
-// announces every 10 s, so two renewals in a row may be lost.
-const leaseSpan = 30 * clock.Second
+// announces every 30 s, so two renewals in a row may be lost. Heartbeats tell
+// sooner that an instance is gone.
+const leaseSpan = 90 * clock.Second
 
 // mailbox holds the newest value for one worker. It has a single producer.
 type mailbox[T any] struct {
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -10,7 +10,7 @@
 const stopLinger = 2 * clock.Second
 
 // announcePeriod is the time between renewals of the instance's lease.
-const announcePeriod = 10 * clock.Second
+const announcePeriod = 30 * clock.Second
 
 // stopController announces the instance, and ends it without cutting a request.
 type stopController struct {
