--- a/instance/action.go
+++ b/instance/action.go
@@ -111,6 +111,11 @@
 	Value   int64
 }
 
+// UseRouter replaces the router that passes packets on without the engine.
+type UseRouter struct {
+	Router *Router
+}
+
 // Stopped tells that the graceful shutdown is complete.
 type Stopped struct{}
 
@@ -127,4 +132,5 @@
 func (Announce) action()      {}
 func (Note) action()          {}
 func (Observe) action()       {}
+func (UseRouter) action()     {}
 func (Stopped) action()       {}
