--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -121,6 +121,7 @@
 	}
 	d.engine = makeEngine(instance.Settings{
 		Self: d.self, Keys: o.Keys, Memory: o.Settings.Memory, Flows: o.Settings.Flows, Seed: rand.Uint64(),
+		Policy: policies[o.Settings.Policy],
 	}, clock.Now())
 	return d, nil
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,8 +33,9 @@
 	Platform string  `yaml:"platform"` // URL of the platform
 	Keyfile  string  `yaml:"keyfile"`  // file of token keys; relative to the settings file
 	Log      Log     `yaml:"log"`
-	Memory   int64   `yaml:"memory"` // bytes of request and answer bodies held at once; default 256 MiB
-	Flows    int     `yaml:"flows"`  // flows held at once; default 500000
+	Memory   int64   `yaml:"memory"`           // bytes of request and answer bodies held at once; default 256 MiB
+	Flows    int     `yaml:"flows"`            // flows held at once; default 500000
+	Policy   string  `yaml:"policy,omitempty"` // learnt, or for measurements random or outstanding; default learnt
 }
 
 // Log tells what is logged and how.
@@ -57,6 +58,12 @@
 	LevelError = "error"
 )
 
+// policies are the ways in which work is given to endpoints, by name.
+var policies = map[string]instance.Policy{
+	"": instance.Learnt{}, "learnt": instance.Learnt{},
+	"random": instance.RandomByCapacity{}, "outstanding": instance.OwnOutstanding{},
+}
+
 // Bounds of Settings.
 const (
 	minSize   = 0.001
@@ -229,6 +236,8 @@
 
 func (s *Settings) checkLimits() *fault {
 	switch {
+	case policies[s.Policy] == nil:
+		return &fault{"policy", s.Policy, "one of learnt, random, outstanding"}
 	case s.Memory < minMemory || s.Memory > maxMemory:
 		return &fault{"memory", s.Memory, fmt.Sprintf("within %d to %d bytes", minMemory, maxMemory)}
 	case s.Flows < 1 || s.Flows > maxFlows:
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -152,6 +152,9 @@
 // slot returns the endpoint with room for a job that was used least of late, or
 // nil.
 func (c dispatchController) slot(s *Service, j *Job) *Endpoint {
+	if c.b.alone() {
+		return c.unbounded(s)
+	}
 	if j.Work.Class == packet.ClassLong && s.Running[packet.ClassLong] >= c.longSlots(s, j) {
 		return nil
 	}
--- a/instance/members.go
+++ b/instance/members.go
@@ -411,9 +411,12 @@
 			byCentre[ep.Backend.Centre] = append(byCentre[ep.Backend.Centre], ep)
 		}
 	}
+	if c.b.alone() {
+		v.Mine = byCentre[c.b.Self.Instance.Centre]
+	}
 	for centre, endpoints := range byCentre {
 		for i, m := range assign(endpoints, c.b.Members.Live[centre]) {
-			if m == c.b.Self {
+			if m == c.b.Self && !c.b.alone() {
 				v.Mine = append(v.Mine, endpoints[i])
 			}
 			v.addPlace(centre, m, endpoints[i])
--- a/instance/place.go
+++ b/instance/place.go
@@ -62,6 +62,9 @@
 func (c placeController) choose(j *Job) {
 	j.Peer = nil
 	here, other := c.local(j.Service, j.Work.Class), c.shorter(j, j.Avoid)
+	if c.b.alone() {
+		other = nil
+	}
 	nowhere := math.IsInf(here, 1) && other == nil
 	switch {
 	case nowhere && c.borrow(j):
--- /dev/null
+++ b/instance/policy.go
@@ -0,0 +1,68 @@
+package instance
+
+import (
+	"slices"
+)
+
+// Policy is the way in which work is given to endpoints. All but Learnt are there
+// to be measured against.
+type Policy interface{ policy() }
+
+// Learnt is the policy of this package; see docs/LOAD.md.
+type Learnt struct{}
+
+// RandomByCapacity lets each instance run the requests of its flows at endpoints
+// drawn by slots times the weight of the record. Slots are not counted: work waits
+// at the backend servers.
+type RandomByCapacity struct{}
+
+// OwnOutstanding lets each instance run the requests of its flows at the endpoint
+// with the fewest runs of its own, by slots times weight. Slots are not counted.
+type OwnOutstanding struct{}
+
+func (Learnt) policy()           {}
+func (RandomByCapacity) policy() {}
+func (OwnOutstanding) policy()   {}
+
+// alone reports whether the policy runs requests where their flow is owned.
+func (b *Board) alone() bool {
+	switch b.Settings.Policy.(type) {
+	case RandomByCapacity, OwnOutstanding:
+		return true
+	}
+	return false
+}
+
+// unbounded returns the endpoint that a policy without counted slots gives a job
+// to, or nil.
+func (c dispatchController) unbounded(s *Service) *Endpoint {
+	usable := slices.DeleteFunc(slices.Clone(s.Mine), func(ep *Endpoint) bool { return !ep.Usable(c.b.Now) })
+	if len(usable) == 0 {
+		return nil
+	}
+	if _, random := c.b.Settings.Policy.(RandomByCapacity); random {
+		return c.drawEndpoint(usable)
+	}
+	best := usable[0]
+	for _, ep := range usable[1:] {
+		if float64(ep.Busy+1)/ep.Capacity() < float64(best.Busy+1)/best.Capacity() {
+			best = ep
+		}
+	}
+	return best
+}
+
+func (c dispatchController) drawEndpoint(usable []*Endpoint) *Endpoint {
+	sum := 0.0
+	for _, ep := range usable {
+		sum += ep.Capacity()
+	}
+	x := c.b.random.Float64() * sum
+	for _, ep := range usable {
+		x -= ep.Capacity()
+		if x < 0 {
+			return ep
+		}
+	}
+	return usable[len(usable)-1]
+}
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -12,6 +12,7 @@
 	Memory int64           // bytes of request and answer bodies held at once; 0 means DefaultMemory
 	Flows  int             // flows held at once; 0 means DefaultFlows
 	Seed   uint64          // seed of every random choice
+	Policy Policy          // nil means Learnt
 }
 
 // Defaults of Settings.
--- a/measure/stage.go
+++ b/measure/stage.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,9 +82,10 @@
 	return s.startEntry(ctx, entryName(len(s.entries)+1))
 }
 
-func (s *stage) startEntry(ctx context.Context, name string) (*process, error) {
+func (s *stage) startEntry(ctx context.Context, name string, lines ...string) (*process, error) {
 	settings := fmt.Sprintf("name: %s\ncentre: %s\npackets: %s\npeers: %s\ncontrol: %s\nstatus: %s\nplatform: http://%s\nkeyfile: keys\nlog: {level: error}\n",
 		name, centre, loopback, loopback, loopback, loopback, s.platform.ready["listen"])
+	settings += strings.Join(lines, "")
 	if err := os.WriteFile(s.file(name), []byte(settings), 0o600); err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/standin/backend_serve.go
+++ b/standin/backend_serve.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
 )
@@ -68,7 +70,9 @@
 		return false
 	}
 	count(b.counts, "started")
+	began := clock.Now()
 	sleep(ctx, b.workTime(work.Time))
+	metrics.GetOrRegisterCounter("busy_ms", b.counts).Inc(int64(clock.Now() - began))
 	if ctx.Err() != nil {
 		count(b.counts, "cancelled")
 		http.Error(w, "cancelled or past its deadline", http.StatusGatewayTimeout)
