Refuse at once work that would wait past its deadline

Cause: long work was queued at the crest until its deadline passed, and much of what was started then was in vain.

Change: an instance learns the time between starts of a class while jobs wait, and refuses a job as not run when the queue ahead takes longer than its deadline allows. Nothing is refused so while no job waits.

--- a/instance/board.go
+++ b/instance/board.go
@@ -122,6 +122,8 @@
 	Times     [3]Average         // run time by class, in ms
 	Demand    [3]float64         // run time asked for of late by class, in ms
 	Running   [3]int             // runs under way here by class
+	StartedAt [3]clock.Millis    // latest start by class while jobs wait, or 0
+	Gaps      [3]Average         // time between starts by class while jobs wait, in ms
 	Blocked   clock.Millis       // since when none of Mine can be used, or 0
 	pumping   bool
 }
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -103,11 +103,13 @@
 func (c dispatchController) startOne(s *Service) bool {
 	if j, ep := c.first(s, s.Short); j != nil {
 		s.Short = without(s.Short, j)
+		s.started(j.Work.Class, c.b.Now, len(s.Short))
 		c.start(j, ep)
 		return true
 	}
 	if j, ep := c.first(s, s.Long); j != nil {
 		s.Long = without(s.Long, j)
+		s.started(j.Work.Class, c.b.Now, len(s.Long))
 		c.start(j, ep)
 		return true
 	}
@@ -300,7 +302,7 @@
 		c.b.refuse(j, packet.ReasonStopping)
 	case len(s.Mine) == 0:
 		c.b.refuse(j, packet.ReasonBackend)
-	case s.Waiting() >= s.Record.Queue:
+	case s.Waiting() >= s.Record.Queue, c.b.late(j):
 		c.b.refuse(j, packet.ReasonBusy)
 	default:
 		c.b.enqueue(j)
--- a/instance/place.go
+++ b/instance/place.go
@@ -72,6 +72,9 @@
 	case nowhere:
 		c.b.refuse(j, packet.ReasonBackend)
 		c.b.Report.raise(c.b.Now, conditionNoBackend, "service/"+j.Service.Record.Name, "no backend server takes work", "refused as not run")
+	case c.hopeless(j, here, other):
+		c.b.refuse(j, packet.ReasonBusy)
+		c.b.Report.raise(c.b.Now, conditionOverload, "service/"+j.Service.Record.Name, "requests would wait past their deadlines", "refused as not run")
 	case other != nil && c.score(j.Service, other, j.Work.Class)+placeMargin < here:
 		c.handOver(j, other.Member)
 	case j.Service.Waiting() >= j.Service.Record.Queue:
@@ -82,6 +85,45 @@
 	}
 }
 
+// hopeless reports whether a job would wait past its deadline wherever it goes.
+func (c placeController) hopeless(j *Job, here float64, other *Place) bool {
+	if !math.IsInf(here, 1) && !c.b.late(j) {
+		return false
+	}
+	if other == nil {
+		return !math.IsInf(here, 1)
+	}
+	return c.score(j.Service, other, j.Work.Class) > float64(j.Work.Deadline-c.b.Now)
+}
+
+// late reports whether a job that joined the queue here now would start too late
+// to end by its deadline, going by the starts of late. Nothing is late when no job
+// waits, so that what changed is learnt.
+func (b *Board) late(j *Job) bool {
+	s, class := j.Service, j.Work.Class
+	waiting := len(s.Short)
+	if class == packet.ClassLong {
+		waiting = len(s.Long)
+	}
+	if waiting == 0 || s.Gaps[class].Count < usualRuns || s.Times[class].Count < usualRuns {
+		return false
+	}
+	expected := float64(waiting)*s.Gaps[class].Value + fitsFactor*s.Times[class].Value
+	return b.Now+clock.Millis(expected) > j.Work.Deadline
+}
+
+// started learns how long it takes from one start of a class to the next while
+// jobs wait.
+func (s *Service) started(class packet.Class, now clock.Millis, waiting int) {
+	if s.StartedAt[class] != 0 && waiting > 0 {
+		s.Gaps[class].Add(float64(now - s.StartedAt[class]))
+	}
+	s.StartedAt[class] = now
+	if waiting == 0 {
+		s.StartedAt[class] = 0
+	}
+}
+
 // hold lets a job wait until an instance that died is replaced or a backend
 // server takes work again, and reports whether it may.
 func (c placeController) hold(j *Job) bool {
