Assign endpoints by falling score with some slack; order queues by deadline

Cause: endpoints were assigned in order of their address, each to its best member with room. One member coming or going changed who was full when, which moved endpoints between members that stayed.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -36,14 +36,23 @@
 // enqueue lets a job wait for a slot here.
 func (b *Board) enqueue(j *Job) {
 	if j.Work.Class == packet.ClassLong {
-		j.Service.Long = append(j.Service.Long, j)
+		j.Service.Long = queued(j.Service.Long, j)
 	} else {
-		j.Service.Short = append(j.Service.Short, j)
+		j.Service.Short = queued(j.Service.Short, j)
 	}
 	j.Service.ask(j.Work.Class)
 	b.pump(j.Service)
 }
 
+// queued returns a queue with one more job, ordered by deadline and then by arrival.
+func queued(queue []*Job, j *Job) []*Job {
+	at := len(queue)
+	for at > 0 && queue[at-1].Work.Deadline > j.Work.Deadline {
+		at--
+	}
+	return slices.Insert(queue, at, j)
+}
+
 // fill starts waiting jobs while there are slots for them.
 func (c dispatchController) fill(s *Service) {
 	if c.moveAway(s) {
--- a/instance/rendezvous.go
+++ b/instance/rendezvous.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -23,10 +24,16 @@
 	return best
 }
 
+// roomSlack is how much more than its share of the endpoints a member may hold, so
+// that one that comes or goes moves few endpoints of the others.
+const roomSlack = 1.25
+
 // assign returns the dispatching member of each endpoint, or nil when there are
-// no members. Each endpoint goes to the member with the highest score that has
-// room for it; room is a member's share of the endpoints by its size, rounded
-// up. Every instance with the same view computes the same.
+// no members. Pairs of endpoint and member are taken by falling score while the
+// member has room; room is its share of the endpoints by its size with some slack,
+// rounded up. Going by score, an endpoint that is turned away by a full member
+// turns away none that fits its member better, so little moves when a member or an
+// endpoint comes or goes. Every instance with the same view computes the same.
 func assign(endpoints []*Endpoint, members []*Member) []*Member {
 	if len(members) == 0 {
 		return nil
@@ -35,18 +42,26 @@
 	for _, m := range members {
 		sizes += m.Instance.Size
 	}
-	room := make(map[*Member]int, len(members))
-	for _, m := range members {
-		room[m] = int(math.Ceil(float64(len(endpoints)) * m.Instance.Size / sizes))
+	room := make([]int, len(members))
+	for i, m := range members {
+		room[i] = int(math.Ceil(roomSlack * float64(len(endpoints)) * m.Instance.Size / sizes))
+	}
+	type pair struct {
+		score            float64
+		endpoint, member int
+	}
+	pairs := make([]pair, 0, len(endpoints)*len(members))
+	for e, ep := range endpoints {
+		for i, m := range members {
+			pairs = append(pairs, pair{rendezvousScore(ep.Hash, m), e, i})
+		}
 	}
+	slices.SortStableFunc(pairs, func(x, y pair) int { return cmp.Compare(y.score, x.score) })
 	chosen := make([]*Member, len(endpoints))
-	open := slices.Clone(members)
-	for i, ep := range endpoints {
-		m := rendezvous(ep.Hash, open)
-		chosen[i] = m
-		room[m]--
-		if room[m] == 0 {
-			open = slices.DeleteFunc(open, func(x *Member) bool { return x == m })
+	for _, p := range pairs {
+		if chosen[p.endpoint] == nil && room[p.member] > 0 {
+			chosen[p.endpoint] = members[p.member]
+			room[p.member]--
 		}
 	}
 	return chosen
