--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -36,14 +36,23 @@
 // enqueue lets a job wait for a slot here.
 func (b *Board) enqueue(j *Job) {
 	if j.Work.Class == packet.ClassLong {
-		j.Service.Long = append(j.Service.Long, j)
+		j.Service.Long = queued(j.Service.Long, j)
 	} else {
-		j.Service.Short = append(j.Service.Short, j)
+		j.Service.Short = queued(j.Service.Short, j)
 	}
 	j.Service.ask(j.Work.Class)
 	b.pump(j.Service)
 }
 
+// queued returns a queue with one more job, ordered by deadline and then by arrival.
+func queued(queue []*Job, j *Job) []*Job {
+	at := len(queue)
+	for at > 0 && queue[at-1].Work.Deadline > j.Work.Deadline {
+		at--
+	}
+	return slices.Insert(queue, at, j)
+}
+
 // fill starts waiting jobs while there are slots for them.
 func (c dispatchController) fill(s *Service) {
 	if c.moveAway(s) {
@@ -103,11 +112,13 @@
 func (c dispatchController) startOne(s *Service) bool {
 	if j, ep := c.first(s, s.Short); j != nil {
 		s.Short = without(s.Short, j)
+		s.started(j.Work.Class, c.b.Now, len(s.Short))
 		c.start(j, ep)
 		return true
 	}
 	if j, ep := c.first(s, s.Long); j != nil {
 		s.Long = without(s.Long, j)
+		s.started(j.Work.Class, c.b.Now, len(s.Long))
 		c.start(j, ep)
 		return true
 	}
@@ -152,6 +163,9 @@
 // slot returns the endpoint with room for a job that was used least of late, or
 // nil.
 func (c dispatchController) slot(s *Service, j *Job) *Endpoint {
+	if c.b.alone() {
+		return c.unbounded(s)
+	}
 	if j.Work.Class == packet.ClassLong && s.Running[packet.ClassLong] >= c.longSlots(s, j) {
 		return nil
 	}
@@ -297,7 +311,7 @@
 		c.b.refuse(j, packet.ReasonStopping)
 	case len(s.Mine) == 0:
 		c.b.refuse(j, packet.ReasonBackend)
-	case s.Waiting() >= s.Record.Queue:
+	case s.Waiting() >= s.Record.Queue, c.b.late(j):
 		c.b.refuse(j, packet.ReasonBusy)
 	default:
 		c.b.enqueue(j)
