Rolling replacement holds requests, and callers of a silent owner look for the next one sooner

Cause: (1) with an instance starting while its last peer left, no instance took endpoints and requests were refused instead of held; the starting one waited to be known by peers that were leaving; (2) a caller whose owner was gone repeated its last part once a second, and the fabric may hand several repeats to the dead owner.

--- a/caller/upload.go
+++ b/caller/upload.go
@@ -34,6 +34,7 @@
 	news    clock.Millis           // when an Ack last brought news
 	backoff uint8                  // timeouts since then
 	pokes   uint8                  // repeats since the owner holds all parts
+	unheard bool                   // the latest repeat was not acknowledged
 	timer   clock.Millis           // when the next timeout or repeat is due
 }
 
@@ -75,6 +76,7 @@
 
 // ack takes in what the owner holds.
 func (u *upload) ack(now clock.Millis, r *rtt, next uint32, mask uint64) {
+	u.unheard = false
 	before := u.window
 	if !u.window.Update(next, mask) {
 		u.findHoles(now, r)
@@ -136,6 +138,10 @@
 func (u *upload) strike(now clock.Millis, r *rtt) []uint32 {
 	if u.window.Done() {
 		u.pokes = min(u.pokes+1, 8)
+		if u.unheard {
+			u.pokes = 0 // its owner may be gone: find the next one soon
+		}
+		u.unheard = true
 		u.waitForAnswer(now)
 		return []uint32{u.window.Count - 1}
 	}
--- a/instance/board.go
+++ b/instance/board.go
@@ -145,6 +145,11 @@
 	return free
 }
 
+// active reports whether an endpoint may come to take work: its record says so.
+func (s *Service) active() bool {
+	return slices.ContainsFunc(s.Endpoints, func(ep *Endpoint) bool { return ep.Backend.State == record.StateActive })
+}
+
 // usable reports whether an endpoint dispatched here may get work now.
 func (s *Service) usable(now clock.Millis) bool {
 	return slices.ContainsFunc(s.Mine, func(ep *Endpoint) bool { return ep.Usable(now) })
--- a/instance/members.go
+++ b/instance/members.go
@@ -347,7 +347,7 @@
 
 func (c memberController) known() bool {
 	for _, m := range c.b.Members.All {
-		if m != c.b.Self && m.Alive && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
+		if m != c.b.Self && m.Takes() && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
 			return false
 		}
 	}
--- a/instance/place.go
+++ b/instance/place.go
@@ -63,7 +63,7 @@
 	j.Peer = nil
 	here, other := c.local(j.Service), c.shorter(j.Service, j.Avoid)
 	switch {
-	case here < 0 && other == nil && c.borrow(j):
+	case here < 0 && c.borrow(j):
 	case here < 0 && other == nil && c.hold(j):
 	case here < 0 && other == nil:
 		c.b.refuse(j, packet.ReasonBackend)
@@ -82,7 +82,7 @@
 // server takes work again, and reports whether it may.
 func (c placeController) hold(j *Job) bool {
 	s := j.Service
-	if len(s.Places) == 0 || len(s.Held) >= s.Record.Queue {
+	if !s.active() || len(s.Held) >= s.Record.Queue {
 		return false
 	}
 	if j.Held == 0 {
