--- a/instance/faults_test.go
+++ b/instance/faults_test.go
@@ -564,7 +564,10 @@
 	for i, from := range c.f.callers {
 		c.send(from, c.newBody(1+2*(i%2)), i%2 == 0)
 	}
-	c.f.run(cellDeadline + 1500)
+	c.f.until(cellDeadline+1500, func() bool {
+		return !slices.ContainsFunc(c.f.callers, func(from *fakeCaller) bool { return !from.done() })
+	})
+	c.f.run(10 * frameHop)
 }
 
 // checkRecords checks that no instance went back to an older record.
