--- a/instance/place.go
+++ b/instance/place.go
@@ -67,7 +67,7 @@
 	}
 	nowhere := math.IsInf(here, 1) && other == nil
 	switch {
-	case nowhere && c.borrow(j):
+	case math.IsInf(here, 1) && c.borrow(j):
 	case nowhere && c.hold(j):
 	case nowhere:
 		c.b.refuse(j, packet.ReasonBackend)
@@ -128,7 +128,7 @@
 // server takes work again, and reports whether it may.
 func (c placeController) hold(j *Job) bool {
 	s := j.Service
-	if len(s.Places) == 0 || len(s.Held) >= s.Record.Queue {
+	if !s.active() || len(s.Held) >= s.Record.Queue {
 		return false
 	}
 	if j.Held == 0 {
