--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -185,23 +185,23 @@
 	b := startBackend(t, BackendSettings{Slots: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	results := make(chan error, 2)
+	long, short := make(chan error, 1), make(chan error, 1)
 	go func() {
 		_, _, err := post(ctx, newHTTP(t), b, "orders", "work=600000 answer=1 id=long\n", nil)
-		results <- err
+		long <- err
 	}()
 	await(t, func() bool { return loadOf(t, b) == Load{Slots: 1, Busy: 1} })
 	go func() {
 		_, _, err := post(context.Background(), newHTTP(t), b, "orders", "work=0 answer=1 id=short\n", nil)
-		results <- err
+		short <- err
 	}()
 	await(t, func() bool { return loadOf(t, b) == Load{Slots: 1, Busy: 1, Queued: 1} })
 	setFaults(t, b, `{"lie":"fine"}`)
 	require.Equal(t, Load{Slots: 1}, loadOf(t, b))
 	require.Len(t, b.Ledger(), 1)
 	cancel()
-	require.ErrorIs(t, <-results, context.Canceled)
-	require.NoError(t, <-results)
+	require.ErrorIs(t, <-long, context.Canceled)
+	require.NoError(t, <-short)
 	await(t, func() bool { return loadOf(t, b) == Load{Slots: 1} })
 	require.Equal(t, []Entry{
 		{ID: "long", Service: "orders", Runs: 1},
