Ask for a permit only when a slot is expected to come free

Cause: the first two waiting requests of each class were asked about at once, and ended unknown without having started when the instance died. Ruled out: runs at the dead instance itself, which cannot be known. Change: as many waiting requests are asked about as there are free slots and runs that reach their usual time within 20 ms.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -9,9 +9,13 @@
 	"github.com/tanagerdock/tanagerdock/token"
 )
 
-// askAhead is how many waiting requests beyond the free slots are asked about, so
-// that a permit is there when a slot comes free.
-const askAhead = 2
+// A waiting request is asked about when a slot is expected to come free soon, so
+// that the permit is there in time. A request that is permitted and not started
+// when the instance dies ends as unknown, so permits are not asked for earlier.
+const (
+	askLead  = 20 * clock.Millisecond // before a run is expected to end
+	askAhead = 2                      // requests asked about beyond the free slots, at most
+)
 
 // blockedLimit is how long a queue waits for endpoints that all rest, before its
 // requests go elsewhere.
@@ -50,8 +54,7 @@
 	}
 	for c.startOne(s) {
 	}
-	c.askFirst(s.Short)
-	c.askFirst(s.Long)
+	c.askFirst(s)
 }
 
 // moveAway empties the queue when the jobs can no longer run here.
@@ -131,15 +134,38 @@
 	return j.Request == nil || !j.Work.Once || j.Request.Granted
 }
 
-// askFirst asks the callers of the first waiting jobs for their permits.
-func (c dispatchController) askFirst(queue []*Job) {
-	for _, j := range queue[:min(len(queue), askAhead)] {
-		if !j.mayStart() && j.Request.AskedAt == 0 {
-			c.b.ask(j.Request)
+// askFirst asks the callers of the first waiting jobs for their permits, as many
+// as there will be slots soon.
+func (c dispatchController) askFirst(s *Service) {
+	if s.Waiting() == 0 {
+		return
+	}
+	soon := min(s.Free(c.b.Now)+c.ending(s), s.Free(c.b.Now)+askAhead)
+	for _, queue := range [][]*Job{s.Short, s.Long} {
+		for _, j := range queue[:min(len(queue), soon)] {
+			if !j.mayStart() && j.Request.AskedAt == 0 {
+				c.b.ask(j.Request)
+			}
 		}
 	}
 }
 
+// ending returns the number of runs here that are expected to end soon, by the
+// usual run time of their class.
+func (c dispatchController) ending(s *Service) int {
+	ending := 0
+	for _, j := range c.b.Runs {
+		if j.Service != s || j.At == nil || j.Stalled {
+			continue
+		}
+		usual := s.Times[j.Work.Class]
+		if usual.Count == 0 || c.b.Now+askLead >= j.Begun+clock.Millis(usual.Value) {
+			ending++
+		}
+	}
+	return ending
+}
+
 // slot returns the endpoint with the most room for a job of a class, or nil.
 func (c dispatchController) slot(s *Service, class packet.Class) *Endpoint {
 	var best *Endpoint
@@ -305,10 +331,14 @@
 // tick refuses jobs of other instances that waited past their deadline; own
 // requests have timers. Services are pumped since endpoints become usable again.
 func (c dispatchController) tick() {
+	services := c.b.sortedServices()
+	for _, s := range services {
+		c.askFirst(s)
+	}
 	if c.b.Now%expirePeriod >= TickPeriod {
 		return
 	}
-	for _, s := range c.b.sortedServices() {
+	for _, s := range services {
 		c.placeHeld(s)
 		if s.Waiting() == 0 {
 			continue
