--- a/instance/place.go
+++ b/instance/place.go
@@ -100,13 +100,14 @@
 }
 
 // borrow runs a job that was held for long at an endpoint that another instance
-// dispatches: that one can't be reached, and may be gone for all others too. One
-// run an endpoint bounds what is added to the slots that the other fills.
+// dispatches: that one can't be reached, and may be gone for all others too. As
+// when two instances believe that they dispatch an endpoint, each fills its slots
+// at most once.
 func (c placeController) borrow(j *Job) bool {
 	if j.Held == 0 || c.b.Now-j.Held < borrowAfter || c.b.Stopping != 0 {
 		return false
 	}
-	ep := c.lendable(j.Service)
+	ep := c.lendable(j.Service, j.Work.Class)
 	if ep == nil {
 		return false
 	}
@@ -119,13 +120,13 @@
 	return true
 }
 
-// lendable returns an endpoint without a run from here, of this data centre
+// lendable returns an endpoint with room for a run from here, of this data centre
 // rather than of another, or nil.
-func (c placeController) lendable(s *Service) *Endpoint {
+func (c placeController) lendable(s *Service, class packet.Class) *Endpoint {
 	var far *Endpoint
 	for _, ep := range s.Endpoints {
 		switch {
-		case !ep.Usable(c.b.Now) || ep.Busy > 0:
+		case !ep.Usable(c.b.Now) || !ep.room(class):
 		case ep.Backend.Centre == c.b.Self.Instance.Centre:
 			return ep
 		case far == nil:
