Honour rules when work is given out: class, backend servers, pin

Cause: rules were decoded and kept, but nothing looked at them.

Change: a request runs only at backend servers that the rule for its class allows; an instance that dispatches none of them hands it to one that does. A rule with pin draws one backend server a flow, by flow and slots; the flow's token carries it, and so does work handed over (new field backend of the control message). While that backend server takes no work, others do.

--- a/entry/control.go
+++ b/entry/control.go
@@ -104,6 +104,7 @@
 		Class:    packet.Class(m.Class),
 		Once:     m.Once,
 		Nonce:    m.Nonce,
+		Backend:  m.Backend,
 		Deadline: clock.Now() + clock.Millis(m.Remaining),
 		Body:     m.Body,
 	}
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -94,6 +94,7 @@
 		Nonce:     w.Nonce,
 		Remaining: int64(left),
 		Body:      w.Body,
+		Backend:   w.Backend,
 	}
 }
 
--- a/instance/board.go
+++ b/instance/board.go
@@ -130,9 +130,10 @@
 
 // Place is an instance that dispatches endpoints of a service.
 type Place struct {
-	Member   *Member
-	Capacity float64 // slots times weight of the endpoints
-	Slots    int
+	Member    *Member
+	Capacity  float64 // slots times weight of the endpoints
+	Slots     int
+	Endpoints []*Endpoint
 }
 
 // Waiting returns the number of queued jobs.
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -67,7 +67,7 @@
 // moveAway empties the queue when the jobs can no longer run here.
 func (c dispatchController) moveAway(s *Service) bool {
 	gone := c.b.Services[s.Hash] != s
-	leaving := c.b.Stopping != 0 && len(placeController(c).others(s, nil)) > 0
+	leaving := c.b.Stopping != 0 && len(placeController(c).others(&Job{Service: s}, nil)) > 0
 	blocked := c.blocked(s)
 	if !gone && !leaving && blocked < blockedLimit {
 		return false
@@ -129,19 +129,23 @@
 	return slices.DeleteFunc(queue, func(x *Job) bool { return x == j })
 }
 
+// lookAhead is how many jobs of a queue that find no endpoint with room are passed
+// over for later ones: rules may send those elsewhere.
+const lookAhead = 16
+
 // first returns the first job of a queue that may start, with an endpoint for it.
 func (c dispatchController) first(s *Service, queue []*Job) (*Job, *Endpoint) {
+	passed := 0
 	for _, j := range queue {
 		if !j.mayStart() {
 			continue
 		}
-		if ep := c.slot(s, j); ep != nil || j.Work.Class != packet.ClassLong {
-			if ep == nil {
-				return nil, nil
-			}
+		if ep := c.slot(s, j); ep != nil {
 			return j, ep
 		}
-		return nil, nil
+		if passed++; len(s.Rules) == 0 || passed > lookAhead {
+			break
+		}
 	}
 	return nil, nil
 }
@@ -171,7 +175,7 @@
 	}
 	var best *Endpoint
 	bestUse := 0.0
-	for _, ep := range s.Mine {
+	for _, ep := range s.among(j, s.Mine, c.b.Now) {
 		if !ep.Usable(c.b.Now) || ep.Busy >= ep.Record.Slots || !c.fits(s, j, ep) {
 			continue
 		}
@@ -309,7 +313,7 @@
 		c.b.refuse(j, packet.ReasonService)
 	case c.b.Stopping != 0:
 		c.b.refuse(j, packet.ReasonStopping)
-	case len(s.Mine) == 0:
+	case len(s.Mine) == 0, len(s.among(j, s.Mine, c.b.Now)) == 0:
 		c.b.refuse(j, packet.ReasonBackend)
 	case s.Waiting() >= s.Record.Queue, c.b.late(j):
 		c.b.refuse(j, packet.ReasonBusy)
--- a/instance/event.go
+++ b/instance/event.go
@@ -65,6 +65,7 @@
 	Class    packet.Class
 	Once     bool
 	Nonce    uint64       // the caller's permit when Once
+	Backend  uint64       // token.Hash of the backend server its flow is pinned to, or 0
 	Deadline clock.Millis // when the answer is due, on the local clock
 	Body     []byte
 }
--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -756,11 +756,15 @@
 }
 
 func (c *fakeCaller) request(body string, once bool, deadline clock.Millis) {
+	c.ask(body, caller.Request{Body: []byte(body), Once: once, Deadline: deadline})
+}
+
+func (c *fakeCaller) ask(body string, r caller.Request) {
 	c.next++
 	c.bodies[c.next] = body
-	c.due[body], c.once[body] = c.f.now+deadline, once
+	c.due[body], c.once[body] = c.f.now+r.Deadline, r.Once
 	c.f.asker[body] = c
-	c.handle(caller.RequestStarted{Call: c.next, Request: caller.Request{Body: []byte(body), Once: once, Deadline: deadline}})
+	c.handle(caller.RequestStarted{Call: c.next, Request: r})
 }
 
 func (c *fakeCaller) handle(ev caller.Event) {
--- a/instance/members.go
+++ b/instance/members.go
@@ -430,8 +430,9 @@
 		if places[i].Member == m {
 			places[i].Capacity += ep.Capacity()
 			places[i].Slots += ep.Record.Slots
+			places[i].Endpoints = append(places[i].Endpoints, ep)
 			return
 		}
 	}
-	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots})
+	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots, Endpoints: []*Endpoint{ep}})
 }
--- a/instance/packets.go
+++ b/instance/packets.go
@@ -148,7 +148,12 @@
 		f.token, f.Issued = append([]byte(nil), sealed...), t.Issued
 		return
 	}
-	f.Issued = max(b.Now, t.Issued+clock.Millisecond)
+	b.seal(f, max(b.Now, t.Issued+clock.Millisecond))
+}
+
+// seal gives a flow a new token.
+func (b *Board) seal(f *Flow, issued clock.Millis) {
+	f.Issued = issued
 	f.token = b.Settings.Keys.Seal(token.Token{
 		Flow: f.ID, Owner: b.Self.Hash, Incarnation: b.Self.Incarnation,
 		Centre: token.Hash(b.Self.Instance.Centre), Service: f.Service, Backend: f.Backend, Issued: f.Issued,
--- a/instance/place.go
+++ b/instance/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
 // Choice of the instance that runs a request.
@@ -61,8 +62,8 @@
 // choose places a job here or at another instance.
 func (c placeController) choose(j *Job) {
 	j.Peer = nil
-	here, other := c.local(j.Service, j.Work.Class), c.shorter(j, j.Avoid)
-	if c.b.alone() {
+	here, other := c.here(j), c.shorter(j, j.Avoid)
+	if c.b.alone() || c.pinnedHere(j) {
 		other = nil
 	}
 	nowhere := math.IsInf(here, 1) && other == nil
@@ -152,7 +153,7 @@
 	if j.Held == 0 || c.b.Now-j.Held < borrowAfter || c.b.Stopping != 0 {
 		return false
 	}
-	ep := c.lendable(j.Service)
+	ep := c.lendable(j)
 	if ep == nil {
 		return false
 	}
@@ -167,9 +168,10 @@
 
 // lendable returns an endpoint without a run from here, of this data centre
 // rather than of another, or nil.
-func (c placeController) lendable(s *Service) *Endpoint {
+func (c placeController) lendable(j *Job) *Endpoint {
+	s := j.Service
 	var far *Endpoint
-	for _, ep := range s.Endpoints {
+	for _, ep := range s.among(j, s.Endpoints, c.b.Now) {
 		switch {
 		case !ep.Usable(c.b.Now) || ep.Busy > 0:
 		case ep.Backend.Centre == c.b.Self.Instance.Centre:
@@ -181,11 +183,43 @@
 	return far
 }
 
+// here returns how long a job would wait here, as local does, or +Inf when it may
+// not run here: the rules, or its flow's pin, send it elsewhere.
+func (c placeController) here(j *Job) float64 {
+	s := j.Service
+	if len(s.Rules) > 0 && (!s.takes(j.Work.Class, c.b.Now) || c.pinnedAway(j)) {
+		return math.Inf(1)
+	}
+	return c.local(s, j.Work.Class)
+}
+
+// pinnedHere reports whether the backend server that a job's flow is pinned to is
+// dispatched here and takes work.
+func (c placeController) pinnedHere(j *Job) bool {
+	return j.Work.Backend != 0 && slices.ContainsFunc(j.Service.Mine, func(ep *Endpoint) bool {
+		return ep.Usable(c.b.Now) && token.Hash(ep.Backend.Name) == j.Work.Backend
+	})
+}
+
+// pinnedAway reports whether the backend server that a job's flow is pinned to is
+// dispatched by others only.
+func (c placeController) pinnedAway(j *Job) bool {
+	pinned := j.Work.Backend
+	if pinned == 0 {
+		return false
+	}
+	holds := func(p Place) bool { return p.holds(pinned) }
+	if mine := (Place{Endpoints: j.Service.Mine}); mine.holds(pinned) {
+		return false
+	}
+	return slices.ContainsFunc(c.others(j, j.Avoid), holds)
+}
+
 // local returns how long a job of a class would wait here, in ms, or +Inf when
 // this instance dispatches no endpoint of the service that can be used. Idle slots
 // count as negative waiting.
 func (c placeController) local(s *Service, class packet.Class) float64 {
-	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
+	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(&Job{Service: s}, nil)) > 0) {
 		return math.Inf(1)
 	}
 	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now)})
@@ -194,7 +228,7 @@
 // shorter draws two other instances by their capacity and returns the one where a
 // job would wait less.
 func (c placeController) shorter(j *Job, avoid *Member) *Place {
-	others := c.others(j.Service, avoid)
+	others := c.others(j, avoid)
 	if len(others) == 0 {
 		return nil
 	}
@@ -207,14 +241,16 @@
 
 // others returns the other instances that dispatch endpoints of a service in
 // this data centre, or in others when there are none here or a rule allows it.
-func (c placeController) others(s *Service, avoid *Member) []Place {
+func (c placeController) others(j *Job, avoid *Member) []Place {
+	s := j.Service
 	var found []Place
 	for _, p := range s.Places[c.b.Self.Instance.Centre] {
 		if p.Member != c.b.Self && p.Member != avoid && p.Member.Takes() && c.b.Now >= p.Member.Until {
 			found = append(found, p)
 		}
 	}
-	if len(found) > 0 || len(s.Mine) > 0 {
+	found = s.steered(j, found)
+	if len(found) > 0 || len(s.among(j, s.Mine, c.b.Now)) > 0 {
 		return found
 	}
 	for _, centre := range c.farCentres(s) {
@@ -224,7 +260,7 @@
 			}
 		}
 	}
-	return found
+	return s.steered(j, found)
 }
 
 // farCentres returns the other data centres with endpoints of a service, sorted.
--- a/instance/rendezvous.go
+++ b/instance/rendezvous.go
@@ -67,13 +67,17 @@
 	return chosen
 }
 
-// rendezvousScore is size / -ln(u) for a uniform u in (0, 1) drawn from key and
-// member, which gives shares in proportion to size.
 func rendezvousScore(key uint64, m *Member) float64 {
+	return drawScore(key, m.Hash, m.Instance.Size)
+}
+
+// drawScore is size / -ln(u) for a uniform u in (0, 1) drawn from key and the hash
+// of a name, which gives shares in proportion to size.
+func drawScore(key, hash uint64, size float64) float64 {
 	var seed [16]byte
 	binary.LittleEndian.PutUint64(seed[:], key)
-	binary.LittleEndian.PutUint64(seed[8:], m.Hash)
+	binary.LittleEndian.PutUint64(seed[8:], hash)
 	const bits = 53
 	u := (float64(xxhash.Sum64(seed[:])>>(64-bits)) + 0.5) / (1 << bits)
-	return m.Instance.Size / -math.Log(u)
+	return size / -math.Log(u)
 }
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -110,6 +110,7 @@
 			Once: r.Once, Deadline: r.Deadline, Body: body,
 		},
 	}
+	r.Job.Work.Backend = c.b.pin(r.Flow, s, r.Job.Work.Class)
 	c.b.timers.set(r, r.Deadline+runGrace)
 	c.b.ready = append(c.b.ready, r.Job)
 }
--- /dev/null
+++ b/instance/steer.go
@@ -0,0 +1,120 @@
+package instance
+
+import (
+	"math"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// rule returns the rule for requests of a class, or nil: one for the class before
+// one for any, and among those the first by name.
+func (s *Service) rule(class packet.Class) *record.Rule {
+	name := record.ClassShort
+	if class == packet.ClassLong {
+		name = record.ClassLong
+	}
+	var general *record.Rule
+	for i := range s.Rules {
+		r := &s.Rules[i]
+		if r.Class == name {
+			return r
+		}
+		if general == nil && r.Class == record.ClassAny {
+			general = r
+		}
+	}
+	return general
+}
+
+// allows reports whether the rules let requests of a class run at an endpoint.
+func (s *Service) allows(class packet.Class, ep *Endpoint) bool {
+	r := s.rule(class)
+	return r == nil || len(r.Backends) == 0 || slices.Contains(r.Backends, ep.Backend.Name)
+}
+
+// takes reports whether an endpoint dispatched here may get a job of a class now.
+func (s *Service) takes(class packet.Class, now clock.Millis) bool {
+	return slices.ContainsFunc(s.Mine, func(ep *Endpoint) bool { return ep.Usable(now) && s.allows(class, ep) })
+}
+
+// among returns the endpoints that a job may run at: those of the backend server
+// its flow is pinned to while one of them takes work, else all that the rules allow.
+func (s *Service) among(j *Job, endpoints []*Endpoint, now clock.Millis) []*Endpoint {
+	if len(s.Rules) == 0 {
+		return endpoints
+	}
+	var allowed, pinned []*Endpoint
+	for _, ep := range endpoints {
+		if !s.allows(j.Work.Class, ep) {
+			continue
+		}
+		allowed = append(allowed, ep)
+		if j.Work.Backend != 0 && token.Hash(ep.Backend.Name) == j.Work.Backend && ep.Usable(now) {
+			pinned = append(pinned, ep)
+		}
+	}
+	if len(pinned) > 0 {
+		return pinned
+	}
+	return allowed
+}
+
+// steered returns the places that a job may go to: those with endpoints of the
+// backend server its flow is pinned to, else with any that the rules allow.
+func (s *Service) steered(j *Job, places []Place) []Place {
+	if len(s.Rules) == 0 {
+		return places
+	}
+	var allowed, pinned []Place
+	for _, p := range places {
+		if !slices.ContainsFunc(p.Endpoints, func(ep *Endpoint) bool { return s.allows(j.Work.Class, ep) }) {
+			continue
+		}
+		allowed = append(allowed, p)
+		if p.holds(j.Work.Backend) {
+			pinned = append(pinned, p)
+		}
+	}
+	if len(pinned) > 0 {
+		return pinned
+	}
+	return allowed
+}
+
+// holds reports whether a place dispatches an endpoint of a backend server.
+func (p *Place) holds(backend uint64) bool {
+	return slices.ContainsFunc(p.Endpoints, func(ep *Endpoint) bool { return token.Hash(ep.Backend.Name) == backend })
+}
+
+// pin keeps a flow on one backend server when a rule says so, and returns its
+// hash or 0. The backend server is drawn by the flow and the slots; the flow's
+// token carries it from then on. One that is gone or draining by its record is
+// replaced.
+func (b *Board) pin(f *Flow, s *Service, class packet.Class) uint64 {
+	r := s.rule(class)
+	if r == nil || !r.Pin {
+		return 0
+	}
+	best, bestScore := uint64(0), math.Inf(-1)
+	for _, ep := range s.Endpoints {
+		if ep.Backend.State != record.StateActive || ep.Backend.Centre != b.Self.Instance.Centre || !s.allows(class, ep) {
+			continue
+		}
+		hash := token.Hash(ep.Backend.Name)
+		if hash == f.Backend {
+			return hash
+		}
+		if score := drawScore(f.ID, hash, ep.Capacity()); score > bestScore {
+			best, bestScore = hash, score
+		}
+	}
+	if best != 0 {
+		f.Backend = best
+		b.seal(f, max(b.Now, f.Issued+clock.Millisecond))
+	}
+	return best
+}
