Spill work to another data centre when a rule allows it and it is quicker there

Cause: work went to another data centre only when none of its own had endpoints.

A path that refuses connections is left alone for a while, as before.

--- a/instance/members.go
+++ b/instance/members.go
@@ -40,6 +40,8 @@
 	Ahead       clock.Millis // since when its configuration is newer than ours, or 0
 	Until       clock.Millis // gets no work before, since it could not be reached
 	Loads       map[uint64]*PeerLoad
+	Trip        Average      // cost of work handed over to another data centre, in ms
+	TripAt      clock.Millis // when Trip was last measured
 }
 
 // PeerLoad is the newest queue state heard from another instance.
--- a/instance/place.go
+++ b/instance/place.go
@@ -67,12 +67,19 @@
 		other = nil
 	}
 	nowhere := math.IsInf(here, 1) && other == nil
+	var far *Place
+	if !nowhere {
+		far = c.spill(j, c.nearest(j, here, other))
+	}
 	switch {
 	case nowhere && c.borrow(j):
 	case nowhere && c.hold(j):
 	case nowhere:
 		c.b.refuse(j, packet.ReasonBackend)
 		c.b.Report.raise(c.b.Now, conditionNoBackend, "service/"+j.Service.Record.Name, "no backend server takes work", "refused as not run")
+	case far != nil:
+		c.b.do(Note{Decision: "spill", Reason: "capacity", Service: j.Service.Record.Name, Subject: "instance/" + far.Member.Instance.Name, Detail: runSubject(&j.Work), Level: LevelDebug})
+		c.handOver(j, far.Member)
 	case c.hopeless(j, here, other):
 		c.b.refuse(j, packet.ReasonBusy)
 		c.b.Report.raise(c.b.Now, conditionOverload, "service/"+j.Service.Record.Name, "requests would wait past their deadlines", "refused as not run")
@@ -253,14 +260,20 @@
 	if len(found) > 0 || len(s.among(j, s.Mine, c.b.Now)) > 0 {
 		return found
 	}
-	for _, centre := range c.farCentres(s) {
-		for _, p := range s.Places[centre] {
+	return c.far(j, avoid)
+}
+
+// far returns the instances of other data centres that a job may go to.
+func (c placeController) far(j *Job, avoid *Member) []Place {
+	var found []Place
+	for _, centre := range c.farCentres(j.Service) {
+		for _, p := range j.Service.Places[centre] {
 			if p.Member != avoid && p.Member.Takes() && c.b.Now >= p.Member.Until {
 				found = append(found, p)
 			}
 		}
 	}
-	return s.steered(j, found)
+	return j.Service.steered(j, found)
 }
 
 // farCentres returns the other data centres with endpoints of a service, sorted.
@@ -353,6 +366,9 @@
 		j.Peer.Until = c.b.Now + refusedRest
 		c.b.doubted = append(c.b.doubted, j.Peer)
 	}
+	if ev.Result.Outcome == OutcomeAnswered {
+		c.measureTrip(j, j.Peer)
+	}
 	j.Run, j.Avoid, j.Peer = 0, j.Peer, nil
 	c.b.resolve(j, ev.Result)
 }
