Endpoint slots hold while instances change

Cause: an instance that took over an endpoint filled all its slots although the one before still had runs there.

Change: the one before tells its remaining runs at the endpoint, in the envelopes that go to the new one anyway (field Held, at most 8 endpoints each), and they take up slots there until they are told to have ended. An endpoint that is new at an instance or rested gets one run at first and twice as many after each 200 ms, which is its cold start as well.

--- a/instance/board.go
+++ b/instance/board.go
@@ -30,11 +30,12 @@
 	Bytes     int64           // request and answer bodies held
 	Report    Report
 
-	ready   []*Job     // whole requests of flows owned here that need a place
-	ended   []ended    // jobs with a result not yet passed on
-	pumps   []*Service // services whose queue or slots changed
-	used    []*Member  // instances that traffic was passed on to
-	doubted []*Member  // instances that could not be reached
+	ready   []*Job      // whole requests of flows owned here that need a place
+	ended   []ended     // jobs with a result not yet passed on
+	pumps   []*Service  // services whose queue or slots changed
+	used    []*Member   // instances that traffic was passed on to
+	doubted []*Member   // instances that could not be reached
+	moved   []*Endpoint // dispatched by others now, with runs from here
 	timers  timers
 	actions []Action
 	random  *rand.Rand
@@ -162,7 +163,7 @@
 	free := 0
 	for _, ep := range s.Mine {
 		if ep.Usable(now) {
-			free += max(0, ep.Record.Slots-ep.Busy)
+			free += ep.room(now)
 		}
 	}
 	return free
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -176,7 +176,7 @@
 	var best *Endpoint
 	bestUse := 0.0
 	for _, ep := range s.among(j, s.Mine, c.b.Now) {
-		if !ep.Usable(c.b.Now) || ep.Busy >= ep.Record.Slots || !c.fits(s, j, ep) {
+		if !ep.Usable(c.b.Now) || ep.room(c.b.Now) == 0 || !c.fits(s, j, ep) {
 			continue
 		}
 		use := ep.usedAt(c.b.Now)
--- a/instance/endpoint.go
+++ b/instance/endpoint.go
@@ -16,7 +16,12 @@
 	Hash    uint64 // token.Hash of the address
 	Born    clock.Millis
 
+	Keeper    *Member      // instance that dispatches it, or nil
+	Kept      clock.Millis // since when Keeper does, or since when it takes work again
 	Busy      int          // runs under way from this instance
+	Away      int          // runs under way from the instance that dispatched it before
+	AwayAt    clock.Millis // when Away was last told
+	Told      int          // runs last told to Keeper
 	BusyLong  int          // those of class long
 	Stalled   int          // runs under way from which nothing came back for long
 	Fails     int          // failures in a row
--- a/instance/load_test.go
+++ b/instance/load_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/tanagerdock/tanagerdock/caller"
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/script"
 	"github.com/tanagerdock/tanagerdock/packet"
 )
 
@@ -222,3 +224,65 @@
 		require.Zero(t, 0)
 	}
 }
+
+// slotsCase changes the instances under load and bounds what runs beyond slots.
+type slotsCase struct {
+	Name   string `yaml:"name"`
+	Change string `yaml:"change"`
+	Work   int64  `yaml:"work"`
+	Excess int    `yaml:"excess"`
+}
+
+func TestSlotsHoldWhileInstancesChange(t *testing.T) {
+	var cases []slotsCase
+	script.Read(t, "testdata/slots.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, c.check)
+	}
+}
+
+func (c slotsCase) check(t *testing.T) {
+	f := newFrame(t, 1)
+	f.desk(4, 8)
+	for _, b := range f.backends {
+		b.work = clock.Millis(c.Work)
+	}
+	var flows []*fakeCaller
+	for range 16 {
+		flows = append(flows, f.addCaller("orders"))
+	}
+	stop := f.now + 8*clock.Second
+	number := 0
+	var next func()
+	next = func() {
+		if f.now < stop {
+			number++
+			flows[number%len(flows)].request(fmt.Sprintf("request %d ", number), false, 10*clock.Second)
+			f.after(clock.Millis(c.Work)/14+1, next)
+		}
+	}
+	next()
+	f.run(2 * clock.Second)
+	for _, b := range f.backends {
+		b.peak = b.busy
+	}
+	switch c.Change {
+	case "leave":
+		f.node("entry-2").handle(instance.StopRequested{})
+	case "join":
+		f.addNode("entry-5", "riga-1")
+	case "kill":
+		f.node("entry-2").kill()
+	}
+	f.run(20 * clock.Second)
+	excess, over := 0, 0
+	for _, b := range f.backends {
+		excess = max(excess, b.peak-b.slots)
+		over += max(0, b.peak-b.slots)
+	}
+	t.Logf("%d runs beyond the slots of one endpoint, %d over all", excess, over)
+	require.LessOrEqual(t, excess, c.Excess)
+	for _, w := range flows {
+		require.True(t, w.done())
+	}
+}
--- a/instance/members.go
+++ b/instance/members.go
@@ -187,7 +187,7 @@
 func (b *Board) envelope(to *Member) packet.Envelope {
 	e := packet.Envelope{
 		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
-		Leaving: b.Stopping != 0, Revision: b.Records.Revision,
+		Leaving: b.Stopping != 0, Revision: b.Records.Revision, Held: b.held(to),
 	}
 	if !to.Knows || to.Misses > 0 {
 		hello := b.Self.Instance
@@ -214,6 +214,7 @@
 	}
 	c.leaving(m, ev.Envelope.Leaving)
 	c.loads(m, ev.Envelope.Loads)
+	c.b.away(ev.Envelope.Held)
 	if ev.Envelope.Beat != 0 {
 		c.beat(m, ev.Envelope)
 	}
@@ -418,6 +419,7 @@
 	}
 	for centre, endpoints := range byCentre {
 		for i, m := range assign(endpoints, c.b.Members.Live[centre]) {
+			c.b.keep(endpoints[i], m)
 			if m == c.b.Self && !c.b.alone() {
 				v.Mine = append(v.Mine, endpoints[i])
 			}
--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -39,11 +39,26 @@
 	Revision    uint64         `cbor:"9,keyasint,omitempty"`  // newest configuration the sender holds
 	Loads       []Load         `cbor:"10,keyasint,omitempty"` // at most maxLoads entries
 
+	Held []Held `cbor:"12,keyasint,omitempty"` // at most maxHeld entries
+
 	// Hello describes the sender to an instance that may not know it yet.
 	Hello *record.Instance `cbor:"11,keyasint,omitempty"`
 }
 
-const maxLoads = 8
+const (
+	maxLoads = 8
+	maxHeld  = 8
+)
+
+// MaxHeld is the largest number of endpoints whose runs one envelope tells.
+const MaxHeld = maxHeld
+
+// Held tells how many runs the sender still has at an endpoint that the receiver
+// dispatches now, so that its slots hold across both.
+type Held struct {
+	Endpoint uint64 `cbor:"1,keyasint,omitempty"` // token.Hash of the address
+	Runs     uint16 `cbor:"2,keyasint,omitempty"`
+}
 
 // EncodeEnvelope returns the datagram for e.
 func EncodeEnvelope(e Envelope) ([]byte, error) {
@@ -84,6 +99,8 @@
 		return errors.Wrap(ErrMalformed, "envelope: sender is missing")
 	case e.Hops > MaxHops:
 		return errors.Wrapf(ErrMalformed, "envelope: %d hops, at most %d are allowed", e.Hops, MaxHops)
+	case len(e.Held) > maxHeld:
+		return errors.Wrapf(ErrMalformed, "envelope: %d held endpoints, at most %d are allowed", len(e.Held), maxHeld)
 	case len(e.Loads) > maxLoads:
 		return errors.Wrapf(ErrMalformed, "envelope: %d loads, at most %d are allowed", len(e.Loads), maxLoads)
 	case len(e.Data) > MaxDatagram:
