Learn the class of a request from its size and past answers; retries at full instances come out of the budget

Cause: an unclassified request counted as long from 256 KiB on, whatever its run time; work refused by a full instance was tried at up to five others.

--- a/instance/board.go
+++ b/instance/board.go
@@ -121,6 +121,7 @@
 	Held      []*Job             // no instance or backend server takes them now
 	Budget    float64            // retries allowed now
 	Times     [3]Average         // run time by class, in ms
+	Sizes     [sizes]Average     // run time by the power of 2 of the request's size, in ms
 	Demand    [3]float64         // run time asked for of late by class, in ms
 	Running   [3]int             // runs under way here by class
 	StartedAt [3]clock.Millis    // latest start by class while jobs wait, or 0
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -238,6 +238,9 @@
 	if r.Silent && j.Request == nil {
 		again = false // its owner may find a place that is less in doubt
 	}
+	if again && r.Outcome == OutcomeNotRun && r.Reason == packet.ReasonBusy && !r.Shed {
+		again = j.Service.spend() // another instance had no room
+	}
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
 		j.Doubt = true
--- a/instance/health.go
+++ b/instance/health.go
@@ -45,6 +45,7 @@
 	took := b.Now - j.Begun
 	j.Service.Times[j.Work.Class].Add(float64(took))
 	ep.Times[j.Work.Class].Add(float64(took))
+	j.Service.Sizes[sizeOf(len(j.Work.Body))].Add(float64(took))
 	j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
 	b.do(Observe{Metric: "run_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(took)})
 }
--- a/instance/place.go
+++ b/instance/place.go
@@ -367,6 +367,7 @@
 		c.b.doubted = append(c.b.doubted, j.Peer)
 	}
 	if ev.Result.Outcome == OutcomeAnswered {
+		j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
 		c.measureTrip(j, j.Peer)
 	}
 	j.Run, j.Avoid, j.Peer = 0, j.Peer, nil
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -239,20 +239,3 @@
 	r.Flow.markEnded(r.Number)
 	r.Flow.drop(r)
 }
-
-// longBody is the request size from which an unclassified request counts as long.
-const longBody = 256 << 10 // bytes
-
-// classOf returns the class of a request: the caller's, the record's, or a guess
-// by size.
-func (b *Board) classOf(s *Service, class packet.Class, size int) packet.Class {
-	switch {
-	case class != packet.ClassUnknown:
-		return class
-	case s.Record.Class == "long":
-		return packet.ClassLong
-	case s.Record.Class == "short" || size < longBody:
-		return packet.ClassShort
-	}
-	return packet.ClassLong
-}
