--- a/instance/board.go
+++ b/instance/board.go
@@ -30,12 +30,13 @@
 	Bytes     int64           // request and answer bodies held
 	Report    Report
 
-	sorted  []*Service // Services by name
-	ready   []*Job     // whole requests of flows owned here that need a place
-	ended   []ended    // jobs with a result not yet passed on
-	pumps   []*Service // services whose queue or slots changed
-	used    []*Member  // instances that traffic was passed on to
-	doubted []*Member  // instances that could not be reached
+	sorted  []*Service  // Services by name
+	ready   []*Job      // whole requests of flows owned here that need a place
+	ended   []ended     // jobs with a result not yet passed on
+	pumps   []*Service  // services whose queue or slots changed
+	used    []*Member   // instances that traffic was passed on to
+	doubted []*Member   // instances that could not be reached
+	moved   []*Endpoint // dispatched by others now, with runs from here
 	timers  timers
 	actions []Action
 	random  *rand.Rand
@@ -121,6 +122,7 @@
 	Held      []*Job             // no instance or backend server takes them now
 	Budget    float64            // retries allowed now
 	Times     [3]Average         // run time by class, in ms
+	Sizes     [sizes]Average     // run time by the power of 2 of the request's size, in ms
 	Demand    [3]float64         // run time asked for of late by class, in ms
 	Running   [3]int             // runs under way here by class
 	StartedAt [3]clock.Millis    // latest start by class while jobs wait, or 0
@@ -131,9 +133,10 @@
 
 // Place is an instance that dispatches endpoints of a service.
 type Place struct {
-	Member   *Member
-	Capacity float64 // slots times weight of the endpoints
-	Slots    int
+	Member    *Member
+	Capacity  float64 // slots times weight of the endpoints
+	Slots     int
+	Endpoints []*Endpoint
 }
 
 // Waiting returns the number of queued jobs.
@@ -162,7 +165,7 @@
 	free := 0
 	for _, ep := range s.Mine {
 		if ep.Usable(now) {
-			free += max(0, ep.Record.Slots-ep.Busy)
+			free += ep.room(now)
 		}
 	}
 	return free
--- a/instance/members.go
+++ b/instance/members.go
@@ -40,6 +40,8 @@
 	Ahead       clock.Millis // since when its configuration is newer than ours, or 0
 	Until       clock.Millis // gets no work before, since it could not be reached
 	Loads       map[uint64]*PeerLoad
+	Trip        Average      // cost of work handed over to another data centre, in ms
+	TripAt      clock.Millis // when Trip was last measured
 }
 
 // PeerLoad is the newest queue state heard from another instance.
@@ -189,7 +191,7 @@
 func (b *Board) envelope(to *Member) packet.Envelope {
 	e := packet.Envelope{
 		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
-		Leaving: b.Stopping != 0, Revision: b.Records.Revision,
+		Leaving: b.Stopping != 0, Revision: b.Records.Revision, Held: b.held(to),
 	}
 	if !to.Knows || to.Misses > 0 {
 		hello := b.Self.Instance
@@ -217,6 +219,7 @@
 	}
 	c.leaving(m, ev.Envelope.Leaving)
 	c.loads(m, ev.Envelope.Loads)
+	c.b.away(ev.Envelope.Held)
 	if ev.Envelope.Beat != 0 {
 		c.beat(m, ev.Envelope)
 	}
@@ -432,6 +435,7 @@
 	}
 	for centre, endpoints := range byCentre {
 		for i, m := range assign(endpoints, c.b.Members.Live[centre]) {
+			c.b.keep(endpoints[i], m)
 			if m == c.b.Self && !c.b.alone() {
 				v.Mine = append(v.Mine, endpoints[i])
 			}
@@ -446,8 +450,9 @@
 		if places[i].Member == m {
 			places[i].Capacity += ep.Capacity()
 			places[i].Slots += ep.Record.Slots
+			places[i].Endpoints = append(places[i].Endpoints, ep)
 			return
 		}
 	}
-	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots})
+	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots, Endpoints: []*Endpoint{ep}})
 }
