--- a/load/tally.go
+++ b/load/tally.go
@@ -21,7 +21,7 @@
 	Whole        int // answered, and the answer is whole and right
 	Refused      int // said not to have run
 	Unknown      int // outcome unknown
-	Broken       int // answered wrongly, or ended by another error
+	Broken       int // answered wrongly, ended by another error, or flow lost
 	Doubled      int // must not be repeated, and was started more than once
 	Misdelivered int // run by, or answered by, another service
 	False        int // said not to have run, but was started
@@ -112,7 +112,13 @@
 	}
 }
 
+// addCounters takes in what a connection counted. A flow whose token was refused
+// was lost, although its requests moved to a new one.
 func (t *Tally) addCounters(c caller.Counters) {
+	if c.Reopens > 0 {
+		t.Broken += int(c.Reopens)
+		t.problem("%d flows were lost and opened again", c.Reopens)
+	}
 	t.Counters.Retries += c.Retries
 	t.Counters.Exhausted += c.Exhausted
 	t.Counters.Repeats += c.Repeats
