Let three instances of a data centre watch the platform for the others

The watchers are drawn by rendezvous over the live instances, so no agreement is needed and the next follows when one is gone. A watcher that reaches the platform says so in its heartbeats and sends one to every instance of the data centre when there is news; the others fetch what is newer than their revision from it. An instance that has not heard such a watcher for 4 s, or has no records, watches by itself. Control.Objects answers with the newer records alone, deleted ones included, when it still knows them all.

--- a/entry/control.go
+++ b/entry/control.go
@@ -124,8 +124,11 @@
 // Objects returns the newest records known here, or revision 0 and none when
 // the whole set was never known.
 func (s *controlServer) Objects(_ context.Context, m *control.ObjectsRequest) (*control.ObjectsList, error) {
-	objects, revision := s.daemon.objects.list()
-	list := &control.ObjectsList{Revision: revision}
+	objects, revision, partial := s.daemon.objects.newer(m.Since)
+	if !partial {
+		objects, revision = s.daemon.objects.list()
+	}
+	list := &control.ObjectsList{Revision: revision, Partial: partial}
 	if revision <= m.Since {
 		return list, nil
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -80,6 +80,7 @@
 	runner        *runner
 	peers         *peerCaller
 	objects       *objectStore
+	watching      *gate // open while the engine wants the platform's records watched
 	counts        *counts
 	notes         *notes
 	statuses      *mailbox[record.Status]
@@ -106,6 +107,7 @@
 		done:     make(chan struct{}),
 		runner:   newRunner(),
 		objects:  newObjectStore(),
+		watching: newGate(),
 		counts:   newCounts(),
 		cancels:  map[uint64]context.CancelFunc{},
 		replies:  map[uint64]chan<- instance.Result{},
@@ -397,6 +399,8 @@
 		d.notes.add(a)
 	case instance.Observe:
 		d.counts.observe(a)
+	case instance.WatchPlatform:
+		d.watching.set(a.On)
 	case instance.UseRouter:
 		d.router.Store(a.Router)
 	case instance.Stopped:
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -143,11 +143,14 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout.Duration())
 	defer cancel()
 	c := &call{transport: p.transport, limit: maxObjectsMessage, traffic: &p.counts.objects}
-	list, err := control.NewControlProtobufClient("http://"+a.Control, c).Objects(ctx, &control.ObjectsRequest{})
+	list, err := control.NewControlProtobufClient("http://"+a.Control, c).Objects(ctx, &control.ObjectsRequest{Since: a.Since})
 	if err != nil {
 		return instance.ObjectsReceived{}, errors.Wrapf(err, "fetch objects of %q", a.Peer)
 	}
-	e := instance.ObjectsReceived{Revision: list.Revision, Whole: true, Source: a.Peer}
+	if a.Since > 0 && list.Revision <= a.Since {
+		return instance.ObjectsReceived{}, nil // nothing newer
+	}
+	e := instance.ObjectsReceived{Revision: list.Revision, Whole: !list.Partial, Source: a.Peer}
 	for i, data := range list.Objects {
 		var o record.Object
 		if err := json.Unmarshal(data, &o); err != nil {
--- a/entry/objects.go
+++ b/entry/objects.go
@@ -55,6 +55,30 @@
 	s.objects[o.Key()] = o
 }
 
+// newer returns the records newer than since, deleted ones included, sorted by
+// key. It reports false when what was deleted since then is no longer known.
+func (s *objectStore) newer(since uint64) ([]record.Object, uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.floor == 0 || since == 0 || since < s.floor {
+		return nil, 0, false
+	}
+	var objects []record.Object
+	for _, o := range s.objects {
+		if o.Revision > since {
+			objects = append(objects, o)
+		}
+	}
+	sortObjects(objects)
+	return objects, s.revision, true
+}
+
+func sortObjects(objects []record.Object) {
+	slices.SortFunc(objects, func(a, b record.Object) int {
+		return strings.Compare(a.Key().String(), b.Key().String())
+	})
+}
+
 // list returns the records in force, sorted by key, and the revision at which
 // the set was whole, 0 when it never was.
 func (s *objectStore) list() ([]record.Object, uint64) {
@@ -69,8 +93,6 @@
 			objects = append(objects, o)
 		}
 	}
-	slices.SortFunc(objects, func(a, b record.Object) int {
-		return strings.Compare(a.Key().String(), b.Key().String())
-	})
+	sortObjects(objects)
 	return objects, s.revision
 }
--- a/entry/platform_test.go
+++ b/entry/platform_test.go
@@ -92,6 +92,8 @@
 	older.Incarnation--
 	require.Equal(t, joiningPeriod, r.listPeriod(nil))
 	require.Equal(t, joiningPeriod, r.listPeriod([]record.Instance{older}), "an earlier process of that name")
+	require.Equal(t, watcherPeriod, r.listPeriod([]record.Instance{older, r.Self()}))
+	r.watching.set(false)
 	require.Equal(t, instancePeriod, r.listPeriod([]record.Instance{older, r.Self()}))
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -18,6 +19,7 @@
 	callTimeout    = 5 * clock.Second        // beyond watchWait for a watch
 	earlyWatch     = 1 * clock.Second        // a watch that ends sooner without news is paced like a failed one
 	instancePeriod = 20 * clock.Second       // between lists of instances; new ones make themselves known
+	watcherPeriod  = 2 * clock.Second        // the same while watching, so that an unreachable platform is noticed
 	joiningPeriod  = 500 * clock.Millisecond // the same, until the platform lists this instance
 )
 
@@ -73,7 +75,10 @@
 // followObjects watches from a revision until the platform does not have that
 // position or ctx ends.
 func (d *Daemon) followObjects(ctx context.Context, since uint64, b *backoff) {
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
+		if !first && !d.watching.wait(ctx) {
+			return
+		}
 		start := clock.Now()
 		next, err := d.watchObjects(ctx, since)
 		if errors.Is(err, platform.ErrHistory) {
@@ -89,6 +94,59 @@
 	}
 }
 
+// gate lets a goroutine through while it is open.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while the gate is open
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+// set opens or shuts the gate.
+func (g *gate) set(open bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		if !open {
+			g.open = make(chan struct{})
+		}
+	default:
+		if open {
+			close(g.open)
+		}
+	}
+}
+
+// wait waits until the gate is open, and reports false when ctx ends first.
+func (g *gate) wait(ctx context.Context) bool {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	select {
+	case <-open:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isOpen reports whether the gate is open.
+func (g *gate) isOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		return true
+	default:
+		return false
+	}
+}
+
 // listObjects brings every operator record and returns the revision to watch
 // from, which is the oldest of the lists'.
 func (d *Daemon) listObjects(ctx context.Context) (uint64, error) {
@@ -156,8 +214,11 @@
 	listed := slices.ContainsFunc(list, func(i record.Instance) bool {
 		return i.Name == d.self.Name && i.Incarnation == d.self.Incarnation
 	})
-	if listed {
-		return instancePeriod
+	switch {
+	case !listed:
+		return joiningPeriod
+	case d.watching.isOpen():
+		return watcherPeriod
 	}
-	return joiningPeriod
+	return instancePeriod
 }
--- a/instance/action.go
+++ b/instance/action.go
@@ -62,6 +62,7 @@
 type FetchObjects struct {
 	Peer    string
 	Control string
+	Since   uint64 // records newer than this revision; 0 asks for all
 }
 
 // WriteStatus puts the instance's status on the platform.
@@ -103,6 +104,13 @@
 	Value   int64
 }
 
+// WatchPlatform starts or ends the watch of the platform's records. A daemon
+// watches until it is told otherwise. Its end never comes between a list and the
+// first watch from there, so what the list missed is known.
+type WatchPlatform struct {
+	On bool
+}
+
 // UseRouter replaces the router that passes packets on without the engine.
 type UseRouter struct {
 	Router *Router
@@ -123,5 +131,6 @@
 func (Announce) action()      {}
 func (Note) action()          {}
 func (Observe) action()       {}
+func (WatchPlatform) action() {}
 func (UseRouter) action()     {}
 func (Stopped) action()       {}
--- a/instance/engine.go
+++ b/instance/engine.go
@@ -63,6 +63,7 @@
 	case InstancesListed:
 		e.members.listed(ev)
 	case PlatformCalled:
+		e.board.Members.watch.answered = ev.Answered
 		e.report.platform(ev)
 	case RunEnded:
 		e.dispatch.runEnded(ev)
@@ -100,6 +101,7 @@
 
 func (e *Engine) tick() {
 	e.members.tick()
+	watchController{e.board}.tick()
 	for r := e.board.timers.next(e.board.Now); r != nil; r = e.board.timers.next(e.board.Now) {
 		e.requests.timer(r)
 	}
--- a/instance/members.go
+++ b/instance/members.go
@@ -63,13 +63,17 @@
 	changed bool                 // Live and the dispatch of endpoints are out of date
 	moved   bool                 // hops may be out of date
 	hops    []Hop                // those of the router in use
+	watch   watchState
 	beatAt  clock.Millis
 	beat    uint64
 	turn    int
 }
 
 func newMembers() Members {
-	return Members{ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member)}
+	return Members{
+		ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member),
+		watch: watchState{watches: true},
+	}
 }
 
 // add takes in a new member as alive.
@@ -186,6 +190,7 @@
 	e := packet.Envelope{
 		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
 		Leaving: b.Stopping != 0, Revision: b.Records.Revision,
+		Watching: b.Members.watch.chosen && b.Members.watch.answered,
 	}
 	if !to.Knows || to.Misses > 0 {
 		hello := b.Self.Instance
@@ -211,6 +216,9 @@
 	if ev.Envelope.Incarnation > m.Incarnation {
 		c.restart(m, ev.Envelope.Incarnation)
 	}
+	if ev.Envelope.Watching {
+		c.b.Members.watch.heard = c.b.Now
+	}
 	c.leaving(m, ev.Envelope.Leaving)
 	c.loads(m, ev.Envelope.Loads)
 	if ev.Envelope.Beat != 0 {
@@ -234,7 +242,7 @@
 }
 
 func (c memberController) beat(m *Member, e packet.Envelope) {
-	c.compareRevision(m, e.Revision)
+	watchController(c).compareRevision(m, e.Revision)
 	if e.Reply {
 		c.answered(m)
 		return
@@ -265,24 +273,6 @@
 	fetchPeriod = 2 * clock.Second
 )
 
-// compareRevision asks another instance for its records when it has had newer
-// ones for a while and the platform has not brought them.
-func (c memberController) compareRevision(m *Member, revision uint64) {
-	if revision <= c.b.Records.Revision {
-		m.Ahead = 0
-		return
-	}
-	if m.Ahead == 0 {
-		m.Ahead = c.b.Now
-	}
-	starting := c.b.Records.Revision == 0
-	if !starting && c.b.Now-m.Ahead < aheadLimit {
-		return
-	}
-	m.Ahead = c.b.Now + fetchPeriod - aheadLimit
-	c.b.do(FetchObjects{Peer: m.Instance.Name, Control: m.Instance.Control})
-}
-
 func (c memberController) tick() {
 	c.beatNext()
 	for _, m := range slices.Clone(c.b.Members.All) {
@@ -382,6 +372,7 @@
 	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live[here]) == 0 {
 		s.Live[here] = []*Member{c.b.Self} // no other can take over
 	}
+	watchController(c).choose()
 	for _, v := range c.b.sortedServices() {
 		c.derivePlaces(v)
 		c.b.pump(v)
--- a/instance/records.go
+++ b/instance/records.go
@@ -80,6 +80,9 @@
 		c.prune()
 		c.derive()
 	}
+	if changed && ev.Source == SourcePlatform {
+		watchController(c).spread()
+	}
 }
 
 // accept takes in one object and reports whether the records in force changed.
--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -39,6 +39,10 @@
 	Revision    uint64         `cbor:"9,keyasint,omitempty"`  // newest configuration the sender holds
 	Loads       []Load         `cbor:"10,keyasint,omitempty"` // at most maxLoads entries
 
+	// Watching tells that the sender watches the platform for its data centre
+	// and reaches it.
+	Watching bool `cbor:"12,keyasint,omitempty"`
+
 	// Hello describes the sender to an instance that may not know it yet.
 	Hello *record.Instance `cbor:"11,keyasint,omitempty"`
 }
