Heartbeats go round a data centre within 4 s up to its limit; watches are short

One heartbeat every 250 ms took 16.5 s to ask each of 66 others. The period now shrinks to 60 ms. A watch waits 4 s and counts as unanswered after 6 s, so a watcher that is cut off says so in time; instances that do not watch list the others once a minute.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -15,11 +15,12 @@
 
 // Times of calls to the platform.
 const (
-	watchWait      = 30 * clock.Second
-	callTimeout    = 5 * clock.Second        // beyond watchWait for a watch
+	watchWait      = 4 * clock.Second // short, so that a watcher soon notices that it is cut off
+	watchGrace     = 2 * clock.Second // beyond watchWait until a watch counts as unanswered
+	callTimeout    = 5 * clock.Second
 	earlyWatch     = 1 * clock.Second        // a watch that ends sooner without news is paced like a failed one
-	instancePeriod = 20 * clock.Second       // between lists of instances; new ones make themselves known
-	watcherPeriod  = 2 * clock.Second        // the same while watching, so that an unreachable platform is noticed
+	instancePeriod = 60 * clock.Second       // between lists of instances; new ones make themselves known
+	watcherPeriod  = 20 * clock.Second       // the same while watching the platform
 	joiningPeriod  = 500 * clock.Millisecond // the same, until the platform lists this instance
 )
 
@@ -173,7 +174,7 @@
 // watch from.
 func (d *Daemon) watchObjects(ctx context.Context, since uint64) (uint64, error) {
 	var news platform.Listing
-	err := d.called(ctx, watchWait+callTimeout, func(ctx context.Context) (err error) {
+	err := d.called(ctx, watchWait+watchGrace, func(ctx context.Context) (err error) {
 		news, err = d.platform.Watch(ctx, record.OperatorKinds, since, watchWait)
 		return err
 	})
--- a/instance/members.go
+++ b/instance/members.go
@@ -12,10 +12,14 @@
 )
 
 // Failure detection. Heartbeats go round the instances of the data centre, one
-// a period, so their rate does not grow with the number of instances; an
-// instance that traffic is passed on to is asked at once when it has been quiet.
+// a period. The period shrinks as the data centre grows, down to a limit, so that
+// an instance nobody sends traffic to is found dead within beatCycle and three
+// timeouts. An instance that traffic is passed on to is asked at once when it has
+// been quiet.
 const (
-	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances
+	beatCycle   = 4 * clock.Second        // in which every instance of the data centre is asked, if the limits allow
+	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances, at most
+	beatLeast   = 60 * clock.Millisecond  // the same, at least: it bounds the traffic of large data centres
 	beatTimeout = 200 * clock.Millisecond // until an unanswered heartbeat is repeated
 	beatTries   = 3                       // unanswered heartbeats until an instance counts as dead
 	quietLimit  = 500 * clock.Millisecond // traffic to an instance quiet for longer asks for a heartbeat
@@ -65,6 +69,7 @@
 	hops    []Hop                // those of the router in use
 	watch   watchState
 	beatAt  clock.Millis
+	period  clock.Millis // between heartbeats
 	beat    uint64
 	turn    int
 }
@@ -286,7 +291,7 @@
 // beatNext sends one heartbeat a period, to the instances in turn.
 func (c memberController) beatNext() {
 	s := &c.b.Members
-	if c.b.Now-s.beatAt < beatPeriod || len(s.All) < 2 {
+	if len(s.All) < 2 || c.b.Now-s.beatAt < s.period {
 		return
 	}
 	s.beatAt = c.b.Now
@@ -372,6 +377,7 @@
 	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live[here]) == 0 {
 		s.Live[here] = []*Member{c.b.Self} // no other can take over
 	}
+	s.period = min(max(beatCycle/clock.Millis(max(1, len(s.Live[c.b.Self.Instance.Centre])-1)), beatLeast), beatPeriod)
 	watchController(c).choose()
 	for _, v := range c.b.sortedServices() {
 		c.derivePlaces(v)
