--- a/instance/members.go
+++ b/instance/members.go
@@ -12,10 +12,14 @@
 )
 
 // Failure detection. Heartbeats go round the instances of the data centre, one
-// a period, so their rate does not grow with the number of instances; an
-// instance that traffic is passed on to is asked at once when it has been quiet.
+// a period. The period shrinks as the data centre grows, down to a limit, so that
+// an instance nobody sends traffic to is found dead within beatCycle and three
+// timeouts. An instance that traffic is passed on to is asked at once when it has
+// been quiet.
 const (
-	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances
+	beatCycle   = 4 * clock.Second        // in which every instance of the data centre is asked, if the limits allow
+	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances, at most
+	beatLeast   = 60 * clock.Millisecond  // the same, at least: it bounds the traffic of large data centres
 	beatTimeout = 200 * clock.Millisecond // until an unanswered heartbeat is repeated
 	beatTries   = 3                       // unanswered heartbeats until an instance counts as dead
 	quietLimit  = 500 * clock.Millisecond // traffic to an instance quiet for longer asks for a heartbeat
@@ -69,13 +73,18 @@
 	changed bool                 // Live and the dispatch of endpoints are out of date
 	moved   bool                 // hops may be out of date
 	hops    []Hop                // those of the router in use
+	watch   watchState
 	beatAt  clock.Millis
+	period  clock.Millis // between heartbeats
 	beat    uint64
 	turn    int
 }
 
 func newMembers() Members {
-	return Members{ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member)}
+	return Members{
+		ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member),
+		watch: watchState{watches: true},
+	}
 }
 
 // add takes in a new member as alive.
@@ -192,6 +201,7 @@
 	e := packet.Envelope{
 		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
 		Leaving: b.Stopping != 0, Revision: b.Records.Revision, Held: b.held(to),
+		Watching: b.Members.watch.chosen && b.Members.watch.answered,
 	}
 	if !to.Knows || to.Misses > 0 {
 		hello := b.Self.Instance
@@ -217,6 +227,9 @@
 	if ev.Envelope.Incarnation > m.Incarnation {
 		c.restart(m, ev.Envelope.Incarnation)
 	}
+	if ev.Envelope.Watching {
+		c.b.Members.watch.heard = c.b.Now
+	}
 	c.leaving(m, ev.Envelope.Leaving)
 	c.loads(m, ev.Envelope.Loads)
 	c.b.away(ev.Envelope.Held)
@@ -241,7 +254,7 @@
 }
 
 func (c memberController) beat(m *Member, e packet.Envelope) {
-	c.compareRevision(m, e.Revision)
+	watchController(c).compareRevision(m, e.Revision)
 	if e.Reply {
 		c.answered(m)
 		return
@@ -272,24 +285,6 @@
 	fetchPeriod = 2 * clock.Second
 )
 
-// compareRevision asks another instance for its records when it has had newer
-// ones for a while and the platform has not brought them.
-func (c memberController) compareRevision(m *Member, revision uint64) {
-	if revision <= c.b.Records.Revision {
-		m.Ahead = 0
-		return
-	}
-	if m.Ahead == 0 {
-		m.Ahead = c.b.Now
-	}
-	starting := c.b.Records.Revision == 0
-	if !starting && c.b.Now-m.Ahead < aheadLimit {
-		return
-	}
-	m.Ahead = c.b.Now + fetchPeriod - aheadLimit
-	c.b.do(FetchObjects{Peer: m.Instance.Name, Control: m.Instance.Control})
-}
-
 func (c memberController) tick() {
 	c.beatNext()
 	for _, m := range slices.Clone(c.b.Members.All) {
@@ -303,7 +298,7 @@
 // beatNext sends one heartbeat a period, to the instances in turn.
 func (c memberController) beatNext() {
 	s := &c.b.Members
-	if c.b.Now-s.beatAt < beatPeriod || len(s.All) < 2 {
+	if len(s.All) < 2 || c.b.Now-s.beatAt < s.period {
 		return
 	}
 	s.beatAt = c.b.Now
@@ -415,6 +410,8 @@
 	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live) == 0 {
 		s.Live[here] = []*Member{c.b.Self} // no other can take over
 	}
+	s.period = min(max(beatCycle/clock.Millis(max(1, len(s.Live[c.b.Self.Instance.Centre])-1)), beatLeast), beatPeriod)
+	watchController(c).choose()
 	for _, v := range c.b.sortedServices() {
 		c.derivePlaces(v)
 		c.b.pump(v)
