--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -9,9 +9,13 @@
 	"github.com/tanagerdock/tanagerdock/token"
 )
 
-// askAhead is how many waiting requests beyond the free slots are asked about, so
-// that a permit is there when a slot comes free.
-const askAhead = 2
+// A waiting request is asked about when a slot is expected to come free soon, so
+// that the permit is there in time. A request that is permitted and not started
+// when the instance dies ends as unknown, so permits are not asked for earlier.
+const (
+	askLead  = 20 * clock.Millisecond // before a run is expected to end
+	askAhead = 2                      // requests asked about beyond the free slots, at most
+)
 
 // blockedLimit is how long a queue waits for endpoints that all rest, before its
 // requests go elsewhere.
@@ -60,14 +64,13 @@
 	}
 	for c.startOne(s) {
 	}
-	c.askFirst(s.Short)
-	c.askFirst(s.Long)
+	c.askFirst(s)
 }
 
 // moveAway empties the queue when the jobs can no longer run here.
 func (c dispatchController) moveAway(s *Service) bool {
 	gone := c.b.Services[s.Hash] != s
-	leaving := c.b.Stopping != 0 && len(placeController(c).others(s, nil)) > 0
+	leaving := c.b.Stopping != 0 && len(placeController(c).others(&Job{Service: s}, nil)) > 0
 	blocked := c.blocked(s)
 	if !gone && !leaving && blocked < blockedLimit {
 		return false
@@ -129,19 +132,23 @@
 	return slices.DeleteFunc(queue, func(x *Job) bool { return x == j })
 }
 
+// lookAhead is how many jobs of a queue that find no endpoint with room are passed
+// over for later ones: rules may send those elsewhere.
+const lookAhead = 16
+
 // first returns the first job of a queue that may start, with an endpoint for it.
 func (c dispatchController) first(s *Service, queue []*Job) (*Job, *Endpoint) {
+	passed := 0
 	for _, j := range queue {
 		if !j.mayStart() {
 			continue
 		}
-		if ep := c.slot(s, j); ep != nil || j.Work.Class != packet.ClassLong {
-			if ep == nil {
-				return nil, nil
-			}
+		if ep := c.slot(s, j); ep != nil {
 			return j, ep
 		}
-		return nil, nil
+		if passed++; len(s.Rules) == 0 || passed > lookAhead {
+			break
+		}
 	}
 	return nil, nil
 }
@@ -151,15 +158,38 @@
 	return j.Request == nil || !j.Work.Once || j.Request.Granted
 }
 
-// askFirst asks the callers of the first waiting jobs for their permits.
-func (c dispatchController) askFirst(queue []*Job) {
-	for _, j := range queue[:min(len(queue), askAhead)] {
-		if !j.mayStart() && j.Request.AskedAt == 0 {
-			c.b.ask(j.Request)
+// askFirst asks the callers of the first waiting jobs for their permits, as many
+// as there will be slots soon.
+func (c dispatchController) askFirst(s *Service) {
+	if s.Waiting() == 0 {
+		return
+	}
+	soon := min(s.Free(c.b.Now)+c.ending(s), s.Free(c.b.Now)+askAhead)
+	for _, queue := range [][]*Job{s.Short, s.Long} {
+		for _, j := range queue[:min(len(queue), soon)] {
+			if !j.mayStart() && j.Request.AskedAt == 0 {
+				c.b.ask(j.Request)
+			}
 		}
 	}
 }
 
+// ending returns the number of runs here that are expected to end soon, by the
+// usual run time of their class.
+func (c dispatchController) ending(s *Service) int {
+	ending := 0
+	for _, j := range c.b.Runs {
+		if j.Service != s || j.At == nil || j.Stalled {
+			continue
+		}
+		usual := s.Times[j.Work.Class]
+		if usual.Count == 0 || c.b.Now+askLead >= j.Begun+clock.Millis(usual.Value) {
+			ending++
+		}
+	}
+	return ending
+}
+
 // slot returns the endpoint with room for a job that was used least of late, or
 // nil.
 func (c dispatchController) slot(s *Service, j *Job) *Endpoint {
@@ -171,8 +201,8 @@
 	}
 	var best *Endpoint
 	bestUse := 0.0
-	for _, ep := range s.Mine {
-		if !ep.Usable(c.b.Now) || ep.Busy >= ep.Record.Slots || !c.fits(s, j, ep) {
+	for _, ep := range s.among(j, s.Mine, c.b.Now) {
+		if !ep.Usable(c.b.Now) || ep.room(c.b.Now) == 0 || !c.fits(s, j, ep) {
 			continue
 		}
 		use := ep.usedAt(c.b.Now)
@@ -234,6 +264,9 @@
 	if r.Silent && j.Request == nil {
 		again = false // its owner may find a place that is less in doubt
 	}
+	if again && r.Outcome == OutcomeNotRun && r.Reason == packet.ReasonBusy && !r.Shed {
+		again = j.Service.spend() // another instance had no room
+	}
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
 		j.Doubt = true
@@ -309,7 +342,7 @@
 		c.b.refuse(j, packet.ReasonService)
 	case c.b.Stopping != 0:
 		c.b.refuse(j, packet.ReasonStopping)
-	case len(s.Mine) == 0:
+	case len(s.Mine) == 0, len(s.among(j, s.Mine, c.b.Now)) == 0:
 		c.b.refuse(j, packet.ReasonBackend)
 	case s.Waiting() >= s.Record.Queue, c.b.late(j):
 		c.b.refuse(j, packet.ReasonBusy)
@@ -330,10 +363,14 @@
 // tick refuses jobs of other instances that waited past their deadline; own
 // requests have timers. Services are pumped since endpoints become usable again.
 func (c dispatchController) tick() {
+	services := c.b.sortedServices()
+	for _, s := range services {
+		c.askFirst(s)
+	}
 	if c.b.Now%expirePeriod >= TickPeriod {
 		return
 	}
-	for _, s := range c.b.sortedServices() {
+	for _, s := range services {
 		c.placeHeld(s)
 		if s.Waiting() == 0 {
 			continue
