A joining instance takes no flows before the platform's list shows itself

Instances that start together do not see each other until the platform's list catches up (2 s). Each thought it was alone, took flows, and took the others' flows for orphans, so that a flow changed hands with almost every packet.

Ruled out: loss of heartbeats (no instance was suspected). Tried and dropped: not taking flows of owners that are unknown and young; with packets landing on the one owner in three by chance, a request missed its deadline.

The list shows an instance only once it has caught up with its start, so it then shows all that started before. A joining instance now waits for that (3 s at the most, as before) before it takes flows, and drops packets of owners that it does not know; callers repeat them.

--- a/instance/alone_test.go
+++ b/instance/alone_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -58,3 +59,43 @@
 	}
 	return names
 }
+
+// startApart starts instances that the platform does not show to each other yet,
+// and callers whose packets land on any of them.
+func startApart(t *testing.T, seed uint64) *frame {
+	f := newFrame(t, seed)
+	f.store.frozen = []record.Instance{}
+	f.putJSON(record.KindService, "orders", record.Schema2, record.Service{})
+	for i := range 4 {
+		f.addBackend(fmt.Sprintf("orders-%d", i), "orders", "riga-1", fmt.Sprintf("127.3.0.%d:80", i+1), 2, 20*clock.Millisecond)
+	}
+	for i := range 3 {
+		f.addNode(fmt.Sprintf("entry-%d", i+1), "riga-1")
+		f.run(70 * clock.Millisecond)
+	}
+	for range 12 {
+		f.addCaller("orders")
+	}
+	return f
+}
+
+// Instances that start together do not know each other until the platform's list
+// catches up. None may take the others for gone and their flows for its own.
+func TestInstancesThatStartTogetherLeaveEachOthersFlowsAlone(t *testing.T) {
+	f := startApart(t, 8)
+	const waves = 8
+	for n := range waves {
+		f.wave(fmt.Sprint(n, strings.Repeat(" of many parts", 1500)))
+		f.run(250 * clock.Millisecond)
+	}
+	f.store.frozen = nil // the list lags by 2 s
+	f.run(10 * clock.Second)
+	require.Zero(t, f.unanswered())
+	runs := 0
+	for _, c := range f.callers {
+		for _, body := range c.bodies {
+			runs += f.runsOf(body)
+		}
+	}
+	require.Equal(t, 2*waves*len(f.callers), runs, "no request may run twice while all instances live")
+}
--- a/instance/members.go
+++ b/instance/members.go
@@ -69,7 +69,7 @@
 	All     []*Member            // by name
 	Live    map[string][]*Member // by data centre: those that take new work, by name
 	ListAt  clock.Millis         // when the platform's list first came, or 0
-	Ready   bool                 // this instance may dispatch endpoints
+	Ready   bool                 // this instance may dispatch endpoints and take flows
 	changed bool                 // Live and the dispatch of endpoints are out of date
 	moved   bool                 // hops may be out of date
 	hops    []Hop                // those of the router in use
@@ -117,10 +117,13 @@
 		m.Listed = false
 	}
 	for _, i := range ev.Instances {
-		if i.Check() != nil || i.Name == c.b.Settings.Self.Name {
-			continue
+		switch {
+		case i.Check() != nil:
+		case i.Name != c.b.Settings.Self.Name:
+			c.learn(i).Listed = true
+		case uint64(i.Incarnation) == c.b.Self.Incarnation:
+			c.b.Self.Listed = true
 		}
-		c.learn(i).Listed = true
 	}
 	if c.b.Members.ListAt == 0 {
 		c.b.Members.ListAt = c.b.Now
@@ -357,14 +360,16 @@
 	c.b.Report.raise(c.b.Now, conditionInstance, subject, "heartbeats are not answered", "its flows are taken over by other instances")
 }
 
-// join lets this instance dispatch endpoints once the others know of it, so that
-// two instances do not dispatch the same endpoint for longer than need be.
+// join lets this instance dispatch endpoints and take flows once the others know
+// of it, so that two instances do not dispatch the same endpoint, or each take the
+// other's flows for orphans, for longer than need be. The platform's list lags: only
+// when it shows this process does it show all that started before.
 func (c memberController) join() {
 	s := &c.b.Members
 	if s.Ready {
 		return
 	}
-	if c.b.Now-c.b.Started < joinLimit && (s.ListAt == 0 || !c.known()) {
+	if c.b.Now-c.b.Started < joinLimit && (!c.b.Self.Listed || !c.known()) {
 		return
 	}
 	s.Ready = true
--- a/instance/packets.go
+++ b/instance/packets.go
@@ -35,12 +35,13 @@
 		c.refuseToken(in, err)
 		return
 	}
-	m := c.b.route(t, in.packet.Request, in.hops, in.via)
-	if m != c.b.Self {
+	switch m := c.b.route(t, in.packet.Request, in.hops, in.via); m {
+	case nil: // the caller repeats it
+	case c.b.Self:
+		c.take(in, t)
+	default:
 		c.forward(in, t, m)
-		return
 	}
-	c.take(in, t)
 }
 
 // openToken checks the seal and age of a token. The seal of the token that a held
@@ -75,6 +76,9 @@
 		}
 		return
 	}
+	if c.b.joining() && len(s.Places[c.b.Self.Instance.Centre]) == 0 {
+		return // the caller asks again
+	}
 	owner := c.b.chooseOwner(s)
 	if owner == nil {
 		c.refuseOpen(in, packet.ReasonStopping)
--- a/instance/route.go
+++ b/instance/route.go
@@ -13,6 +13,9 @@
 // a packet of its own flow has given the flow up, and an instance that holds
 // another to be the successor of a dead owner is taken at its word, so a packet
 // never goes round.
+//
+// An instance that is joining does not know all others yet, so an owner that it
+// does not know may live: the packet is dropped (nil).
 func (b *Board) route(t token.Token, request uint64, hops uint8, via *Member) *Member {
 	owner := b.Members.ByHash[t.Owner]
 	lives := owner != nil && owner.Alive && owner.Incarnation == t.Incarnation
@@ -25,10 +28,17 @@
 		return owner
 	case via != nil && b.Stopping == 0:
 		return b.Self
+	case owner == nil && b.joining():
+		return nil
 	}
 	return b.successor(t)
 }
 
+// joining reports whether this instance has not yet met the others.
+func (b *Board) joining() bool {
+	return !b.Members.Ready && b.Stopping == 0
+}
+
 // keepOrLeave returns this instance for its own flows, but while it is stopping
 // only for requests it already has.
 func (b *Board) keepOrLeave(t token.Token, request uint64) *Member {
