--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -113,28 +113,6 @@
   start fabric bin/tanagerdock-standin fabric -entries "$(address entry-1 packets),$(address entry-2 packets),$(address entry-3 packets)"
 }
 
-# metric NAME KEY prints a value from an instance's metrics.
-metric() {
-  local status
-  status=$(address "$1" status)
-  exec 3<>"/dev/tcp/${status%:*}/${status##*:}"
-  printf 'GET /metrics HTTP/1.0\r\n\r\n' >&3
-  sed -n "s/^$2=//p" <&3
-  exec 3>&- 3<&-
-}
-
-# meet waits until every instance knows the two others. The platform's list of
-# instances lags, so those that start together do not see each other at once.
-meet() {
-  local name tries=$((ready_seconds * 10))
-  for name in entry-1 entry-2 entry-3; do
-    until [ "$(metric "$name" join.listed)" = 2 ]; do
-      ((tries-- > 0)) || fail "$name does not know the other instances"
-      sleep 0.1
-    done
-  done
-}
-
 # disturb stops one instance gracefully and drains one backend server while the
 # load runs. The fabric learns of the stop a second later.
 disturb() {
@@ -154,20 +132,22 @@
 load_all() {
   local name ledgers=""
   for name in orders-1 orders-2 gallery-1 gallery-2; do ledgers+=,$(address "$name" control); done
-  bin/tanagerdock load -fabric "$(address fabric listen)" -service orders=orders.example,gallery=gallery.example \
+  exec bin/tanagerdock load -fabric "$(address fabric listen)" -service orders=orders.example,gallery=gallery.example \
     -requests "$requests" -flows "$flows" -rate "$rate" -once 0.5 -sizes 1-2097152 -answers 1-262144 \
     -seed "$seed" -ledger "${ledgers#,}" -unknown -1
 }
 
 make --no-print-directory build
 start_all
-meet
 echo "3 instances, 4 backend servers, $requests requests over $flows flows"
+# In the background, so that a signal to this script is handled at once.
+load_all &
+pid[load]=$!
 disturb &
-disturber=$!
+pid[disturb]=$!
 verdict=0
-load_all || verdict=1
-wait "$disturber" || fail "the instance or the backend server could not be told to leave"
+wait "${pid[load]}" || verdict=1
+wait "${pid[disturb]}" || fail "the instance or the backend server could not be told to leave"
 ended entry-2 "$leave_seconds" || fail "entry-2 has not stopped $leave_seconds s after SIGTERM"
 wait "${pid[entry-2]}" || fail "entry-2 stopped with status $?"
 echo "entry-2 has stopped by itself"
