caller: holes are repeated after twice the shortest round trip; the window keeps at least 8 parts

Cause: with one of three instances dead and the fabric still spraying to it, a third of the packets is lost. A lost Ack made round trips look long, so holes were repeated late, and each loss halved the window down to one part. Ruled out: the doubling of the timeout (capping it at 4 changed nothing and was reverted); the instances, which acknowledge out-of-order parts at once. Change: the age of a hole is judged by the shortest round trip of late, and the window is not halved below 8 parts.

scripts/runs.sh (make runs) runs the whole system once for each fault with real processes and checks every answer; instances show records.revision.

--- a/caller/rtt.go
+++ b/caller/rtt.go
@@ -15,14 +15,20 @@
 	known  bool
 	smooth float64
 	spread float64
+	least  float64 // shortest of late: a lost Ack makes a trip look long, never short
 }
 
+// leastGrowth lets the shortest trip grow with each sample, for paths that have
+// become longer.
+const leastGrowth = 1.02
+
 func (r *rtt) sample(span clock.Millis) {
 	s := float64(max(span, 0))
 	if !r.known {
-		r.known, r.smooth, r.spread = true, s, s/2
+		r.known, r.smooth, r.spread, r.least = true, s, s/2, s
 		return
 	}
+	r.least = min(s, max(r.least, 1)*leastGrowth)
 	off := s - r.smooth
 	r.smooth += off / 8
 	if off < 0 {
@@ -43,5 +49,5 @@
 
 // holeAge returns how old a hole must be to be repeated.
 func (r *rtt) holeAge() clock.Millis {
-	return max(minHoleAge, clock.Millis(r.smooth+r.spread))
+	return max(minHoleAge, clock.Millis(2*r.least))
 }
--- a/caller/upload.go
+++ b/caller/upload.go
@@ -8,6 +8,7 @@
 // The window of parts under way, in parts.
 const (
 	firstLimit = 16
+	minLimit   = 8
 	maxLimit   = packet.MaskParts
 )
 
@@ -116,7 +117,7 @@
 	if now-u.halved < r.holeAge() {
 		return
 	}
-	u.limit, u.halved = max(u.limit/2, 1), now
+	u.limit, u.halved = max(u.limit/2, minLimit), now
 }
 
 // findHoles marks parts as lost when later ones arrived a round trip ago.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
@@ -112,6 +113,7 @@
 		cancels:  map[uint64]context.CancelFunc{},
 		replies:  map[uint64]chan<- instance.Result{},
 	}
+	metrics.NewRegisteredFunctionalGauge("records.revision", d.counts.registry, d.objects.newest)
 	d.notes = newNotes(o.Log, d.counts)
 	d.statuses = newMailbox[record.Status]()
 	d.announcements = newMailbox[record.Instance]()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -206,6 +206,8 @@
 		switch m := metric.(type) {
 		case metrics.Counter:
 			lines[name] = m.Count()
+		case metrics.Gauge:
+			lines[name] = m.Snapshot().Value()
 		case metrics.Histogram:
 			s := m.Snapshot()
 			lines[name+".count"] = s.Count()
--- a/entry/objects.go
+++ b/entry/objects.go
@@ -96,3 +96,10 @@
 	sortObjects(objects)
 	return objects, s.revision
 }
+
+// newest returns the newest revision taken in.
+func (s *objectStore) newest() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.revision)
+}
