Tests of the router, the watchers, passing on and the delta of records; flows counts each answer once

A repeated answer was counted as another new flow: 6,344 answers to 5,001 flows a second. Flows are now counted once, and repeats printed apart.

--- /dev/null
+++ b/instance/router_test.go
@@ -0,0 +1,233 @@
+package instance_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// bench is one engine among others that the test speaks for.
+type bench struct {
+	t      *testing.T
+	engine *instance.Engine
+	now    clock.Millis
+	keys   *token.Keys
+	router *instance.Router
+	watch  bool
+	fetch  *instance.FetchObjects
+	asked  map[uint64]int // heartbeats by the port they went to
+	silent map[int]bool   // instances that answer nothing
+	says   map[int]bool   // instances that say that they watch the platform
+}
+
+func benchInstance(n int) record.Instance {
+	address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+	return record.Instance{
+		Name: fmt.Sprintf("entry-%d", n), Centre: "riga", Packets: address(1000 + n), Peers: address(2000 + n), Control: address(3000 + n),
+		Size: 1, Incarnation: 1, State: record.StateActive, Schema: record.Schema2,
+	}
+}
+
+func newBench(t *testing.T, self, members int) *bench {
+	keys, err := token.NewKeys(1, map[uint8][]byte{1: []byte("0123456789abcdef")})
+	require.NoError(t, err)
+	b := &bench{t: t, now: 1_000_000, keys: keys, watch: true, asked: map[uint64]int{}, silent: map[int]bool{}, says: map[int]bool{}}
+	b.engine = instance.New(instance.Settings{Self: benchInstance(self), Keys: keys, Seed: 1}, b.now)
+	var list []record.Instance
+	for n := range members {
+		list = append(list, benchInstance(n))
+	}
+	b.handle(instance.InstancesListed{Instances: list})
+	b.handle(instance.ObjectsReceived{Revision: 1, Whole: true, Source: instance.SourcePlatform})
+	return b
+}
+
+// handle hands an event on and keeps what the actions tell. Heartbeats are
+// answered at once.
+func (b *bench) handle(e instance.Event) {
+	for _, a := range append([]instance.Action(nil), b.engine.Handle(b.now, e)...) {
+		switch a := a.(type) {
+		case instance.UseRouter:
+			b.router = a.Router
+		case instance.WatchPlatform:
+			b.watch = a.On
+		case instance.FetchObjects:
+			b.fetch = &a
+		case instance.SendEnvelope:
+			b.answer(a)
+		}
+	}
+}
+
+func (b *bench) answer(a instance.SendEnvelope) {
+	n := int(a.To.Port()) - 2000
+	b.asked[uint64(n)]++
+	if a.Envelope.Reply || b.silent[n] {
+		return
+	}
+	b.handle(instance.EnvelopeReceived{From: a.To, Envelope: b.beat(n, a.Envelope.Beat, true, 0)})
+}
+
+func (b *bench) beat(n int, number uint64, reply bool, revision uint64) packet.Envelope {
+	return packet.Envelope{
+		Sender: token.Hash(benchInstance(n).Name), Incarnation: 1, Beat: number, Reply: reply, Watching: b.says[n], Revision: revision,
+	}
+}
+
+func (b *bench) pass(span clock.Millis) {
+	for end := b.now + span; b.now < end; {
+		b.now += instance.TickPeriod
+		b.handle(instance.Tick{})
+	}
+}
+
+func (b *bench) way(n int, incarnation uint64) bool {
+	hop, found := b.router.Next(token.Token{Owner: token.Hash(benchInstance(n).Name), Incarnation: incarnation})
+	if found {
+		require.Equal(b.t, benchInstance(n).Peers, hop.Peers.String())
+	}
+	return found
+}
+
+func TestRouterKnowsSoundOwnersOnly(t *testing.T) {
+	b := newBench(t, 0, 4)
+	b.silent[3] = true
+	b.pass(5 * clock.Second)
+	require.True(t, b.way(1, 1))
+	require.True(t, b.way(2, 1))
+	require.False(t, b.way(2, 9), "another incarnation")
+	require.False(t, b.way(3, 1), "never answered")
+	require.False(t, b.way(0, 1), "itself")
+
+	b.silent[2] = true
+	b.pass(5 * clock.Second)
+	require.False(t, b.way(2, 1), "silent")
+	require.True(t, b.way(1, 1))
+
+	b.silent[2] = false
+	b.pass(5 * clock.Second)
+	require.True(t, b.way(2, 1), "back again")
+
+	b.handle(instance.StopRequested{})
+	require.False(t, b.way(1, 1), "a stopping instance leaves every packet to the engine")
+}
+
+func TestNilRouterKnowsNobody(t *testing.T) {
+	var r *instance.Router
+	_, found := r.Next(token.Token{Owner: 1})
+	require.False(t, found)
+}
+
+func TestRouterWrapsAsTheEngineDoes(t *testing.T) {
+	b := newBench(t, 0, 2)
+	b.pass(5 * clock.Second)
+	sealed := b.keys.Seal(token.Token{Flow: 1, Owner: token.Hash("entry-1"), Incarnation: 1, Issued: b.now})
+	p := packet.Packet{Version: packet.Version, Kind: packet.KindProbe, Token: sealed, Nonce: 1}
+	data, err := packet.Encode(p)
+	require.NoError(t, err)
+	caller := netip.MustParseAddrPort("127.0.0.1:5000")
+	var byEngine packet.Envelope
+	for _, a := range b.engine.Handle(b.now, instance.PacketReceived{From: caller, Packet: p, Data: data}) {
+		if sent, is := a.(instance.SendEnvelope); is && len(sent.Envelope.Data) > 0 {
+			byEngine = sent.Envelope
+		}
+	}
+	var wrapped packet.Envelope
+	b.router.Wrap(&wrapped, caller, data)
+	wrapped.Revision, wrapped.Watching = byEngine.Revision, byEngine.Watching // matter in heartbeats only
+	require.Equal(t, byEngine, wrapped)
+}
+
+// Every instance draws the same three watchers, and the next follow when they
+// are gone.
+func TestThreeInstancesWatch(t *testing.T) {
+	const members = 8
+	watchers := map[int]bool{}
+	var benches []*bench
+	for self := range members {
+		b := newBench(t, self, members)
+		for n := range members {
+			b.says[n] = true
+		}
+		b.pass(10 * clock.Second)
+		watchers[self] = b.watch
+		benches = append(benches, b)
+	}
+	count := func() (n int) {
+		for _, watches := range watchers {
+			if watches {
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 3, count())
+
+	dead := 0
+	for !watchers[dead] {
+		dead++
+	}
+	for self, b := range benches {
+		b.silent[dead] = true
+		b.pass(10 * clock.Second)
+		watchers[self] = b.watch && self != dead
+	}
+	require.Equal(t, 3, count(), "another follows the dead one")
+}
+
+// An instance that hears of no watcher watches by itself, within watchTrust and a
+// tick.
+func TestInstanceWatchesWhenNoWatcherIsHeard(t *testing.T) {
+	for self := range 8 {
+		b := newBench(t, self, 8)
+		for n := range 8 {
+			b.says[n] = true
+		}
+		b.pass(10 * clock.Second)
+		clear(b.says) // the watchers live, but do not reach the platform
+		b.pass(4*clock.Second + 2*instance.TickPeriod)
+		require.True(t, b.watch, "instance %d", self)
+	}
+}
+
+func TestNewerRecordsAreFetchedAtOnceWithoutAWatch(t *testing.T) {
+	var b *bench
+	self := 0
+	for ; b == nil || b.watch; self++ {
+		b = newBench(t, self, 8)
+		for n := range 8 {
+			b.says[n] = true
+		}
+		b.pass(10 * clock.Second)
+	}
+	first, second := self%8, (self+1)%8 // neither is this instance
+	held := record.Object{Kind: record.KindService, Name: "orders", Revision: 5, Schema: record.Schema2, Body: []byte("{}")}
+	b.handle(instance.ObjectsReceived{Objects: []record.Object{held}, Revision: 5, Source: "entry-9"})
+	b.handle(instance.EnvelopeReceived{Envelope: b.beat(first, 1, false, 6)})
+	require.NotNil(t, b.fetch)
+	require.EqualValues(t, 5, b.fetch.Since)
+	b.fetch = nil
+	b.handle(instance.EnvelopeReceived{Envelope: b.beat(second, 1, false, 6)})
+	require.Nil(t, b.fetch, "asked already")
+	b.pass(3 * clock.Second)
+	b.handle(instance.EnvelopeReceived{Envelope: b.beat(second, 2, false, 6)})
+	require.NotNil(t, b.fetch, "the answer did not come")
+}
+
+// A heartbeat reaches each instance of a data centre of 67 within the cycle and a
+// little.
+func TestHeartbeatsReachEveryInstanceWithinTheCycle(t *testing.T) {
+	b := newBench(t, 0, 67)
+	b.pass(10 * clock.Second)
+	clear(b.asked)
+	b.pass(4500 * clock.Millisecond)
+	require.Len(t, b.asked, 66)
+}
--- /dev/null
+++ b/measure/fit_test.go
@@ -0,0 +1,47 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFitFindsTheLine(t *testing.T) {
+	base, slope := fit([]point{{10, 35}, {100, 305}, {1000, 3005}})
+	require.InDelta(t, 5, base, 1e-6)
+	require.InDelta(t, 3, slope, 1e-9)
+	base, slope = fit([]point{{10, 35}})
+	require.Zero(t, base)
+	require.Zero(t, slope)
+}
+
+func TestSpreadOf(t *testing.T) {
+	low, middle, high := spreadOf([]float64{3, 1, 2})
+	require.Equal(t, []float64{1, 2, 3}, []float64{low, middle, high})
+	low, middle, high = spreadOf(nil)
+	require.Equal(t, []float64{0, 0, 0}, []float64{low, middle, high})
+}
+
+func TestCommandLines(t *testing.T) {
+	cases := []struct {
+		args []string
+		code int
+		text string
+	}{
+		{nil, exitUsage, "Usage:"},
+		{[]string{"help"}, exitDone, "relay"},
+		{[]string{"nothing"}, exitUsage, `verb "nothing" does not exist`},
+		{[]string{"relay", "-nothing"}, exitUsage, "flag provided but not defined"},
+		{[]string{"relay", "more"}, exitUsage, `argument "more" is not a flag`},
+		{[]string{"flows", "-help"}, exitDone, "flow_bytes"},
+		{[]string{"bare", "-to", "nowhere"}, exitFailed, `value "nowhere"`},
+		{[]string{"relay", "-bin", "/does/not/exist"}, exitFailed, "tanagerdock-standin"},
+	}
+	for _, c := range cases {
+		var out bytes.Buffer
+		require.Equal(t, c.code, Main(context.Background(), c.args, &out, &out), "%v", c.args)
+		require.Contains(t, out.String(), c.text, "%v", c.args)
+	}
+}
--- a/measure/flows.go
+++ b/measure/flows.go
@@ -13,6 +13,7 @@
 
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
 var flowsVerb = verb{
@@ -24,6 +25,7 @@
   flow_bytes          growth of resident memory a held flow
   flows_held          flows held
   new_flows_answered  new flows a second whose first request was answered
+  answers_per_flow    answers received a flow; above 1 when they are repeated
   new_flow_us         processor time of the daemon a new flow
   new_flow_cores      the same, in cores`,
 	setUp: func(flags *flag.FlagSet) work {
@@ -41,7 +43,8 @@
 	span       time.Duration
 	stage      *stage
 	entry      *process
-	answered   atomic.Int64
+	answered   atomic.Int64 // flows
+	packets    atomic.Int64 // answers, with those repeated
 	echoes     atomic.Int64
 }
 
@@ -142,6 +145,7 @@
 	if err != nil {
 		return err
 	}
+	p.line("answers_per_flow", float64(f.packets.Load())/float64(max(1, f.answered.Load())))
 	cost := (after - cpu).Seconds()
 	p.line("new_flows_sent", float64(opened.Load())/took.Seconds())
 	p.line("new_flows_answered", float64(f.answered.Load())/took.Seconds())
@@ -171,6 +175,7 @@
 // answerer plays the caller's side: a request on each opened flow, and the report
 // that its answer is held.
 func (f *flows) answerer(c *net.UDPConn) func(net.Addr, []byte) {
+	seen := make(map[uint64]bool) // flows answered, since answers are repeated
 	return func(from net.Addr, data []byte) {
 		p, err := packet.Decode(data)
 		if err != nil {
@@ -182,7 +187,11 @@
 			body := fmt.Appendf(nil, "work=0 answer=64 id=%d\n", p.Nonce)
 			reply = packet.Packet{Kind: packet.KindPart, Token: p.Token, Request: 1, Count: 1, Deadline: 5000, Payload: body}
 		case packet.KindAnswer:
-			f.answered.Add(1)
+			f.packets.Add(1)
+			if t, err := token.Peek(p.Token); err == nil && !seen[t.Flow] {
+				seen[t.Flow] = true
+				f.answered.Add(1)
+			}
 			reply = packet.Packet{Kind: packet.KindGot, Token: p.Token, Request: p.Request, Next: p.Count, Count: p.Count}
 		default:
 			return
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -52,7 +52,7 @@
 }
 
 func (s slopes) run() error {
-	steps := []func() error{s.flows, s.endpoints, s.members, s.events, s.beats}
+	steps := []func() error{s.flows, s.records, s.endpoints, s.members, s.events, s.beats}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -86,6 +86,14 @@
 // newModel returns an engine with records of so many endpoints and that many
 // members, itself included.
 func newModel(endpoints, members int) (*model, error) {
+	objects, err := recordsOf(endpoints)
+	if err != nil {
+		return nil, err
+	}
+	return newModelOf(objects, members)
+}
+
+func newModelOf(objects []record.Object, members int) (*model, error) {
 	keys, err := token.NewKeys(1, map[uint8][]byte{1: secret})
 	if err != nil {
 		return nil, err
@@ -97,10 +105,6 @@
 		list = append(list, member(n))
 	}
 	m.handle(instance.InstancesListed{Instances: list})
-	objects, err := recordsOf(endpoints)
-	if err != nil {
-		return nil, err
-	}
 	m.handle(instance.ObjectsReceived{Objects: objects, Revision: uint64(len(objects)), Whole: true, Source: instance.SourcePlatform})
 	m.answerBeats(4 * clock.Second)
 	return m, nil
@@ -236,6 +240,57 @@
 	return instance.PacketReceived{From: from, Packet: packet.Packet{Version: packet.Version, Kind: packet.KindProbe, Token: m.token(0, flow), Nonce: 1}}
 }
 
+// records measures the memory of services and of rules.
+func (s slopes) records() error {
+	kinds := []struct {
+		name  string
+		rules bool
+	}{{"bytes_per_service", false}, {"bytes_per_service_with_rule", true}}
+	for _, k := range kinds {
+		var points []point
+		for _, n := range endpointSizes {
+			used, err := grown(func() (*model, error) {
+				objects, err := servicesOf(n, k.rules)
+				if err != nil {
+					return nil, err
+				}
+				return newModelOf(objects, 1)
+			})
+			if err != nil {
+				return err
+			}
+			points = append(points, point{float64(n), used})
+		}
+		_, slope := fit(points)
+		s.p.line(k.name, slope)
+	}
+	return nil
+}
+
+// servicesOf returns n services, each with a rule if asked for.
+func servicesOf(n int, rules bool) ([]record.Object, error) {
+	var objects []record.Object
+	for i := range n {
+		name := fmt.Sprintf("service-%d", i)
+		o, err := record.EncodeService(record.Service{Name: name, Host: name}, record.Schema2)
+		if err != nil {
+			return nil, err
+		}
+		o.Revision = uint64(len(objects) + 1)
+		objects = append(objects, o)
+		if !rules {
+			continue
+		}
+		o, err = record.EncodeRule(record.Rule{Name: "rule-" + name, Service: name, Class: record.ClassAny, Spill: true}, record.Schema2)
+		if err != nil {
+			return nil, err
+		}
+		o.Revision = uint64(len(objects) + 1)
+		objects = append(objects, o)
+	}
+	return objects, nil
+}
+
 // endpoints measures what grows with the endpoints, at the members of one data
 // centre.
 func (s slopes) endpoints() error {
--- a/packet/header_test.go
+++ b/packet/header_test.go
@@ -1,6 +1,39 @@
 package packet
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/internal/script"
+)
+
+// What Decode takes, DecodeHeader takes with the same header; and it refuses what
+// is no well-formed map, of an unknown version or kind, or too large.
+func TestDecodeHeader(t *testing.T) {
+	var cases []packetCase
+	script.Read(t, "testdata/decode.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			data := c.datagram(t)
+			p, err := Decode(data)
+			h := Header{Token: []byte("left over")}
+			headerErr := DecodeHeader(data, &h)
+			if err == nil {
+				require.NoError(t, headerErr)
+				require.Equal(t, p.Kind, h.Kind)
+				require.Equal(t, p.Token, append([]byte(nil), h.Token...))
+			}
+			if c.Error == "version" || c.Error == "large" {
+				require.ErrorIs(t, headerErr, sentinels[c.Error])
+			}
+		})
+	}
+	var h Header
+	for _, data := range [][]byte{nil, {0xff}, {0xa1, 0x01}, {0xa2, 0x01, 0x01, 0x02, 0x00}, {0xa2, 0x01, 0x01, 0x02, 0x18, 0x63}} {
+		require.ErrorIs(t, DecodeHeader(data, &h), ErrMalformed, "%x", data)
+	}
+}
 
 // BenchmarkHeader measures reading the header alone.
 func BenchmarkHeader(b *testing.B) {
