Tell how much an instance's slots were used of late, and place by it too

Cause: an instance with one endpoint rarely shows an idle slot while another with four nearly always does, so the latter was used more; idle slots say little about what came before.

Change: the load on envelopes tells the share of slot time used over about 2 s; it counts as 200 ms of waiting for a whole (for long work times its length).

--- a/instance/board.go
+++ b/instance/board.go
@@ -189,13 +189,16 @@
 	short := func(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
 	return packet.Load{
 		Service: s.Hash, Free: short(s.Free(now)), Queued: short(len(s.Short)), Long: short(s.Backlog()),
-		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)),
+		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)), Used: uint16(s.used(now) * usedUnit),
 	}
 }
 
 // rateSpan is the span that packet.Load.Rate counts requests in, in ms.
 const rateSpan = float64(1000 * clock.Second)
 
+// usedUnit is what packet.Load.Used counts a whole in.
+const usedUnit = 1000.0
+
 // Job is one whole request that waits for a slot, holds one, or was handed over.
 type Job struct {
 	Work    Work
--- a/instance/capacity.go
+++ b/instance/capacity.go
@@ -90,3 +90,16 @@
 func (s *Service) use(ep *Endpoint) float64 {
 	return float64(ep.Busy+1) * s.shortRun(ep) / float64(ep.Record.Slots)
 }
+
+// used returns the share of the time of the slots dispatched here that was used of
+// late.
+func (s *Service) used(now clock.Millis) float64 {
+	sum, slots := 0.0, 0
+	for _, ep := range s.Mine {
+		if ep.Usable(now) {
+			sum += ep.usedAt(now) * float64(ep.Record.Slots)
+			slots += ep.Record.Slots
+		}
+	}
+	return sum / float64(max(1, slots))
+}
--- a/instance/load_test.go
+++ b/instance/load_test.go
@@ -172,7 +172,7 @@
 	if os.Getenv("TRIAL") == "all" {
 		for i := range trialEndpoints {
 			b := f.backends[fmt.Sprintf("127.3.0.%d:80", i+1)]
-			f.t.Logf("endpoint %s speed %d used %.3f", b.address, 1+i%4, busy[i]/float64(l.Span)/float64(l.Slots))
+			f.t.Logf("endpoint %s of %s speed %d used %.3f", b.address, b.last, 1+i%4, busy[i]/float64(l.Span)/float64(l.Slots))
 		}
 	}
 	excess := 0
--- a/instance/members.go
+++ b/instance/members.go
@@ -50,6 +50,7 @@
 	Queued int          // short requests waiting
 	Long   int          // long requests waiting or running
 	Rate   float64      // learnt capacity, in short requests a ms; 0 means not told
+	Used   float64      // share of its slots' time used of late
 	Slots  int          // of its endpoints, as the records say
 	At     clock.Millis // when it was heard
 }
@@ -231,7 +232,7 @@
 			known = &PeerLoad{}
 			m.Loads[l.Service] = known
 		}
-		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), Long: int(l.Long), Rate: float64(l.Rate) / rateSpan, At: c.b.Now}
+		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), Long: int(l.Long), Rate: float64(l.Rate) / rateSpan, Used: float64(l.Used) / usedUnit, At: c.b.Now}
 	}
 }
 
--- a/instance/place.go
+++ b/instance/place.go
@@ -15,6 +15,7 @@
 	maxTries    = 6                      // places tried for one request
 	loadAge     = 2 * clock.Second       // older queue states of others count as unknown
 	placeMargin = 5.0                    // ms of waiting by which another must be shorter
+	usedWait    = 200.0                   // ms of waiting that slots in use all of the time count as
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
@@ -229,7 +230,7 @@
 	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(&Job{Service: s}, nil)) > 0) {
 		return math.Inf(1)
 	}
-	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now)})
+	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now), Used: s.used(c.b.Now)})
 }
 
 // shorter draws two other instances by their capacity and returns the one where a
@@ -299,12 +300,12 @@
 func (s *Service) waiting(class packet.Class, l PeerLoad) float64 {
 	rate := max(l.Rate, 1/rateSpan)
 	if class == packet.ClassLong {
-		return float64(l.Long+1) * s.longFactor() / rate
+		return float64(l.Long+1)*s.longFactor()/rate + usedWait*l.Used*s.longFactor()
 	}
 	if idle := l.Free - l.Queued; idle > 0 {
-		return -assumedRun * float64(idle) / float64(max(1, l.Slots))
+		return usedWait*l.Used - assumedRun*float64(idle)/float64(max(1, l.Slots))
 	}
-	return float64(l.Queued+1-l.Free) / rate
+	return usedWait*l.Used + float64(l.Queued+1-l.Free)/rate
 }
 
 // placeRate returns the capacity of a place, in short requests a ms: as learnt
--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -23,6 +23,7 @@
 	Queued  uint16 `cbor:"3,keyasint,omitempty"` // short requests waiting for a slot
 	Rate    uint32 `cbor:"4,keyasint,omitempty"` // learnt capacity, in short requests per 1000 s
 	Long    uint16 `cbor:"5,keyasint,omitempty"` // long requests waiting or running
+	Used    uint16 `cbor:"6,keyasint,omitempty"` // share of its slots' time used of late, in 1/1000
 }
 
 // Envelope is one datagram between two entry instances: a caller's packet
