A gap in which nothing took work is no rate

Cause: after an instance or endpoint had paused, the time between starts counted the pause, so work was refused that could be done. Seen in the fault cell bystander-paused/queued/repeatable (refused as busy) and owner-paused-past-deadline/dispatched/repeatable.

Change: a gap counts as one usual run at most. Both cells pass again.

--- a/instance/place.go
+++ b/instance/place.go
@@ -125,7 +125,8 @@
 // jobs wait.
 func (s *Service) started(class packet.Class, now clock.Millis, waiting int) {
 	if s.StartedAt[class] != 0 && waiting > 0 {
-		s.Gaps[class].Add(float64(now - s.StartedAt[class]))
+		// A longer gap is no rate: nothing took work in between.
+		s.Gaps[class].Add(min(float64(now-s.StartedAt[class]), s.Times[class].Value))
 	}
 	s.StartedAt[class] = now
 	if waiting == 0 {
