--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -42,9 +42,9 @@
 
 // Sizes of the engine's queues.
 const (
-	packetQueue = 8192 // datagrams
-	inputQueue  = 1024 // other events
-	batchSize   = 32   // events of one queue handled before the other is looked at
+	packetQueue = 8192 / readBatch // groups of datagrams
+	inputQueue  = 1024             // other events
+	batchSize   = 32               // events of one queue handled before the other is looked at
 )
 
 // closeTimeout is how long a stopping daemon waits for each of: answers to
@@ -69,12 +69,14 @@
 	controlSocket net.Listener
 	statusSocket  net.Listener
 
-	packets chan datagram // dropped when full
+	packets chan *group   // dropped when full
 	inputs  chan input    // everything else
 	done    chan struct{} // closed when the engine takes no more events
 	ticked  atomic.Int64  // when the engine last took an event
 	halting atomic.Bool   // a graceful shutdown is under way
 
+	router atomic.Pointer[instance.Router] // for packets that need no decision
+
 	runner        *runner
 	peers         *peerCaller
 	objects       *objectStore
@@ -87,6 +89,8 @@
 	cancels map[uint64]context.CancelFunc     // by run
 	replies map[uint64]chan<- instance.Result // by call
 	stopped bool
+	// Datagrams that wait for the end of a batch of events.
+	toCallers, toPeers *batch
 
 	calls atomic.Uint64  // numbers given to PeerCalled
 	work  sync.WaitGroup // goroutines that end with the daemon
@@ -97,7 +101,7 @@
 	d := &Daemon{
 		platform: o.Platform,
 		log:      o.Log,
-		packets:  make(chan datagram, packetQueue),
+		packets:  make(chan *group, packetQueue),
 		inputs:   make(chan input, inputQueue),
 		done:     make(chan struct{}),
 		runner:   newRunner(),
@@ -113,6 +117,8 @@
 		d.closeSockets()
 		return nil, err
 	}
+	d.toCallers = newBatch(d.packetSocket, d.counts.packets.unsent)
+	d.toPeers = newBatch(d.peerSocket, d.counts.peers.unsent)
 	d.self = d.describe(o.Settings)
 	d.peers = newPeerCaller(d.self.Name, d.counts)
 	makeEngine := o.Engine
@@ -205,6 +211,7 @@
 	writers := d.startWriters(ctx)
 
 	err := d.loop(ctx)
+	d.flush()
 
 	close(d.done)
 	d.endCalls()
@@ -287,31 +294,32 @@
 		case i := <-d.inputs:
 			d.handleInputs(ctx, i)
 		}
+		d.flush()
 	}
 	return nil
 }
 
-// handlePackets handles a datagram and those that wait behind it.
-func (d *Daemon) handlePackets(ctx context.Context, g datagram) {
+// handlePackets handles a group of datagrams and those that wait behind it.
+func (d *Daemon) handlePackets(ctx context.Context, g *group) {
 	now := clock.Now()
-	d.handleDatagram(ctx, now, g)
-	for range batchSize {
-		if d.stopped {
-			return
-		}
+	d.handleGroup(ctx, now, g)
+	for range batchSize / readBatch {
 		select {
 		case g = <-d.packets:
-			d.handleDatagram(ctx, now, g)
+			d.handleGroup(ctx, now, g)
 		default:
 			return
 		}
 	}
 }
 
-func (d *Daemon) handleDatagram(ctx context.Context, now clock.Millis, g datagram) {
-	d.handle(ctx, now, g.event)
-	if g.buffer != nil {
-		buffers.Put(g.buffer)
+func (d *Daemon) handleGroup(ctx context.Context, now clock.Millis, g *group) {
+	defer g.release()
+	for i := range g.datagrams[:g.filled] {
+		if d.stopped {
+			return
+		}
+		d.handle(ctx, now, g.datagrams[i].event)
 	}
 }
 
@@ -384,12 +392,16 @@
 		d.work.Go(func() { d.fetchObjects(ctx, a) })
 	case instance.WriteStatus:
 		d.statuses.put(a.Status)
+	case instance.DropStatus:
+		d.work.Go(func() { d.dropStatus(ctx, a) })
 	case instance.Announce:
 		d.announcements.put(a.Instance)
 	case instance.Note:
 		d.notes.add(a)
 	case instance.Observe:
 		d.counts.observe(a)
+	case instance.UseRouter:
+		d.router.Store(a.Router)
 	case instance.Stopped:
 		d.stopped = true
 	}
--- a/entry/datagrams.go
+++ b/entry/datagrams.go
@@ -1,14 +1,19 @@
 package entry
 
 import (
+	"math/bits"
 	"net"
 	"net/netip"
 	"sync"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/ipv4"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
 	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
 // Sizes of the datagram sockets.
@@ -38,10 +43,20 @@
 func (d *Daemon) startReaders() *sync.WaitGroup {
 	var readers sync.WaitGroup
 	for range packetReaders {
-		readers.Go(func() { d.read(d.packetSocket, d.receivePacket) })
+		p := &passer{
+			d: d, out: newBatch(d.peerSocket, d.counts.peers.unsent),
+			queue: queue{to: d.packets, dropped: d.counts.packets.dropped},
+		}
+		readers.Go(func() { d.read(d.packetSocket, p.receivePacket, p.flush) })
 	}
 	for range peerReaders {
-		readers.Go(func() { d.read(d.peerSocket, d.receiveEnvelope) })
+		q := &queue{to: d.packets, dropped: d.counts.peers.dropped}
+		readers.Go(func() {
+			d.read(d.peerSocket, func(from netip.AddrPort, b *buffer, size int) bool {
+				d.receiveEnvelope(q, from, b[:size])
+				return false // decoding copies it
+			}, q.flush)
+		})
 	}
 	return &readers
 }
@@ -59,12 +74,21 @@
 
 var buffers = sync.Pool{New: func() any { return new(buffer) }}
 
+// readBatch is the number of datagrams that one system call receives at most.
+const readBatch = 16
+
 // read hands each datagram to receive, which reports whether it keeps the
-// buffer.
-func (d *Daemon) read(c *net.UDPConn, receive func(from netip.AddrPort, b *buffer, size int) bool) {
-	b := buffers.Get().(*buffer)
+// buffer, and calls flush before it waits for more.
+func (d *Daemon) read(c *net.UDPConn, receive func(from netip.AddrPort, b *buffer, size int) bool, flush func()) {
+	conn := ipv4.NewPacketConn(c) // fit for IPv6 too: messages carry their addresses
+	messages := make([]ipv4.Message, readBatch)
+	var rooms [readBatch]*buffer
+	for i := range messages {
+		rooms[i] = buffers.Get().(*buffer)
+		messages[i].Buffers = [][]byte{rooms[i][:]}
+	}
 	for {
-		n, from, err := c.ReadFromUDPAddrPort(b[:])
+		n, err := conn.ReadBatch(messages, 0)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -72,32 +96,102 @@
 			d.counts.readErrors.Inc(1)
 			continue
 		}
-		if receive(unmapped(from), b, n) {
-			b = buffers.Get().(*buffer)
+		for i := range messages[:n] {
+			from, known := messages[i].Addr.(*net.UDPAddr)
+			if known && receive(unmapped(from.AddrPort()), rooms[i], messages[i].N) {
+				rooms[i] = buffers.Get().(*buffer)
+				messages[i].Buffers[0] = rooms[i][:]
+			}
 		}
+		flush()
+	}
+}
+
+// samplePeriod is the time after which a reader leaves one packet for an owner
+// and service to the engine, which attaches queue state to it and asks an owner
+// that has been quiet for a heartbeat.
+const samplePeriod = 20 * clock.Millisecond
+
+// sampleSlots bounds what a reader remembers of the packets left to the engine.
+// Keys that share a slot leave more packets to the engine.
+const sampleSlots = 1024
+
+// sampler tells which packets are left to the engine.
+type sampler [sampleSlots]struct {
+	key  uint64
+	next clock.Millis
+}
+
+// due reports whether it is the engine's turn for an owner and service.
+func (s *sampler) due(t token.Token, now clock.Millis) bool {
+	key := t.Owner ^ bits.RotateLeft64(t.Service, 1)
+	slot := &s[key%sampleSlots]
+	if slot.key == key && now < slot.next {
+		return false
 	}
+	slot.key, slot.next = key, now+samplePeriod
+	return true
 }
 
-// receivePacket takes in a caller's datagram. The engine may pass it on as it is.
-func (d *Daemon) receivePacket(from netip.AddrPort, b *buffer, size int) bool {
-	d.counts.packets.bytesIn.Inc(int64(size))
-	p, err := packet.Decode(b[:size])
+// passer passes packets on for one reader.
+type passer struct {
+	d        *Daemon
+	out      *batch // on the socket for other instances
+	header   packet.Header
+	envelope packet.Envelope
+	sampler  sampler
+	queue    queue // to the engine
+}
+
+// pass passes on a datagram that needs no decision, and reports whether it did.
+func (p *passer) pass(from netip.AddrPort, data []byte) bool {
+	r := p.d.router.Load()
+	if r == nil || packet.DecodeHeader(data, &p.header) != nil || p.header.Kind == packet.KindOpen {
+		return false
+	}
+	t, err := token.Peek(p.header.Token)
 	if err != nil {
-		d.counts.packets.refuse(err)
 		return false
 	}
-	d.counts.packets.in[p.Kind].Inc(1)
-	received := instance.PacketReceived{From: from, Packet: p, Data: b[:size]}
-	return d.queue(datagram{event: received, buffer: b}, &d.counts.packets)
+	hop, found := r.Next(t)
+	if !found || p.sampler.due(t, clock.Now()) {
+		return false
+	}
+	r.Wrap(&p.envelope, from, data)
+	if packet.EncodeEnvelopeTo(p.out.next(), &p.envelope) != nil {
+		return false
+	}
+	p.d.counts.packets.in[p.header.Kind].Inc(1)
+	p.out.add(hop.Peers, p.d.counts.passed.out, p.d.counts.passed.bytesOut)
+	return true
 }
 
-// receiveEnvelope takes in another instance's datagram. Decoding copies it.
-func (d *Daemon) receiveEnvelope(from netip.AddrPort, b *buffer, size int) bool {
-	d.decodeEnvelope(from, b[:size])
-	return false
+// receivePacket takes in a caller's datagram, and reports whether the buffer is
+// kept. The engine may pass it on as it is.
+func (p *passer) receivePacket(from netip.AddrPort, b *buffer, size int) bool {
+	c := &p.d.counts.packets
+	c.bytesIn.Inc(int64(size))
+	if p.pass(from, b[:size]) {
+		return false
+	}
+	decoded, err := packet.Decode(b[:size])
+	if err != nil {
+		c.refuse(err)
+		return false
+	}
+	c.in[decoded.Kind].Inc(1)
+	p.queue.add(datagram{event: instance.PacketReceived{From: from, Packet: decoded, Data: b[:size]}, buffer: b})
+	return true
+}
+
+// flush lets go of what was received together.
+func (p *passer) flush() {
+	p.out.flush()
+	p.queue.flush()
 }
 
-func (d *Daemon) decodeEnvelope(from netip.AddrPort, data []byte) {
+// receiveEnvelope takes in another instance's datagram. Decoding copies it.
+func (d *Daemon) receiveEnvelope(q *queue, from netip.AddrPort, data []byte) {
 	if len(data) > packet.MaxEnvelope {
 		d.counts.peers.tooLarge.Inc(1)
 		return
@@ -110,7 +204,7 @@
 	received := instance.EnvelopeReceived{From: from, Envelope: e}
 	if len(e.Data) == 0 {
 		d.counts.beats.countIn(len(data))
-		d.queue(datagram{event: received}, &d.counts.peers)
+		q.add(datagram{event: received})
 		return
 	}
 	d.counts.passed.countIn(len(data))
@@ -121,50 +215,84 @@
 	}
 	d.counts.peers.in[p.Kind].Inc(1)
 	received.Packet = &p
-	d.queue(datagram{event: received}, &d.counts.peers)
+	q.add(datagram{event: received})
+}
+
+// group holds datagrams that were received together, so that handing them to the
+// engine costs little.
+type group struct {
+	datagrams [readBatch]datagram
+	filled    int
+}
+
+var groups = sync.Pool{New: func() any { return new(group) }}
+
+// release gives the buffers and the group back.
+func (g *group) release() {
+	for i := range g.datagrams[:g.filled] {
+		if b := g.datagrams[i].buffer; b != nil {
+			buffers.Put(b)
+		}
+		g.datagrams[i] = datagram{}
+	}
+	g.filled = 0
+	groups.Put(g)
+}
+
+// queue collects the datagrams of one reader for the engine.
+type queue struct {
+	to      chan<- *group
+	dropped metrics.Counter
+	group   *group
 }
 
-// queue hands a datagram to the engine, or drops it and reports false when the
-// engine is behind.
-func (d *Daemon) queue(g datagram, c *datagramCounts) bool {
+func (q *queue) add(g datagram) {
+	if q.group == nil {
+		q.group = groups.Get().(*group)
+	}
+	q.group.datagrams[q.group.filled] = g
+	q.group.filled++
+}
+
+// flush hands the datagrams to the engine, or drops them when it is behind.
+func (q *queue) flush() {
+	if q.group == nil {
+		return
+	}
 	select {
-	case d.packets <- g:
-		return true
+	case q.to <- q.group:
 	default:
-		c.dropped.Inc(1)
-		return false
+		q.dropped.Inc(int64(q.group.filled))
+		q.group.release()
 	}
+	q.group = nil
 }
 
+// sendPacket sends a packet to a caller with the engine's next batch.
 func (d *Daemon) sendPacket(a instance.SendPacket) {
-	data, err := packet.Encode(a.Packet)
-	if err != nil {
-		d.counts.packets.refuse(err)
+	c := &d.counts.packets
+	if err := packet.EncodeTo(d.toCallers.next(), &a.Packet); err != nil {
+		c.refuse(err)
 		return
 	}
-	n, err := d.packetSocket.WriteToUDPAddrPort(data, a.To)
-	if err != nil {
-		d.counts.packets.unsent.Inc(1)
-		return
-	}
-	d.counts.packets.out[a.Packet.Kind].Inc(1)
-	d.counts.packets.bytesOut.Inc(int64(n))
+	d.toCallers.add(a.To, c.out[a.Packet.Kind], c.bytesOut)
 }
 
+// sendEnvelope sends an envelope to another instance with the engine's next batch.
 func (d *Daemon) sendEnvelope(a instance.SendEnvelope) {
-	data, err := packet.EncodeEnvelope(a.Envelope)
-	if err != nil {
+	if err := packet.EncodeEnvelopeTo(d.toPeers.next(), &a.Envelope); err != nil {
 		d.counts.peers.refuse(err)
 		return
 	}
-	n, err := d.peerSocket.WriteToUDPAddrPort(data, a.To)
-	if err != nil {
-		d.counts.peers.unsent.Inc(1)
-		return
-	}
-	if len(a.Envelope.Data) == 0 {
-		d.counts.beats.countOut(n)
-		return
+	traffic := &d.counts.beats
+	if len(a.Envelope.Data) > 0 {
+		traffic = &d.counts.passed
 	}
-	d.counts.passed.countOut(n)
+	d.toPeers.add(a.To, traffic.out, traffic.bytesOut)
+}
+
+// flush sends the datagrams that the engine's actions left in the batches.
+func (d *Daemon) flush() {
+	d.toCallers.flush()
+	d.toPeers.flush()
 }
--- a/instance/board.go
+++ b/instance/board.go
@@ -21,7 +21,7 @@
 	Stopping clock.Millis // when the graceful shutdown began, or 0
 
 	Records   Records
-	Services  map[uint64]*Service  // by token.Hash of the name
+	Services  map[uint64]*Service  // by token.Hash of the name; see order
 	Endpoints map[string]*Endpoint // by address
 	Members   Members
 	Flows     Flows
@@ -30,6 +30,7 @@
 	Bytes     int64           // request and answer bodies held
 	Report    Report
 
+	sorted  []*Service  // Services by name
 	ready   []*Job      // whole requests of flows owned here that need a place
 	ended   []ended     // jobs with a result not yet passed on
 	pumps   []*Service  // services whose queue or slots changed
@@ -170,6 +171,11 @@
 	return free
 }
 
+// active reports whether an endpoint may come to take work: its record says so.
+func (s *Service) active() bool {
+	return slices.ContainsFunc(s.Endpoints, func(ep *Endpoint) bool { return ep.Backend.State == record.StateActive })
+}
+
 // usable reports whether an endpoint dispatched here may get work now.
 func (s *Service) usable(now clock.Millis) bool {
 	return slices.ContainsFunc(s.Mine, func(ep *Endpoint) bool { return ep.Usable(now) })
--- a/instance/members.go
+++ b/instance/members.go
@@ -68,6 +68,8 @@
 	ListAt  clock.Millis         // when the platform's list first came, or 0
 	Ready   bool                 // this instance may dispatch endpoints
 	changed bool                 // Live and the dispatch of endpoints are out of date
+	moved   bool                 // hops may be out of date
+	hops    []Hop                // those of the router in use
 	beatAt  clock.Millis
 	beat    uint64
 	turn    int
@@ -102,6 +104,7 @@
 type memberController struct{ b *Board }
 
 func (c memberController) listed(ev InstancesListed) {
+	c.b.Members.moved = true
 	for _, m := range c.b.Members.All {
 		m.Listed = false
 	}
@@ -138,6 +141,7 @@
 }
 
 func (c memberController) restart(m *Member, incarnation uint64) {
+	c.b.Members.moved = true
 	c.b.note("restart", "incarnation", "", "instance/"+m.Instance.Name, "")
 	m.Incarnation = incarnation
 	m.Alive, m.Leaving, m.Knows = true, false, false
@@ -204,6 +208,7 @@
 		return nil
 	}
 	if ev.Envelope.Hello != nil {
+		c.b.Members.moved = true
 		c.learn(*ev.Envelope.Hello)
 	}
 	m := c.b.Members.ByHash[ev.Envelope.Sender]
@@ -251,6 +256,7 @@
 }
 
 func (c memberController) answered(m *Member) {
+	c.b.Members.moved = c.b.Members.moved || m.Misses > 0 || !m.Knows || !m.Alive
 	m.Heard, m.Asked, m.Misses, m.Knows = c.b.Now, 0, 0, true
 	if m.Alive {
 		return
@@ -318,6 +324,7 @@
 		return
 	}
 	m.Misses++
+	c.b.Members.moved = true
 	switch {
 	case m.Alive && m.Misses < beatTries:
 		c.ping(m)
@@ -328,8 +335,17 @@
 		m.Asked = 0
 	}
 	if !m.Alive && !m.Listed && c.b.Now-max(m.Heard, c.b.Started) > forgetAfter {
-		c.b.Members.remove(m)
-		c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+		c.forget(m)
+	}
+}
+
+// forget gives up an instance that is dead and no longer listed. One survivor
+// removes what it left on the platform.
+func (c memberController) forget(m *Member) {
+	c.b.Members.remove(m)
+	c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+	if rendezvous(m.Hash, c.b.Members.Live[m.Instance.Centre]) == c.b.Self {
+		c.b.do(DropStatus{Instance: m.Instance.Name, Incarnation: clock.Millis(m.Incarnation)})
 	}
 }
 
@@ -364,7 +380,7 @@
 
 func (c memberController) known() bool {
 	for _, m := range c.b.Members.All {
-		if m != c.b.Self && m.Alive && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
+		if m != c.b.Self && m.Takes() && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
 			return false
 		}
 	}
--- a/instance/place.go
+++ b/instance/place.go
@@ -73,7 +73,7 @@
 		far = c.spill(j, c.nearest(j, here, other))
 	}
 	switch {
-	case nowhere && c.borrow(j):
+	case math.IsInf(here, 1) && c.borrow(j):
 	case nowhere && c.hold(j):
 	case nowhere:
 		c.b.refuse(j, packet.ReasonBackend)
@@ -138,7 +138,7 @@
 // server takes work again, and reports whether it may.
 func (c placeController) hold(j *Job) bool {
 	s := j.Service
-	if len(s.Places) == 0 || len(s.Held) >= s.Record.Queue {
+	if !s.active() || len(s.Held) >= s.Record.Queue {
 		return false
 	}
 	if j.Held == 0 {
@@ -156,8 +156,9 @@
 }
 
 // borrow runs a job that was held for long at an endpoint that another instance
-// dispatches: that one can't be reached, and may be gone for all others too. One
-// run an endpoint bounds what is added to the slots that the other fills.
+// dispatches: that one can't be reached, and may be gone for all others too. As
+// when two instances believe that they dispatch an endpoint, each fills its slots
+// at most once.
 func (c placeController) borrow(j *Job) bool {
 	if j.Held == 0 || c.b.Now-j.Held < borrowAfter || c.b.Stopping != 0 {
 		return false
@@ -175,14 +176,14 @@
 	return true
 }
 
-// lendable returns an endpoint without a run from here, of this data centre
+// lendable returns an endpoint with room for a run from here, of this data centre
 // rather than of another, or nil.
 func (c placeController) lendable(j *Job) *Endpoint {
 	s := j.Service
 	var far *Endpoint
 	for _, ep := range s.among(j, s.Endpoints, c.b.Now) {
 		switch {
-		case !ep.Usable(c.b.Now) || ep.Busy > 0:
+		case !ep.Usable(c.b.Now) || ep.Busy >= ep.Record.Slots:
 		case ep.Backend.Centre == c.b.Self.Instance.Centre:
 			return ep
 		case far == nil:
