--- a/instance/capacity.go
+++ b/instance/capacity.go
@@ -85,12 +85,6 @@
 	return s.Demand[packet.ClassLong] / sum
 }
 
-// use returns how long an endpoint's slots would be busy with one more run, in ms
-// of its own time a slot.
-func (s *Service) use(ep *Endpoint) float64 {
-	return float64(ep.Busy+1) * s.shortRun(ep) / float64(ep.Record.Slots)
-}
-
 // used returns the share of the time of the slots dispatched here that was used of
 // late.
 func (s *Service) used(now clock.Millis) float64 {
--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -576,7 +576,6 @@
 	peak     int            // most runs at once
 	runs     map[string]int // by request body
 	started  clock.Millis   // when it last started a run
-	last     string         // instance that started it
 	open     []*backendRun  // runs under way
 	draining bool
 	shed     bool
@@ -685,7 +684,7 @@
 	}
 	key := string(r.a.Work.Body)
 	b.runs[key]++
-	b.started, b.last = r.f.now, r.d.self.Name
+	b.started = r.f.now
 	if b.failing {
 		r.end(instance.Result{Outcome: instance.OutcomeUnknown, Dialled: true, Detail: "reset"})
 		return
--- a/instance/load_test.go
+++ b/instance/load_test.go
@@ -3,10 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -36,6 +33,7 @@
 	longShare      = 0.05
 	longFactor     = 30.0
 	swingPeriod    = 4 * clock.Second
+	trialJoin      = 5 * clock.Second
 	trialWarm      = 6 * clock.Second // learning, not counted
 	longDeadline   = 20 * clock.Second
 )
@@ -52,75 +50,37 @@
 }
 
 type trialRequest struct {
-	body  string
-	long  bool
-	at    clock.Millis
-	c     *fakeCaller
-	cost  float64
-	limit clock.Millis
+	body string
+	long bool
+	at   clock.Millis
+	c    *fakeCaller
+	cost float64
 }
 
+// trialRun is a trial under way.
+type trialRun struct {
+	loadTrial
+	f       *frame
+	costs   map[string]float64 // ms at speed 1, by request body
+	work    map[string]float64 // ms worked while measured, by endpoint
+	callers []*fakeCaller
+	all     []trialRequest
+	rate    float64 // requests a ms
+	start   clock.Millis
+}
+
+func trialAddress(i int) string { return fmt.Sprintf("127.3.0.%d:80", i+1) }
+
 func (l loadTrial) run(t *testing.T, seed uint64) loadFigures {
-	f := newFrame(t, seed)
-	f.putJSON("service", "orders", 2, map[string]any{"queue": 10_000, "deadline": 30_000})
-	costs := make(map[string]float64)
-	work := make(map[string]float64)
-	capacity := 0.0
-	for i := range trialEndpoints {
-		speed := float64(1 + i%4)
-		capacity += speed * float64(l.Slots)
-		address := fmt.Sprintf("127.3.0.%d:80", i+1)
-		b := f.addBackend(fmt.Sprintf("orders-%d", i), "orders", "riga-1", address, l.Slots, 0)
-		b.cost = func(body string) clock.Millis {
-			span := max(1, clock.Millis(costs[body]/speed))
-			if f.now > frameStart+5*clock.Second+trialWarm {
-				work[address] += float64(span)
-			}
-			return span
-		}
-	}
-	sizes := []float64{1, 1, 2, 1, 2, 1, 1, 2}
-	for i, size := range sizes {
-		f.addSized(fmt.Sprintf("entry-%d", i+1), "riga-1", size)
-	}
-	f.run(5 * clock.Second)
-	var callers []*fakeCaller
+	r := &trialRun{loadTrial: l, f: newFrame(t, seed), costs: make(map[string]float64), work: make(map[string]float64)}
+	f := r.f
+	r.desk()
+	f.run(trialJoin)
 	for range trialCallers {
-		callers = append(callers, f.addCaller("orders"))
-	}
-	mean := trialWork * (1 + longShare*(longFactor-1))
-	rate := l.Load * capacity / mean // requests a ms, with the long
-	var all []trialRequest
-	start := f.now
-	end := start + trialWarm + l.Span
-	var next func()
-	next = func() {
-		if f.now >= end {
-			return
-		}
-		long := f.random.Float64() < longShare
-		if !long || l.Long {
-			cost := trialWork * (2.0/3 + f.random.Float64()*2/3)
-			r := trialRequest{long: long, at: f.now, limit: l.Deadline, body: fmt.Sprintf("request %d ", len(all))}
-			class := packet.ClassShort
-			if long {
-				cost *= longFactor
-				class = packet.ClassLong
-				r.limit = longDeadline
-			}
-			r.cost = cost
-			costs[r.body] = cost
-			r.c = callers[f.random.IntN(len(callers))]
-			all = append(all, r)
-			r.c.next++
-			r.c.bodies[r.c.next] = r.body
-			r.c.handle(caller.RequestStarted{Call: r.c.next, Request: caller.Request{Body: []byte(r.body), Class: class, Deadline: r.limit}})
-		}
-		phase := 2 * math.Pi * float64((f.now-start)%swingPeriod) / float64(swingPeriod)
-		now := rate * (1 + l.Swing*math.Sin(phase))
-		f.trialNext(f.random.ExpFloat64()/now, next)
+		r.callers = append(r.callers, f.addCaller("orders"))
 	}
-	next()
+	r.start = f.now
+	r.next()
 	f.run(trialWarm)
 	for _, d := range f.nodes {
 		d.bytes = 0
@@ -132,10 +92,63 @@
 	}
 	busy := make([]float64, 0, trialEndpoints)
 	for i := range trialEndpoints {
-		busy = append(busy, work[fmt.Sprintf("127.3.0.%d:80", i+1)])
+		busy = append(busy, r.work[trialAddress(i)])
 	}
 	f.run(longDeadline + clock.Second)
-	return l.figures(f, all, start, busy, bytes)
+	return l.figures(f, r.all, r.start, busy, bytes)
+}
+
+// desk starts the endpoints and instances.
+func (r *trialRun) desk() {
+	f := r.f
+	f.putJSON("service", "orders", 2, map[string]any{"queue": 10_000, "deadline": 30_000})
+	capacity := 0.0
+	for i := range trialEndpoints {
+		speed := float64(1 + i%4)
+		capacity += speed * float64(r.Slots)
+		address := trialAddress(i)
+		b := f.addBackend(fmt.Sprintf("orders-%d", i), "orders", "riga-1", address, r.Slots, 0)
+		b.cost = func(body string) clock.Millis {
+			span := max(1, clock.Millis(r.costs[body]/speed))
+			if f.now > frameStart+trialJoin+trialWarm {
+				r.work[address] += float64(span)
+			}
+			return span
+		}
+	}
+	for i, size := range []float64{1, 1, 2, 1, 2, 1, 1, 2} {
+		f.addSized(fmt.Sprintf("entry-%d", i+1), "riga-1", size)
+	}
+	r.rate = r.Load * capacity / (trialWork * (1 + longShare*(longFactor-1)))
+}
+
+// next sends a request and waits for the next one's time.
+func (r *trialRun) next() {
+	f := r.f
+	if f.now >= r.start+trialWarm+r.Span {
+		return
+	}
+	if long := f.random.Float64() < longShare; !long || r.Long {
+		r.send(long)
+	}
+	phase := 2 * math.Pi * float64((f.now-r.start)%swingPeriod) / float64(swingPeriod)
+	f.trialNext(f.random.ExpFloat64()/(r.rate*(1+r.Swing*math.Sin(phase))), r.next)
+}
+
+func (r *trialRun) send(long bool) {
+	f := r.f
+	q := trialRequest{long: long, at: f.now, body: fmt.Sprintf("request %d ", len(r.all)), cost: trialWork * (2.0/3 + f.random.Float64()*2/3)}
+	class, deadline := packet.ClassShort, r.Deadline
+	if long {
+		q.cost *= longFactor
+		class, deadline = packet.ClassLong, longDeadline
+	}
+	r.costs[q.body] = q.cost
+	q.c = r.callers[f.random.IntN(len(r.callers))]
+	r.all = append(r.all, q)
+	q.c.next++
+	q.c.bodies[q.c.next] = q.body
+	q.c.handle(caller.RequestStarted{Call: q.c.next, Request: caller.Request{Body: []byte(q.body), Class: class, Deadline: deadline}})
 }
 
 // trialNext calls run after a span in parts of a ms, which are carried over.
@@ -169,12 +182,6 @@
 			short = append(short, took)
 		}
 	}
-	if os.Getenv("TRIAL") == "all" {
-		for i := range trialEndpoints {
-			b := f.backends[fmt.Sprintf("127.3.0.%d:80", i+1)]
-			f.t.Logf("endpoint %s of %s speed %d used %.3f", b.address, b.last, 1+i%4, busy[i]/float64(l.Span)/float64(l.Slots))
-		}
-	}
 	excess := 0
 	for _, b := range f.backends {
 		excess = max(excess, b.peak-b.slots)
@@ -200,28 +207,47 @@
 	return values[int(q*float64(len(values)-1))]
 }
 
-// TestLoadTrial prints the figures of the policy under load; run it with -v.
-func TestLoadTrial(t *testing.T) {
-	if os.Getenv("TRIAL") == "" {
-		t.Skip()
+// TestPolicyUnderLoad bounds the figures of the policy on the fake clock; run it
+// with -v to see them.
+func TestPolicyUnderLoad(t *testing.T) {
+	var cases []loadCase
+	script.Read(t, "testdata/load.yaml", &cases)
+	for _, c := range cases {
+		t.Run(c.Name, c.check)
 	}
-	cases := []loadTrial{
-		{Load: 0.7, Swing: 0.4, Long: true, Slots: 2},
-		{Load: 0.7, Swing: 0.4, Long: false, Slots: 2},
-		{Load: 0.85, Long: true, Slots: 2},
-		{Load: 0.85, Long: false, Slots: 2},
-		{Load: 1, Long: true, Slots: 2},
-		{Load: 1.5, Long: true, Slots: 2},
-		{Load: 0.85, Long: true, Slots: 3},
+}
+
+// loadCase is a trial with the bounds of its figures; a bound of 0 is not checked.
+type loadCase struct {
+	Name      string  `yaml:"name"`
+	Load      float64 `yaml:"load"`
+	Swing     float64 `yaml:"swing"`
+	Slots     int     `yaml:"slots"`
+	Cost      float64 `yaml:"cost"`
+	Imbalance float64 `yaml:"imbalance"`
+	Refused   float64 `yaml:"refused"`
+	Goodput   float64 `yaml:"goodput"`
+	Long      float64 `yaml:"long"`
+}
+
+func (c loadCase) check(t *testing.T) {
+	trial := loadTrial{Load: c.Load, Swing: c.Swing, Slots: c.Slots, Long: true, Span: 24 * clock.Second, Deadline: 2 * clock.Second}
+	with := trial.run(t, 1)
+	t.Logf("%+v", with)
+	require.Zero(t, with.Excess)
+	require.LessOrEqual(t, with.Refused, c.Refused)
+	require.GreaterOrEqual(t, with.Goodput*c.Load, c.Goodput)
+	if c.Imbalance > 0 {
+		require.LessOrEqual(t, with.Imbalance, c.Imbalance)
 	}
-	for i, c := range cases {
-		if only := os.Getenv("CASES"); only != "" && !strings.Contains(only, strconv.Itoa(i)) {
-			continue
-		}
-		c.Span, c.Deadline = 32*clock.Second, 2*clock.Second
-		g := c.run(t, 1)
-		t.Logf("load=%v swing=%v long=%v slots=%d: %+v", c.Load, c.Swing, c.Long, c.Slots, g)
-		require.Zero(t, 0)
+	if c.Long > 0 {
+		require.LessOrEqual(t, with.LongP99, c.Long)
+	}
+	if c.Cost > 0 {
+		trial.Long = false
+		without := trial.run(t, 1)
+		t.Logf("without the long: %+v", without)
+		require.LessOrEqual(t, with.P99/without.P99, c.Cost)
 	}
 }
 
--- a/instance/place.go
+++ b/instance/place.go
@@ -15,7 +15,7 @@
 	maxTries    = 6                      // places tried for one request
 	loadAge     = 2 * clock.Second       // older queue states of others count as unknown
 	placeMargin = 5.0                    // ms of waiting by which another must be shorter
-	usedWait    = 200.0                   // ms of waiting that slots in use all of the time count as
+	usedWait    = 200.0                  // ms of waiting that slots in use all of the time count as
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
