--- a/instance/health.go
+++ b/instance/health.go
@@ -45,11 +45,32 @@
 	took := b.Now - j.Begun
 	j.Service.Times[j.Work.Class].Add(float64(took))
 	ep.Times[j.Work.Class].Add(float64(took))
+	b.compare(ep, j)
 	j.Service.Sizes[sizeOf(len(j.Work.Body))].Add(float64(took))
 	j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
 	b.do(Observe{Metric: "run_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(took)})
 }
 
+// Reporting of slow endpoints.
+const (
+	slowTimes = 4.0 // run times usual for the service from which an endpoint counts as slow
+	slowRuns  = 20  // answers of an endpoint before it is compared
+)
+
+// compare reports an endpoint that takes much longer than is usual for the service.
+// It goes on getting the work that it can carry.
+func (b *Board) compare(ep *Endpoint, j *Job) {
+	own, usual := ep.Times[j.Work.Class], j.Service.Times[j.Work.Class]
+	if own.Count < slowRuns {
+		return
+	}
+	if own.Value < slowTimes*usual.Value {
+		b.Report.clear(conditionSlow, ep.subject())
+		return
+	}
+	b.Report.raise(b.Now, conditionSlow, ep.subject(), "it takes much longer than others of the service", "gets the share of work that it carries")
+}
+
 func (b *Board) learnRefusal(ep *Endpoint, r Result) {
 	if r.Shed || r.Drain {
 		ep.Until = max(ep.Until, b.Now+shedPause)
--- a/instance/moving.go
+++ b/instance/moving.go
@@ -22,7 +22,7 @@
 	if now-ep.AwayAt > awayAge {
 		away = 0
 	}
-	slots := ep.Record.Slots - away
+	slots := min(ep.Record.Slots, ep.Record.Connections) - away
 	const steps = 16 // more doublings than there can be slots
 	if passed := (now - max(ep.Kept, ep.Until)) / rampStep; passed < steps {
 		slots = min(slots, 1<<passed)
--- a/instance/report.go
+++ b/instance/report.go
@@ -18,6 +18,7 @@
 	conditionInstance  = "InstanceSilent"
 	conditionRejected  = "RecordRejected"
 	conditionOverload  = "Overloaded"
+	conditionSlow      = "BackendSlow"
 	conditionDraining  = "BackendDraining"
 	conditionStopping  = "Stopping"
 )
@@ -25,7 +26,7 @@
 // conditionOrder lists the types of conditions, worst first.
 var conditionOrder = []string{
 	conditionPlatform, conditionNoBackend, conditionMisrouted, conditionBackend, conditionSilent,
-	conditionInstance, conditionRejected, conditionOverload, conditionDraining, conditionStopping,
+	conditionInstance, conditionRejected, conditionOverload, conditionSlow, conditionDraining, conditionStopping,
 }
 
 // ConditionRank orders types of conditions: worse ones come first.
