Services that share an instance share its memory

Cause: one service with large bodies could take all of the memory set aside, and requests of the others were refused.

--- a/instance/answers.go
+++ b/instance/answers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
 // Sending of answers.
@@ -40,7 +41,7 @@
 // peer answers the instance that handed the work over.
 func (c answerController) peer(e ended) {
 	delete(c.b.Calls, e.job.Call)
-	c.b.Bytes -= int64(len(e.job.Work.Body))
+	c.b.holdBytes(token.Hash(e.job.Work.Service), -int64(len(e.job.Work.Body)))
 	c.b.do(AnswerPeer{Call: e.job.Call, Result: e.result})
 }
 
@@ -49,7 +50,7 @@
 	if r.Job != e.job {
 		return
 	}
-	c.b.Bytes -= int64(len(e.job.Work.Body))
+	c.b.holdBytes(token.Hash(e.job.Work.Service), -int64(len(e.job.Work.Body)))
 	e.job.Work.Body = nil
 	r.Job = nil
 	if e.result.Outcome != OutcomeAnswered {
@@ -63,7 +64,7 @@
 	c.b.do(Observe{Metric: "answer_ms", Service: e.job.Work.Service, Class: e.job.Work.Class, Value: int64(c.b.Now - e.job.Queued)})
 	r.State = StateAnswering
 	r.Answer, r.Status = e.result.Body, uint16(e.result.Status)
-	c.b.Bytes += int64(len(r.Answer))
+	c.b.holdBytes(r.Flow.Service, int64(len(r.Answer)))
 	r.Window = packet.Window{Count: packet.CountParts(len(r.Answer))}
 	r.Burst, r.Timeout = firstBurst, firstTimeout
 	r.Until = max(r.Deadline, c.b.Now) + answerLinger
--- a/instance/board.go
+++ b/instance/board.go
@@ -25,9 +25,10 @@
 	Endpoints map[string]*Endpoint // by address
 	Members   Members
 	Flows     Flows
-	Runs      map[uint64]*Job // by run number
-	Calls     map[uint64]*Job // work of other instances, by call number
-	Bytes     int64           // request and answer bodies held
+	Runs      map[uint64]*Job  // by run number
+	Calls     map[uint64]*Job  // work of other instances, by call number
+	Bytes     int64            // request and answer bodies held
+	Bodies    map[uint64]int64 // the same by token.Hash of the service
 	Report    Report
 
 	sorted  []*Service  // Services by name
@@ -59,7 +60,7 @@
 	b := &Board{
 		Settings: s, Now: now, Started: now,
 		Services: make(map[uint64]*Service), Endpoints: make(map[string]*Endpoint),
-		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job),
+		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job), Bodies: make(map[uint64]int64),
 		random: rand.New(rand.NewPCG(s.Seed, token.Hash(s.Self.Name))),
 	}
 	b.Records = newRecords()
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -336,7 +336,7 @@
 	s := c.b.Services[token.Hash(ev.Work.Service)]
 	j := &Job{Work: ev.Work, Service: s, Call: ev.Call, Queued: c.b.Now}
 	c.b.Calls[ev.Call] = j
-	c.b.Bytes += int64(len(ev.Work.Body))
+	c.b.holdBytes(token.Hash(ev.Work.Service), int64(len(ev.Work.Body)))
 	switch {
 	case s == nil:
 		c.b.refuse(j, packet.ReasonService)
--- /dev/null
+++ b/instance/memory_test.go
@@ -0,0 +1,35 @@
+package instance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/internal/script"
+)
+
+type memoryCase struct {
+	Name string           `yaml:"name"`
+	Held map[uint64]int64 `yaml:"held"`
+	Ask  uint64           `yaml:"ask"`
+	Size int64            `yaml:"size"`
+	Want bool             `yaml:"want"`
+}
+
+func TestServicesShareMemory(t *testing.T) {
+	var cases []memoryCase
+	script.Read(t, "testdata/memory.yaml", &cases)
+	for _, c := range cases {
+		b := &Board{Bodies: make(map[uint64]int64), Services: map[uint64]*Service{1: {}, 2: {}, 3: {}}}
+		b.Settings.Memory = 1200
+		for service, n := range c.Held {
+			b.holdBytes(service, n)
+		}
+		require.Equal(t, c.Want, b.hasMemory(c.Ask, c.Size), c.Name)
+		for service, n := range c.Held {
+			b.holdBytes(service, -n)
+		}
+		require.Zero(t, b.Bytes)
+		require.Empty(t, b.Bodies)
+	}
+}
--- a/instance/requests.go
+++ b/instance/requests.go
@@ -69,13 +69,13 @@
 		c.b.refuseRequest(r, packet.ReasonMalformed, "parts contradict each other")
 		return
 	}
-	if c.b.Bytes+int64(len(p.Payload)) > c.b.Settings.Memory {
+	if !c.b.hasMemory(s.Hash, int64(len(p.Payload))) {
 		c.b.refuseRequest(r, packet.ReasonMemory, "bodies fill the memory set aside")
 		return
 	}
 	inOrder := p.Part == r.Assembly.Next
 	if r.Assembly.Add(p.Part, p.Payload) {
-		c.b.Bytes += int64(len(p.Payload))
+		c.b.holdBytes(r.Flow.Service, int64(len(p.Payload)))
 		r.Unacked++
 	} else {
 		inOrder = false
@@ -98,7 +98,7 @@
 	c.b.sendAck(r)
 	r.Assembly = nil
 	if int64(len(body)) > s.Record.Limit {
-		c.b.Bytes -= int64(len(body))
+		c.b.holdBytes(r.Flow.Service, -int64(len(body)))
 		c.b.refuseRequest(r, packet.ReasonSize, "body exceeds the service's limit")
 		return
 	}
@@ -211,7 +211,7 @@
 // so that the refusal can be repeated.
 func (b *Board) refuseRequest(r *Request, reason packet.Reason, detail string) {
 	if r.Assembly != nil {
-		b.Bytes -= int64(r.Assembly.Size)
+		b.holdBytes(r.Flow.Service, -int64(r.Assembly.Size))
 		r.Assembly = nil
 	}
 	r.State, r.Reason = StateRefused, reason
@@ -233,7 +233,7 @@
 
 // finish forgets a request.
 func (b *Board) finish(r *Request) {
-	b.Bytes -= int64(len(r.Answer))
+	b.holdBytes(r.Flow.Service, -int64(len(r.Answer)))
 	r.Answer = nil
 	r.State = StateEnded
 	r.Flow.markEnded(r.Number)
