--- a/measure/policy.go
+++ b/measure/policy.go
@@ -40,7 +40,9 @@
   short_p50_ms, short_p99_ms, long_p50_ms, long_p99_ms   times of answered requests
   imbalance        largest to mean share of its slots' time that an endpoint worked
   used             mean of that share
-  goodput          requests answered a second; goodput_work: the share of capacity
+  goodput          requests answered a second; goodput_work: the share of capacity;
+                   both by the time of the load, while queues drain after it;
+                   goodput_elapsed: goodput_work by the time until the last answer
   refused          share of requests that ended without their answer
   retries          share of requests sent again, by callers and by instances
   beat_bytes, load_bytes   heartbeats, and queue state on packets passed on: bytes
@@ -106,7 +108,7 @@
 }
 
 // policyResult is what the ratios are made of.
-type policyResult struct{ p99, goodput, work float64 }
+type policyResult struct{ p99, goodput, work, elapsed float64 }
 
 func (m *policyRun) run(ctx context.Context, p *printer, names []string) error {
 	for _, name := range names {
@@ -134,6 +136,7 @@
 	over, full := m.results["over"], m.results["capacity"]
 	p.line(name+"_over_ratio", over.goodput/full.goodput)
 	p.line(name+"_over_ratio_work", over.work/full.work)
+	p.line(name+"_over_ratio_elapsed", over.elapsed/full.elapsed)
 	return nil
 }
 
@@ -326,6 +329,7 @@
 	goodWork := meanWork() * (float64(len(t.Short)) + policyLong*float64(len(t.Long))) / (m.capacity() * meanWork() * (1 + policyShare*(policyLong-1)) * seconds)
 	p.line(prefix+"goodput", float64(t.Whole)/seconds)
 	p.line(prefix+"goodput_work", goodWork)
+	p.line(prefix+"goodput_elapsed", goodWork*seconds/took.Seconds())
 	p.line(prefix+"refused", float64(t.Sent-t.Whole)/sent)
 	p.line(prefix+"retries", (float64(t.Counters.Retries)+after.retries-before.retries)/sent)
 	perInstance := took.Seconds() * float64(len(m.stage.entries))
@@ -333,7 +337,7 @@
 	p.line(prefix+"load_bytes", (after.passed-before.passed)*loadSize()/perInstance)
 	p.line(prefix+"entry_cpu", (after.cpu-before.cpu).Seconds()/took.Seconds())
 	p.line(prefix+"machine_load", machineLoad()/float64(runtime.NumCPU()))
-	m.results[caseName] = policyResult{p99: ms(t.Short, 0.99), goodput: float64(t.Whole) / seconds, work: goodWork}
+	m.results[caseName] = policyResult{p99: ms(t.Short, 0.99), goodput: float64(t.Whole) / seconds, work: goodWork, elapsed: goodWork * seconds / took.Seconds()}
 }
 
 // loadSize returns the bytes that queue state adds to an envelope.
