--- a/packet/envelope.go
+++ b/packet/envelope.go
@@ -43,6 +43,10 @@
 
 	Held []Held `cbor:"12,keyasint,omitempty"` // at most maxHeld entries
 
+	// Watching tells that the sender watches the platform for its data centre
+	// and reaches it.
+	Watching bool `cbor:"13,keyasint,omitempty"`
+
 	// Hello describes the sender to an instance that may not know it yet.
 	Hello *record.Instance `cbor:"11,keyasint,omitempty"`
 }
