--- a/instance/board.go
+++ b/instance/board.go
@@ -25,9 +25,10 @@
 	Endpoints map[string]*Endpoint // by address
 	Members   Members
 	Flows     Flows
-	Runs      map[uint64]*Job // by run number
-	Calls     map[uint64]*Job // work of other instances, by call number
-	Bytes     int64           // request and answer bodies held
+	Runs      map[uint64]*Job  // by run number
+	Calls     map[uint64]*Job  // work of other instances, by call number
+	Bytes     int64            // request and answer bodies held
+	Bodies    map[uint64]int64 // the same by token.Hash of the service
 	Report    Report
 
 	sorted  []*Service  // Services by name
@@ -59,7 +60,7 @@
 	b := &Board{
 		Settings: s, Now: now, Started: now,
 		Services: make(map[uint64]*Service), Endpoints: make(map[string]*Endpoint),
-		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job),
+		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job), Bodies: make(map[uint64]int64),
 		random: rand.New(rand.NewPCG(s.Seed, token.Hash(s.Self.Name))),
 	}
 	b.Records = newRecords()
@@ -195,13 +196,16 @@
 	short := func(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
 	return packet.Load{
 		Service: s.Hash, Free: short(s.Free(now)), Queued: short(len(s.Short)), Long: short(s.Backlog()),
-		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)),
+		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)), Used: uint16(s.used(now) * usedUnit),
 	}
 }
 
 // rateSpan is the span that packet.Load.Rate counts requests in, in ms.
 const rateSpan = float64(1000 * clock.Second)
 
+// usedUnit is what packet.Load.Used counts a whole in.
+const usedUnit = 1000.0
+
 // Job is one whole request that waits for a slot, holds one, or was handed over.
 type Job struct {
 	Work    Work
--- a/instance/place.go
+++ b/instance/place.go
@@ -15,6 +15,7 @@
 	maxTries    = 6                      // places tried for one request
 	loadAge     = 2 * clock.Second       // older queue states of others count as unknown
 	placeMargin = 5.0                    // ms of waiting by which another must be shorter
+	usedWait    = 200.0                  // ms of waiting that slots in use all of the time count as
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
@@ -83,7 +84,7 @@
 	case c.hopeless(j, here, other):
 		c.b.refuse(j, packet.ReasonBusy)
 		c.b.Report.raise(c.b.Now, conditionOverload, "service/"+j.Service.Record.Name, "requests would wait past their deadlines", "refused as not run")
-	case other != nil && c.score(j.Service, other, j.Work.Class)+placeMargin < here:
+	case other != nil && c.better(j, other, here):
 		c.handOver(j, other.Member)
 	case j.Service.Waiting() >= j.Service.Record.Queue:
 		c.b.refuse(j, packet.ReasonBusy)
@@ -93,6 +94,19 @@
 	}
 }
 
+// better reports whether another instance is enough of a better place than this
+// one. Work that must not be repeated is permitted before it is handed over, and is
+// lost to either instance's death: it goes where it starts at once, or sooner by
+// half a usual run.
+func (c placeController) better(j *Job, other *Place, here float64) bool {
+	there := c.score(j.Service, other, j.Work.Class)
+	margin := placeMargin
+	if j.Work.Once && there >= 0 {
+		margin = max(margin, j.Service.Times[j.Work.Class].Value/2)
+	}
+	return there+margin < here
+}
+
 // hopeless reports whether a job would wait past its deadline wherever it goes.
 func (c placeController) hopeless(j *Job, here float64, other *Place) bool {
 	if !math.IsInf(here, 1) && !c.b.late(j) {
@@ -121,10 +135,14 @@
 }
 
 // started learns how long it takes from one start of a class to the next while
-// jobs wait.
+// jobs wait. Longer than two usual runs it only takes while endpoints can't be
+// used, which says nothing about the time after.
 func (s *Service) started(class packet.Class, now clock.Millis, waiting int) {
 	if s.StartedAt[class] != 0 && waiting > 0 {
-		s.Gaps[class].Add(float64(now - s.StartedAt[class]))
+		longest := 2 * max(s.Times[packet.ClassShort].Value, s.Times[packet.ClassLong].Value)
+		if gap := float64(now - s.StartedAt[class]); longest > 0 {
+			s.Gaps[class].Add(min(gap, longest))
+		}
 	}
 	s.StartedAt[class] = now
 	if waiting == 0 {
@@ -230,7 +248,7 @@
 	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(&Job{Service: s}, nil)) > 0) {
 		return math.Inf(1)
 	}
-	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now)})
+	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now), Used: s.used(c.b.Now)})
 }
 
 // shorter draws two other instances by their capacity and returns the one where a
@@ -300,12 +318,12 @@
 func (s *Service) waiting(class packet.Class, l PeerLoad) float64 {
 	rate := max(l.Rate, 1/rateSpan)
 	if class == packet.ClassLong {
-		return float64(l.Long+1) * s.longFactor() / rate
+		return float64(l.Long+1)*s.longFactor()/rate + usedWait*l.Used*s.longFactor()
 	}
 	if idle := l.Free - l.Queued; idle > 0 {
-		return -assumedRun * float64(idle) / float64(max(1, l.Slots))
+		return usedWait*l.Used - assumedRun*float64(idle)/float64(max(1, l.Slots))
 	}
-	return float64(l.Queued+1-l.Free) / rate
+	return usedWait*l.Used + float64(l.Queued+1-l.Free)/rate
 }
 
 // placeRate returns the capacity of a place, in short requests a ms: as learnt
