Runs: kill and pause the busiest instance; a dead backend server keeps its ledger

Cause: entry-2 dispatched nothing, so its death showed little; and the ledger of a killed stand-in can't be read, so the check of doubled requests could not be made.

--- a/scripts/runs.sh
+++ b/scripts/runs.sh
@@ -51,19 +51,27 @@
     sed -n 's/.*orders .*revision //p'
 }
 
+# busiest prints the name of the instance that has sent the most answer packets.
+busiest() {
+  local name
+  for name in entry-1 entry-2 entry-3; do echo "$(metric "$name" packets.out.answer) $name"; done | sort -rn | sed -n '1s/.* //p'
+}
+
 # Each fault is a function run_NAME that disturbs the system while the load runs.
 # Its unknown_NAME, when set, is how many outcomes may be unknown; default 0.
 
 run_none() { :; }
 
 unknown_instance_killed=-1
-run_instance_killed() { kill -KILL "${pid[entry-2]}"; }
+run_instance_killed() { kill -KILL "${pid[$(busiest)]}"; }
 
 unknown_instance_paused=-1
 run_instance_paused() {
-  kill -STOP "${pid[entry-2]}"
+  local name
+  name=$(busiest)
+  kill -STOP "${pid[$name]}"
   sleep 4
-  kill -CONT "${pid[entry-2]}"
+  kill -CONT "${pid[$name]}"
 }
 
 run_instances_replaced() {
@@ -82,8 +90,9 @@
   put "$(address fabric control)" /entries "[\"$(address entry-1 packets)\",\"$(address entry-2 packets)\",\"$(address entry-3 packets)\",\"$(address entry-4 packets)\"]"
 }
 
-unknown_backend_killed=-1
-run_backend_killed() { kill -KILL "${pid[orders-1]}"; }
+# The stand-in resets its connections and refuses new ones, and keeps its ledger.
+unknown_backend_dead=-1
+run_backend_dead() { fault orders-1 '{"down":true}'; }
 
 run_backend_drained() {
   sed 's/state: active/state: draining/' "$work/records/orders-1.yaml" >"$work/draining.yaml"
