Every envelope tells of newer configuration, also between data centres

Cause (generated pair: data centre cut from the platform, backend server drained): only heartbeats compared revisions, and those stay within a data centre, so one cut from the platform alone got no news from the others. Change: the revision of every envelope heard is compared. The matrix counts the 3 s of a drain from when news can come at all: a data centre cut from the platform and from all others cannot know of a record, and a platform that is down holds none.

--- a/instance/members.go
+++ b/instance/members.go
@@ -233,6 +233,7 @@
 	c.leaving(m, ev.Envelope.Leaving)
 	c.loads(m, ev.Envelope.Loads)
 	c.b.away(ev.Envelope.Held)
+	watchController(c).compareRevision(m, ev.Envelope.Revision)
 	if ev.Envelope.Beat != 0 {
 		c.beat(m, ev.Envelope)
 	}
@@ -254,7 +255,6 @@
 }
 
 func (c memberController) beat(m *Member, e packet.Envelope) {
-	watchController(c).compareRevision(m, e.Revision)
 	if e.Reply {
 		c.answered(m)
 		return
