--- a/instance/faults_test.go
+++ b/instance/faults_test.go
@@ -402,14 +402,14 @@
 			}
 		})
 	},
-	"drain": func(c *cell, o operation) {
+	"drain": func(c *cell, _ operation) {
 		c.putBackend(c.backend, record.StateDraining, record.Schema2)
 		c.drained[c.backend] = c.f.now
 	},
-	"draining": func(c *cell, o operation) { c.backend.draining = true },
-	"schema":   func(c *cell, o operation) { c.putBackend(c.backend, record.StateActive, record.Schema1) },
-	"reuse":    func(c *cell, o operation) { c.reuse(c.backend) },
-	"write":    func(c *cell, o operation) { c.write() },
+	"draining": func(c *cell, _ operation) { c.backend.draining = true },
+	"schema":   func(c *cell, _ operation) { c.putBackend(c.backend, record.StateActive, record.Schema1) },
+	"reuse":    func(c *cell, _ operation) { c.reuse(c.backend) },
+	"write":    func(c *cell, _ operation) { c.write() },
 	"crash": func(c *cell, o operation) {
 		b := c.backend
 		b.kill()
@@ -623,32 +623,31 @@
 	if from.once[body] && runs > 1 {
 		c.problem("%s was started %d times", name, runs)
 	}
-	if !ok || from.judged[body] {
-		if errors.Is(ended.Err, caller.ErrNotRun) && runs > 0 {
-			c.problem("%s was said not to have run, but was started: %v", name, ended.Err)
-		}
-		return
+	if errors.Is(ended.Err, caller.ErrNotRun) && runs > 0 {
+		c.problem("%s was said not to have run, but was started: %v", name, ended.Err)
 	}
-	from.judged[body] = true
+	if ok && !from.judged[body] {
+		from.judged[body] = true
+		c.judge(from, body, name, ended)
+	}
+}
+
+// judge checks what a request ended with, once.
+func (c *cell) judge(from *fakeCaller, body, name string, ended caller.RequestEnded) {
 	after := c.healed != 0 && from.due[body] >= c.healed+cellDeadline
 	switch {
+	case ended.Err == nil && string(ended.Answer.Body) != "answer to "+body:
+		c.problem("%s got an answer of %d bytes that is not its own", name, len(ended.Answer.Body))
 	case ended.Err == nil:
-		if string(ended.Answer.Body) != "answer to "+body {
-			c.problem("%s got an answer of %d bytes that is not its own", name, len(ended.Answer.Body))
-		}
-		return
 	case errors.Is(ended.Err, caller.ErrNotRun):
 		c.refused++
-		if runs > 0 {
-			c.problem("%s was said not to have run, but was started: %v", name, ended.Err)
-		}
 	default:
 		c.unknown++
 		if !c.loses || after || !from.permitted[body] {
 			c.problem("%s is unknown: %v", name, ended.Err)
 		}
 	}
-	if c.planned || after || !from.once[body] {
+	if ended.Err != nil && (c.planned || after || !from.once[body]) {
 		c.problem("%s got no answer: %v", name, ended.Err)
 	}
 }
@@ -679,10 +678,13 @@
 	return most
 }
 
-// cannot returns why a fault can't occur at a step, or "".
-func cannot(x fault, s step) string {
-	if x.Needs == "runs" && !s.Runs {
+// cannot returns why a fault can't occur at a step with a kind of request, or "".
+func cannot(x fault, s step, kind string) string {
+	switch {
+	case x.Needs == "runs" && !s.Runs:
 		return "no instance has dispatched the request yet"
+	case s.Only != "" && s.Only != kind:
+		return "no permit is asked for"
 	}
 	return ""
 }
@@ -693,46 +695,61 @@
 	return steps, faults
 }
 
+// matrix collects the verdicts of cells.
+type matrix struct {
+	mu     sync.Mutex
+	lines  []string
+	passed int
+	failed int
+}
+
+func (m *matrix) add(name string, c *cell) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lines = append(m.lines, name+" "+c.verdict())
+	if len(c.problems) == 0 {
+		m.passed++
+	} else {
+		m.failed++
+	}
+}
+
+// play plays one fault at one step, with a request that must not be repeated and
+// with one that may.
+func (m *matrix) play(t *testing.T, x fault, s step, seed uint64) {
+	for n, kind := range []string{"once", "repeatable"} {
+		name := x.Name + " " + s.Name + " " + kind
+		if why := cannot(x, s, kind); why != "" {
+			m.lines = append(m.lines, name+" cannot occur: "+why)
+			continue
+		}
+		t.Run(strings.ReplaceAll(name, " ", "/"), func(t *testing.T) {
+			t.Parallel()
+			c := runCell(t, s, kind == "once", seed+uint64(n), x)
+			m.add(name, c)
+			if len(c.problems) > 0 {
+				t.Error(c.verdict())
+			}
+		})
+	}
+}
+
 func TestFaults(t *testing.T) {
 	steps, faults := readFaults(t)
 	base, err := strconv.ParseUint(*pairSeed, 10, 32)
 	require.NoError(t, err)
-	var mu sync.Mutex
-	var lines []string
-	passed, failed := 0, 0
+	var m matrix
 	t.Run("cells", func(t *testing.T) {
 		for i, x := range faults {
 			for k, s := range steps {
-				if why := cannot(x, s); why != "" {
-					lines = append(lines, fmt.Sprintf("%s %s cannot occur: %s", x.Name, s.Name, why))
-					continue
-				}
-				for n, kind := range []string{"once", "repeatable"} {
-					if s.Only != "" && s.Only != kind {
-						lines = append(lines, fmt.Sprintf("%s %s %s cannot occur: no permit is asked for", x.Name, s.Name, kind))
-						continue
-					}
-					t.Run(x.Name+"/"+s.Name+"/"+kind, func(t *testing.T) {
-						t.Parallel()
-						c := runCell(t, s, kind == "once", base<<20+uint64(1000*i+10*k+n), x)
-						mu.Lock()
-						defer mu.Unlock()
-						lines = append(lines, fmt.Sprintf("%s %s %s %s", x.Name, s.Name, kind, c.verdict()))
-						if len(c.problems) == 0 {
-							passed++
-							return
-						}
-						failed++
-						t.Error(c.verdict())
-					})
-				}
+				m.play(t, x, s, base<<20+uint64(1000*i+10*k))
 			}
 		}
 	})
 	if *printCells {
-		slices.Sort(lines)
-		fmt.Println(strings.Join(lines, "\n"))
-		fmt.Printf("%d passed, %d failed\n", passed, failed)
+		slices.Sort(m.lines)
+		fmt.Println(strings.Join(m.lines, "\n"))
+		fmt.Printf("%d passed, %d failed\n", m.passed, m.failed)
 	}
 }
 
@@ -748,8 +765,9 @@
 		y := rapid.SampledFrom(faults).Draw(r, "second")
 		distance := clock.Millis(rapid.IntRange(0, 2000).Draw(r, "distance"))
 		once := s.Only == "once" || rapid.Bool().Draw(r, "once")
+		kind := map[bool]string{true: "once", false: "repeatable"}[once]
 		seed := rapid.Uint64Range(0, 1<<20).Draw(r, "seed")
-		if cannot(x, s) != "" || cannot(y, s) != "" {
+		if cannot(x, s, kind) != "" || cannot(y, s, kind) != "" {
 			r.Skip("cannot occur")
 		}
 		second := y
