Refuse waiting work that can no longer end in time

Change: a run starts only where its whole expected run time is left (it was 0.8 of it), and the first jobs of a queue that fit nowhere are refused at once.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -62,6 +62,9 @@
 	if c.moveAway(s) {
 		return
 	}
+	if !c.b.alone() {
+		s.Short, s.Long = c.shed(s, s.Short), c.shed(s, s.Long)
+	}
 	for c.startOne(s) {
 	}
 	c.askFirst(s)
--- a/instance/kept.go
+++ b/instance/kept.go
@@ -11,7 +11,7 @@
 const (
 	longAge    = 2.0 // usual run times after which long work that waits has aged
 	urgentRuns = 2.0 // run times before its deadline when long work may take any slot
-	fitsFactor = 0.8 // share of the expected run time that must be left to start
+	fitsFactor = 1.0 // share of the expected run time that must be left to start
 )
 
 // longSlots returns how many slots of the endpoints dispatched here a long job may
@@ -40,3 +40,33 @@
 	}
 	return c.b.Now+clock.Millis(fitsFactor*s.runTime(ep, j.Work.Class)) <= j.Work.Deadline
 }
+
+// shed refuses the first jobs of a queue that are expected to end by their deadline
+// nowhere here, so that they do not keep others waiting, and returns the rest.
+func (c dispatchController) shed(s *Service, queue []*Job) []*Job {
+	for len(queue) > 0 && queue[0].mayStart() && c.unfit(s, queue[0]) {
+		j := queue[0]
+		queue = queue[1:]
+		reason := packet.ReasonDeadline
+		if j.Request == nil {
+			reason = packet.ReasonBusy // its owner may know a better place
+		}
+		c.b.refuse(j, reason)
+	}
+	return queue
+}
+
+// unfit reports whether a job fits at no endpoint here that can be used.
+func (c dispatchController) unfit(s *Service, j *Job) bool {
+	usable := false
+	for _, ep := range s.among(j, s.Mine, c.b.Now) {
+		if !ep.Usable(c.b.Now) {
+			continue
+		}
+		if c.fits(s, j, ep) {
+			return false
+		}
+		usable = true
+	}
+	return usable
+}
