--- a/measure/drive.go
+++ b/measure/drive.go
@@ -25,6 +25,7 @@
 type driver struct {
 	to      netip.AddrPort
 	arrived *atomic.Int64
+	before  int64 // that had arrived when the drive began
 	sockets []*net.UDPConn
 	next    func(n int64) []byte // the n-th datagram; it may be kept
 }
@@ -42,9 +43,10 @@
 func (d *driver) drive(ctx context.Context, span time.Duration) outcome {
 	var sent, lost atomic.Int64
 	start, before := time.Now(), d.arrived.Load()
+	d.before = before
 	var senders sync.WaitGroup
 	for i, c := range d.sockets {
-		senders.Go(func() { d.sendAll(ctx, c, int64(i), start.Add(span), &sent, &lost, before) })
+		senders.Go(func() { d.sendAll(ctx, c, int64(i), start.Add(span), &sent, &lost) })
 	}
 	senders.Wait()
 	o := outcome{sent: sent.Load(), arrived: d.arrived.Load() - before, took: time.Since(start)}
@@ -53,7 +55,7 @@
 	return o
 }
 
-func (d *driver) sendAll(ctx context.Context, c *net.UDPConn, first int64, until time.Time, sent, lost *atomic.Int64, before int64) {
+func (d *driver) sendAll(ctx context.Context, c *net.UDPConn, first int64, until time.Time, sent, lost *atomic.Int64) {
 	batches := ipv4.NewPacketConn(c)
 	messages := make([]ipv4.Message, driveBatch)
 	for i := range messages {
@@ -63,10 +65,10 @@
 	n := first
 	for ctx.Err() == nil && time.Now().Before(until) {
 		waiting := time.Now()
-		for sent.Load()-lost.Load()-(d.arrived.Load()-before) > window {
+		for sent.Load()-lost.Load()-(d.arrived.Load()-d.before) > window {
 			time.Sleep(poll)
 			if time.Since(waiting) > stalled {
-				lost.Store(sent.Load() - (d.arrived.Load() - before))
+				lost.Store(sent.Load() - (d.arrived.Load() - d.before))
 			}
 		}
 		for i := range messages {
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -419,10 +419,10 @@
 }
 
 // timeEvents returns the mean time of an event after those before it.
-func (m *model) timeEvents(make func(n uint64) []instance.Event) time.Duration {
+func (m *model) timeEvents(event func(n uint64) []instance.Event) time.Duration {
 	var events []instance.Event
 	for n := range uint64(quickEvents) {
-		events = append(events, make(n)...)
+		events = append(events, event(n)...)
 	}
 	start := time.Now()
 	for _, e := range events {
