caller: an owner heard about a request counts, whatever its token's age

Found by the network test (loss 0, delay 50 ms, two deaths, two pauses): two instances adopted a flow within a millisecond. The one with the older token ran the request and was answering; its Acks were ignored as an earlier owner's, and the other one's refusal ended the request as not run. Ruled out: the instance adopting wrongly (its token was valid and it was asked by the caller's repeat). Now an owner from which anything but a refusal comes counts as one that may hold the request, and a refusal by another one waits two seconds for its answer.

--- a/caller/call.go
+++ b/caller/call.go
@@ -45,8 +45,10 @@
 	moved   bool          // it was moved to a reopened flow
 
 	grant     grant
-	contested clock.Millis // when another owner's claim ends the request, or 0
+	contested clock.Millis // when the request ends as unknown for the claim, or 0
+	claim     string       // what another owner did
 
+	left    bool    // every part was sent
 	exposed []owner // owners that may hold the whole request
 	doubt   bool    // an owner of an earlier attempt may have run it
 	answers []*assembly
@@ -60,7 +62,11 @@
 	return c.doubt || len(c.exposed) > 0
 }
 
+// expose notes that an owner may hold the whole request, once that has left.
 func (c *call) expose(o owner) {
+	if !c.left {
+		return
+	}
 	for _, known := range c.exposed {
 		if known == o {
 			return
@@ -81,6 +87,7 @@
 
 // restart sends the body from the start, to a new owner.
 func (c *call) restart(now clock.Millis) {
+	c.contested, c.claim = 0, ""
 	c.upload = newUpload(len(c.request.Body), now)
 	if c.attempt < maxAttempt {
 		c.attempt++
@@ -93,8 +100,8 @@
 		c.doubt = true
 	}
 	c.number, c.flow = 0, 0
-	c.grant, c.contested = grant{}, 0
-	c.exposed, c.answers = nil, nil
+	c.grant, c.contested, c.claim = grant{}, 0, ""
+	c.left, c.exposed, c.answers = false, nil, nil
 }
 
 const maxAttempt = 255
--- a/caller/doc.go
+++ b/caller/doc.go
@@ -23,10 +23,12 @@
 // else may run it.
 //
 // A request ends with an answer or with one of two errors. ErrNotRun is only
-// given when the request certainly did not run: it was refused by the one owner
-// that may have held it whole, or it must not be repeated and no permit was
-// granted, or it never left as a whole. Anything else is ErrUnknown; a request
-// that may be repeated can then be sent again without harm.
+// given when the request did not run: it must not be repeated and no permit was
+// granted, or it never left as a whole, or every owner that was heard about it
+// refused it. Anything else is ErrUnknown; a request that may be repeated can then
+// be sent again without harm. The last of these has a limit: an instance that
+// adopted the flow and whose every packet was lost is not known to the caller, so
+// a request that may be repeated can have run there all the same.
 //
 // # Usage
 //
--- a/caller/ending.go
+++ b/caller/ending.go
@@ -41,7 +41,7 @@
 		return
 	}
 	c.grant = grant{} // the owner that got the permit did not use it
-	if retryable(p.Reason) && e.retry(c, p.Reason) {
+	if len(c.answers) == 0 && retryable(p.Reason) && e.retry(c, p.Reason) {
 		return
 	}
 	e.refused(c, p.Reason)
@@ -68,8 +68,13 @@
 	return true
 }
 
-// refused ends a request that its owner did not run.
+// refused ends a request that its owner did not run. Another one that may hold
+// the request is given time to answer.
 func (e *Engine) refused(c *call, reason packet.Reason) {
+	if !c.request.Once && len(c.exposed) > 0 {
+		e.contest(c, "refused by one instance ("+reason.String()+") and held by another")
+		return
+	}
 	e.end(c, RequestEnded{Call: c.id, Err: e.failure(c, reason, "")})
 }
 
--- a/caller/engine.go
+++ b/caller/engine.go
@@ -192,6 +192,9 @@
 		e.onFinished(p, h)
 		return
 	}
+	if p.Kind != packet.KindRefuse {
+		c.expose(ownerOf(h.token)) // also an owner that is not the newest
+	}
 	switch p.Kind {
 	case packet.KindAck:
 		e.onAck(c, p, h)
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -121,7 +121,7 @@
 	switch {
 	case c.number == 0:
 	case c.grant.nonce != 0:
-		e.contest(c)
+		e.contest(c, "the flow was lost since the permit was granted")
 	case c.moved:
 		e.fail(c, packet.ReasonToken, "the token was refused again")
 	default:
--- a/caller/permit.go
+++ b/caller/permit.go
@@ -5,8 +5,8 @@
 	"github.com/tanagerdock/tanagerdock/packet"
 )
 
-// graceSpan is how long the owner that got the permit may still answer after
-// another one claimed the request, in milliseconds.
+// graceSpan is how long an earlier owner may still answer after a later one
+// claimed or refused the request, in milliseconds.
 const graceSpan = 2 * clock.Second
 
 // onAsk grants the request's one permit.
@@ -39,13 +39,14 @@
 		c.grant.held = h
 	case c.grant.rival:
 	default:
-		e.contest(c)
+		e.contest(c, "another instance owns the flow since the permit was granted")
 	}
 }
 
-// contest ends the request as unknown after a grace time.
-func (e *Engine) contest(c *call) {
+// contest ends the request as unknown after a grace time, for what another owner
+// did.
+func (e *Engine) contest(c *call, claim string) {
 	if c.contested == 0 {
-		c.contested = min(e.now+graceSpan, c.due)
+		c.contested, c.claim = min(e.now+graceSpan, c.due), claim
 	}
 }
