caller: reordering is not loss

A fabric that sprays packets changes their order. Parts that overtook others made holes; each was repeated and halved the window. Round trips were measured from parts an earlier Ack had reported, so the estimate grew with each hole. The first timeout took the whole window as lost. Ruled out: loss (none was injected) and the instances' side (downloads on the same path repeated nothing).

--- a/caller/upload.go
+++ b/caller/upload.go
@@ -32,6 +32,7 @@
 	marks   [packet.MaskParts]mark // of the parts from window.Next, by part modulo MaskParts
 	lossy   bool                   // a part was lost, so the limit grows slowly
 	halved  clock.Millis           // when the limit was last halved
+	former  uint32                 // limit before that
 	news    clock.Millis           // when an Ack last brought news
 	backoff uint8                  // timeouts since then
 	pokes   uint8                  // repeats since the owner holds all parts
@@ -83,6 +84,7 @@
 		return
 	}
 	u.sample(now, r, before)
+	u.forgive(now, r, before)
 	u.news, u.backoff, u.pokes = now, 0, 0
 	u.grow(u.window.Next - before.Next)
 	u.findHoles(now, r)
@@ -92,16 +94,40 @@
 	}
 }
 
-// sample measures the round trip of the first part that this Ack reports.
+// sample measures the round trips of the parts that this Ack reports first.
+// Parts that an earlier Ack reported have waited for others.
 func (u *upload) sample(now clock.Millis, r *rtt, before packet.Window) {
-	for p := before.Next; p < u.window.Next && p < before.Next+packet.MaskParts; p++ {
-		if m := u.mark(p); p < before.Sent && !m.again && !m.lost {
+	for _, p := range before.Missing() {
+		if m := u.mark(p); holds(u.window, p) && !m.again && !m.lost {
 			r.sample(now - m.at)
+		}
+	}
+}
+
+// forgive takes back the halving for a part that was repeated needlessly.
+func (u *upload) forgive(now clock.Millis, r *rtt, before packet.Window) {
+	for _, p := range before.Missing() {
+		m := u.mark(p)
+		switch {
+		case !m.again || !holds(u.window, p):
+		case r.needless(now - m.at):
+			r.widen()
+			u.limit = max(u.limit, u.former)
 			return
+		default:
+			r.narrow()
 		}
 	}
 }
 
+// holds reports whether the receiver holds a part.
+func holds(w packet.Window, part uint32) bool {
+	if part <= w.Next {
+		return part < w.Next
+	}
+	return w.Mask&(1<<(part-w.Next-1)) != 0
+}
+
 func (u *upload) grow(parts uint32) {
 	if u.lossy {
 		parts = min(parts, 1)
@@ -114,6 +140,7 @@
 	if now-u.halved < r.holeAge() {
 		return
 	}
+	u.former = u.limit
 	u.limit, u.halved = max(u.limit/2, 1), now
 }
 
@@ -143,14 +170,26 @@
 		*u.mark(last) = mark{at: now, again: true}
 		return []uint32{last}
 	}
-	for _, p := range u.window.Missing() {
+	u.backoff = min(u.backoff+1, 10)
+	missing := u.window.Missing()
+	if u.backoff == 1 && len(missing) > 0 {
+		return u.probe(now, r, missing[len(missing)-1])
+	}
+	for _, p := range missing {
 		u.mark(p).lost = true
 	}
 	u.halve(now, r)
-	u.backoff = min(u.backoff+1, 10)
 	return u.send(now, r)
 }
 
+// probe repeats one part. Its Ack shows which of the earlier ones are lost, or
+// that only the Acks were.
+func (u *upload) probe(now clock.Millis, r *rtt, part uint32) []uint32 {
+	*u.mark(part) = mark{at: now, again: true}
+	u.timer = now + r.timeout(u.backoff)
+	return []uint32{part}
+}
+
 // stalled reports whether nothing was heard for so long that an Ack of fewer
 // parts is no late one: the owner has lost what it held.
 func (u *upload) stalled(now clock.Millis, r *rtt) bool {
