Conditions end with their subject; silent connections take the idle ones with them

Cause: a condition about an endpoint stayed in the status for ever once its record was gone or another instance dispatched it, and Overloaded was never cleared; after a silent run, the next one could be put on another connection that had gone silent in the same moment. TestGracefulShutdown read the health before the first tick and failed now and then. Change: conditions of services and endpoints are dropped when their subject is gone or another instance reports on it; Overloaded ends with the queue; idle connections are closed after a silent run; a daemon is healthy from its start.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI. See README.md.
 GO ?= go
 
-.PHONY: build test format lint ci demo faults measure fuzz generate clean
+.PHONY: build test format lint ci demo faults measure fuzz generate clean runs
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -44,6 +44,10 @@
 	@$(GO) test -c -o bin/faults.test ./instance
 	@cd instance && ../bin/faults.test -test.run '^TestFault' -cells -seed $(SEED) -count $(COUNT)
 
+# Runs the whole system with real processes once for each fault; FAULTS names some.
+runs:
+	@scripts/runs.sh $(FAULTS)
+
 # Rewrites the generated code in control/; needs protoc and its two plugins.
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative control/control.proto
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -207,6 +207,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	d.ticked.Store(int64(clock.Now())) // healthy until the first tick is late
 	d.notes.start()
 	readers := d.startReaders()
 	control := d.serveControl()
--- a/entry/run.go
+++ b/entry/run.go
@@ -37,7 +37,7 @@
 
 // runner sends work and probes to backend servers.
 type runner struct {
-	work   http.RoundTripper
+	work   *http.Transport
 	probes http.RoundTripper // opens a connection for each request
 }
 
@@ -62,6 +62,16 @@
 	if err != nil {
 		return notRun(packet.ReasonBackend, err.Error())
 	}
+	result := r.exchange(ctx, &e, req)
+	if result.Silent {
+		// What lost track of one connection may have lost the idle ones too.
+		r.work.CloseIdleConnections()
+	}
+	return result
+}
+
+// exchange sends req and returns the end of the request.
+func (r *runner) exchange(ctx context.Context, e *exchange, req *http.Request) instance.Result {
 	resp, err := r.work.RoundTrip(req)
 	if err != nil {
 		return e.failure(ctx, err)
--- a/instance/alone_test.go
+++ b/instance/alone_test.go
@@ -99,3 +99,33 @@
 	}
 	require.Equal(t, 2*waves*len(f.callers), runs, "no request may run twice while all instances live")
 }
+
+func TestConditionsEndWithTheirSubject(t *testing.T) {
+	f := busyDesk(t, 8)
+	f.backends["127.3.0.1:80"].dead = true
+	f.backends["127.3.0.2:80"].draining = true
+	for n := range 5 {
+		f.wave(fmt.Sprint("failing ", n))
+		f.run(clock.Second)
+	}
+	f.run(5 * clock.Second)
+	require.NotEmpty(t, f.conditions("backend/"), "an operator sees them")
+	for _, name := range []string{"orders-0", "orders-1"} {
+		f.store.put(record.Object{Kind: record.KindBackend, Name: name, Schema: record.Schema2, Deleted: true})
+	}
+	f.run(3 * clock.Minute)
+	require.Empty(t, f.conditions("backend/"))
+}
+
+// conditions lists the types of the conditions in force about a kind of subject.
+func (f *frame) conditions(prefix string) []string {
+	var found []string
+	for _, d := range f.nodes {
+		for _, c := range d.status.Conditions {
+			if strings.HasPrefix(c.Subject, prefix) {
+				found = append(found, c.Type)
+			}
+		}
+	}
+	return found
+}
--- a/instance/health.go
+++ b/instance/health.go
@@ -42,6 +42,9 @@
 	b.Report.clear(conditionBackend, ep.subject())
 	b.Report.clear(conditionSilent, ep.subject())
 	b.Report.clear(conditionNoBackend, "service/"+j.Work.Service)
+	if j.Service.Waiting() == 0 {
+		b.Report.clear(conditionOverload, "service/"+j.Work.Service)
+	}
 	took := b.Now - j.Begun
 	j.Service.Times[j.Work.Class].Add(float64(took))
 	ep.Times[j.Work.Class].Add(float64(took))
--- a/instance/report.go
+++ b/instance/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/record"
@@ -101,11 +102,31 @@
 	if (!r.dirty || since < statusPause) && since < statusRefresh {
 		return
 	}
+	c.prune()
 	r.dirty = false
 	r.written = c.b.Now
 	c.b.do(WriteStatus{Status: c.status()})
 }
 
+// prune drops conditions about services that are gone and about endpoints that
+// are gone or that another instance dispatches and reports on now.
+func (c reportController) prune() {
+	current := make(map[string]bool)
+	for _, s := range c.b.sorted {
+		current["service/"+s.Record.Name] = true
+		for _, ep := range s.Mine {
+			current[ep.subject()] = true
+		}
+	}
+	for key := range c.b.Report.conditions {
+		kind, _, _ := strings.Cut(key.subject, "/")
+		mortal := kind == string(record.KindService) || kind == string(record.KindBackend)
+		if mortal && key.kind != conditionRejected && !current[key.subject] {
+			delete(c.b.Report.conditions, key)
+		}
+	}
+}
+
 // status returns the instance's status, worst conditions first.
 func (c reportController) status() record.Status {
 	s := record.Status{
