caller: a silent owner's holes wait for the timeout

While Acks stayed away, known holes were repeated every round trip, and each repeat put the timeout off, so the spans never grew.

--- a/caller/upload.go
+++ b/caller/upload.go
@@ -34,6 +34,7 @@
 	halved  clock.Millis           // when the limit was last halved
 	former  uint32                 // limit before that
 	news    clock.Millis           // when an Ack last brought news
+	heard   clock.Millis           // when an Ack last came
 	backoff uint8                  // timeouts since then
 	pokes   uint8                  // repeats since the owner holds all parts
 	timer   clock.Millis           // when the next timeout or repeat is due
@@ -79,6 +80,7 @@
 // ack takes in what the owner holds.
 func (u *upload) ack(now clock.Millis, r *rtt, next uint32, mask uint64) {
 	before := u.window
+	u.heard = now
 	if !u.window.Update(next, mask) {
 		u.findHoles(now, r)
 		return
@@ -151,6 +153,9 @@
 		if m.lost || now-m.at < r.holeAge() {
 			continue
 		}
+		if m.again && u.heard <= m.at {
+			continue // nothing was heard since: the timeout repeats it
+		}
 		m.lost, m.hole = true, true
 		u.halve(now, r)
 	}
