--- a/caller/upload.go
+++ b/caller/upload.go
@@ -8,6 +8,7 @@
 // The window of parts under way, in parts.
 const (
 	firstLimit = 16
+	minLimit   = 8
 	maxLimit   = packet.MaskParts
 )
 
@@ -17,6 +18,10 @@
 	maxPoke   = clock.Second
 )
 
+// secondTimeout is the number of vain timeouts after which a whole window is sent
+// again. Before and after it, a single part asks for an Ack.
+const secondTimeout = 2
+
 // mark remembers the sending of one part.
 type mark struct {
 	at    clock.Millis
@@ -37,6 +42,7 @@
 	heard   clock.Millis           // when an Ack last came
 	backoff uint8                  // timeouts since then
 	pokes   uint8                  // repeats since the owner holds all parts
+	unheard bool                   // the latest repeat was not acknowledged
 	timer   clock.Millis           // when the next timeout or repeat is due
 }
 
@@ -79,6 +85,7 @@
 
 // ack takes in what the owner holds.
 func (u *upload) ack(now clock.Millis, r *rtt, next uint32, mask uint64) {
+	u.unheard = false
 	before := u.window
 	u.heard = now
 	if !u.window.Update(next, mask) {
@@ -143,7 +150,7 @@
 		return
 	}
 	u.former = u.limit
-	u.limit, u.halved = max(u.limit/2, 1), now
+	u.limit, u.halved = max(u.limit/2, minLimit), now
 }
 
 // findHoles marks parts as lost when later ones arrived a round trip ago.
@@ -170,6 +177,10 @@
 func (u *upload) strike(now clock.Millis, r *rtt) []uint32 {
 	if u.window.Done() {
 		u.pokes = min(u.pokes+1, 8)
+		if u.unheard {
+			u.pokes = 0 // its owner may be gone: find the next one soon
+		}
+		u.unheard = true
 		u.waitForAnswer(now)
 		last := u.window.Count - 1
 		*u.mark(last) = mark{at: now, again: true}
@@ -177,7 +188,7 @@
 	}
 	u.backoff = min(u.backoff+1, 10)
 	missing := u.window.Missing()
-	if u.backoff == 1 && len(missing) > 0 {
+	if len(missing) > 0 && u.backoff != secondTimeout {
 		return u.probe(now, r, missing[len(missing)-1])
 	}
 	for _, p := range missing {
--- a/instance/action.go
+++ b/instance/action.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/record"
 )
@@ -62,6 +63,7 @@
 type FetchObjects struct {
 	Peer    string
 	Control string
+	Since   uint64 // records newer than this revision; 0 asks for all
 }
 
 // WriteStatus puts the instance's status on the platform.
@@ -69,6 +71,13 @@
 	Status record.Status
 }
 
+// DropStatus removes the status of an instance that is gone, unless it was
+// written anew since.
+type DropStatus struct {
+	Instance    string
+	Incarnation clock.Millis // of the instance that is gone
+}
+
 // Announce renews the instance's lease on the platform.
 type Announce struct {
 	Instance record.Instance
@@ -103,6 +112,18 @@
 	Value   int64
 }
 
+// WatchPlatform starts or ends the watch of the platform's records. A daemon
+// watches until it is told otherwise. Its end never comes between a list and the
+// first watch from there, so what the list missed is known.
+type WatchPlatform struct {
+	On bool
+}
+
+// UseRouter replaces the router that passes packets on without the engine.
+type UseRouter struct {
+	Router *Router
+}
+
 // Stopped tells that the graceful shutdown is complete.
 type Stopped struct{}
 
@@ -115,7 +136,10 @@
 func (ProbeEndpoint) action() {}
 func (FetchObjects) action()  {}
 func (WriteStatus) action()   {}
+func (DropStatus) action()    {}
 func (Announce) action()      {}
 func (Note) action()          {}
 func (Observe) action()       {}
+func (WatchPlatform) action() {}
+func (UseRouter) action()     {}
 func (Stopped) action()       {}
--- a/instance/board.go
+++ b/instance/board.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -20,20 +21,23 @@
 	Stopping clock.Millis // when the graceful shutdown began, or 0
 
 	Records   Records
-	Services  map[uint64]*Service  // by token.Hash of the name
+	Services  map[uint64]*Service  // by token.Hash of the name; see order
 	Endpoints map[string]*Endpoint // by address
 	Members   Members
 	Flows     Flows
-	Runs      map[uint64]*Job // by run number
-	Calls     map[uint64]*Job // work of other instances, by call number
-	Bytes     int64           // request and answer bodies held
+	Runs      map[uint64]*Job  // by run number
+	Calls     map[uint64]*Job  // work of other instances, by call number
+	Bytes     int64            // request and answer bodies held
+	Bodies    map[uint64]int64 // the same by token.Hash of the service
 	Report    Report
 
-	ready   []*Job     // whole requests of flows owned here that need a place
-	ended   []ended    // jobs with a result not yet passed on
-	pumps   []*Service // services whose queue or slots changed
-	used    []*Member  // instances that traffic was passed on to
-	doubted []*Member  // instances that could not be reached
+	sorted  []*Service  // Services by name
+	ready   []*Job      // whole requests of flows owned here that need a place
+	ended   []ended     // jobs with a result not yet passed on
+	pumps   []*Service  // services whose queue or slots changed
+	used    []*Member   // instances that traffic was passed on to
+	doubted []*Member   // instances that could not be reached
+	moved   []*Endpoint // dispatched by others now, with runs from here
 	timers  timers
 	actions []Action
 	random  *rand.Rand
@@ -56,7 +60,7 @@
 	b := &Board{
 		Settings: s, Now: now, Started: now,
 		Services: make(map[uint64]*Service), Endpoints: make(map[string]*Endpoint),
-		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job),
+		Runs: make(map[uint64]*Job), Calls: make(map[uint64]*Job), Bodies: make(map[uint64]int64),
 		random: rand.New(rand.NewPCG(s.Seed, token.Hash(s.Self.Name))),
 	}
 	b.Records = newRecords()
@@ -119,13 +123,21 @@
 	Held      []*Job             // no instance or backend server takes them now
 	Budget    float64            // retries allowed now
 	Times     [3]Average         // run time by class, in ms
+	Sizes     [sizes]Average     // run time by the power of 2 of the request's size, in ms
+	Demand    [3]float64         // run time asked for of late by class, in ms
+	Running   [3]int             // runs under way here by class
+	StartedAt [3]clock.Millis    // latest start by class while jobs wait, or 0
+	Gaps      [3]Average         // time between starts by class while jobs wait, in ms
+	Blocked   clock.Millis       // since when none of Mine can be used, or 0
 	pumping   bool
 }
 
 // Place is an instance that dispatches endpoints of a service.
 type Place struct {
-	Member   *Member
-	Capacity float64 // slots times weight of the endpoints
+	Member    *Member
+	Capacity  float64 // slots times weight of the endpoints
+	Slots     int
+	Endpoints []*Endpoint
 }
 
 // Waiting returns the number of queued jobs.
@@ -133,17 +145,38 @@
 	return len(s.Short) + len(s.Long)
 }
 
+// Slots returns the number of slots this instance may use now.
+func (s *Service) Slots(now clock.Millis) int {
+	slots := 0
+	for _, ep := range s.Mine {
+		if ep.Usable(now) {
+			slots += ep.Record.Slots
+		}
+	}
+	return slots
+}
+
+// Backlog returns the number of long jobs that wait or run here.
+func (s *Service) Backlog() int {
+	return len(s.Long) + s.Running[packet.ClassLong]
+}
+
 // Free returns the number of idle slots this instance may fill now.
 func (s *Service) Free(now clock.Millis) int {
 	free := 0
 	for _, ep := range s.Mine {
 		if ep.Usable(now) {
-			free += max(0, ep.Record.Slots-ep.Busy)
+			free += ep.room(now)
 		}
 	}
 	return free
 }
 
+// active reports whether an endpoint may come to take work: its record says so.
+func (s *Service) active() bool {
+	return slices.ContainsFunc(s.Endpoints, func(ep *Endpoint) bool { return ep.Backend.State == record.StateActive })
+}
+
 // usable reports whether an endpoint dispatched here may get work now.
 func (s *Service) usable(now clock.Millis) bool {
 	return slices.ContainsFunc(s.Mine, func(ep *Endpoint) bool { return ep.Usable(now) })
@@ -160,9 +193,19 @@
 
 // Load returns the queue state that is attached to envelopes.
 func (s *Service) Load(now clock.Millis) packet.Load {
-	return packet.Load{Service: s.Hash, Free: uint16(min(s.Free(now), 1<<16-1)), Queued: uint16(min(s.Waiting(), 1<<16-1))}
+	short := func(n int) uint16 { return uint16(min(n, math.MaxUint16)) }
+	return packet.Load{
+		Service: s.Hash, Free: short(s.Free(now)), Queued: short(len(s.Short)), Long: short(s.Backlog()),
+		Rate: uint32(min(s.Rate(now)*rateSpan, math.MaxUint32)), Used: uint16(s.used(now) * usedUnit),
+	}
 }
 
+// rateSpan is the span that packet.Load.Rate counts requests in, in ms.
+const rateSpan = float64(1000 * clock.Second)
+
+// usedUnit is what packet.Load.Used counts a whole in.
+const usedUnit = 1000.0
+
 // Job is one whole request that waits for a slot, holds one, or was handed over.
 type Job struct {
 	Work    Work
--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -9,9 +9,17 @@
 	"github.com/tanagerdock/tanagerdock/token"
 )
 
-// askAhead is how many waiting requests beyond the free slots are asked about, so
-// that a permit is there when a slot comes free.
-const askAhead = 2
+// A waiting request is asked about when a slot is expected to come free soon, so
+// that the permit is there in time. A request that is permitted and not started
+// when the instance dies ends as unknown, so permits are not asked for earlier.
+const (
+	askLead  = 20 * clock.Millisecond // before a run is expected to end
+	askAhead = 2                      // requests asked about beyond the free slots, at most
+)
+
+// blockedLimit is how long a queue waits for endpoints that all rest, before its
+// requests go elsewhere.
+const blockedLimit = 150 * clock.Millisecond
 
 // dispatchController fills the slots of the endpoints this instance dispatches.
 type dispatchController struct{ b *Board }
@@ -32,29 +40,42 @@
 // enqueue lets a job wait for a slot here.
 func (b *Board) enqueue(j *Job) {
 	if j.Work.Class == packet.ClassLong {
-		j.Service.Long = append(j.Service.Long, j)
+		j.Service.Long = queued(j.Service.Long, j)
 	} else {
-		j.Service.Short = append(j.Service.Short, j)
+		j.Service.Short = queued(j.Service.Short, j)
 	}
+	j.Service.ask(j.Work.Class)
 	b.pump(j.Service)
 }
 
+// queued returns a queue with one more job, ordered by deadline and then by arrival.
+func queued(queue []*Job, j *Job) []*Job {
+	at := len(queue)
+	for at > 0 && queue[at-1].Work.Deadline > j.Work.Deadline {
+		at--
+	}
+	return slices.Insert(queue, at, j)
+}
+
 // fill starts waiting jobs while there are slots for them.
 func (c dispatchController) fill(s *Service) {
 	if c.moveAway(s) {
 		return
 	}
+	if !c.b.alone() {
+		s.Short, s.Long = c.shed(s, s.Short), c.shed(s, s.Long)
+	}
 	for c.startOne(s) {
 	}
-	c.askFirst(s.Short)
-	c.askFirst(s.Long)
+	c.askFirst(s)
 }
 
 // moveAway empties the queue when the jobs can no longer run here.
 func (c dispatchController) moveAway(s *Service) bool {
 	gone := c.b.Services[s.Hash] != s
-	leaving := c.b.Stopping != 0 && len(placeController(c).others(s, nil)) > 0
-	if !gone && !leaving && s.usable(c.b.Now) {
+	leaving := c.b.Stopping != 0 && len(placeController(c).others(&Job{Service: s}, nil)) > 0
+	blocked := c.blocked(s)
+	if !gone && !leaving && blocked < blockedLimit {
 		return false
 	}
 	jobs := append(s.Short, s.Long...)
@@ -78,32 +99,61 @@
 	return true
 }
 
+// blocked returns for how long no endpoint dispatched here could be used.
+func (c dispatchController) blocked(s *Service) clock.Millis {
+	if s.usable(c.b.Now) {
+		s.Blocked = 0
+		return 0
+	}
+	if len(s.Mine) == 0 {
+		return blockedLimit
+	}
+	if s.Blocked == 0 {
+		s.Blocked = c.b.Now
+	}
+	return c.b.Now - s.Blocked
+}
+
 // startOne starts the next job that may run and reports whether there was one.
 func (c dispatchController) startOne(s *Service) bool {
-	if ep := c.slot(s, packet.ClassShort); ep != nil {
-		if j := take(&s.Short); j != nil {
-			c.start(j, ep)
-			return true
-		}
+	if j, ep := c.first(s, s.Short); j != nil {
+		s.Short = without(s.Short, j)
+		s.started(j.Work.Class, c.b.Now, len(s.Short))
+		c.start(j, ep)
+		return true
 	}
-	if ep := c.slot(s, packet.ClassLong); ep != nil {
-		if j := take(&s.Long); j != nil {
-			c.start(j, ep)
-			return true
-		}
+	if j, ep := c.first(s, s.Long); j != nil {
+		s.Long = without(s.Long, j)
+		s.started(j.Work.Class, c.b.Now, len(s.Long))
+		c.start(j, ep)
+		return true
 	}
 	return false
 }
 
-// take removes the first job that may start from a queue, or returns nil.
-func take(queue *[]*Job) *Job {
-	for i, j := range *queue {
-		if j.mayStart() {
-			*queue = slices.Delete(*queue, i, i+1)
-			return j
+func without(queue []*Job, j *Job) []*Job {
+	return slices.DeleteFunc(queue, func(x *Job) bool { return x == j })
+}
+
+// lookAhead is how many jobs of a queue that find no endpoint with room are passed
+// over for later ones: rules may send those elsewhere.
+const lookAhead = 16
+
+// first returns the first job of a queue that may start, with an endpoint for it.
+func (c dispatchController) first(s *Service, queue []*Job) (*Job, *Endpoint) {
+	passed := 0
+	for _, j := range queue {
+		if !j.mayStart() {
+			continue
+		}
+		if ep := c.slot(s, j); ep != nil {
+			return j, ep
+		}
+		if passed++; len(s.Rules) == 0 || passed > lookAhead {
+			break
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // mayStart reports whether a job needs no further permit.
@@ -111,24 +161,57 @@
 	return j.Request == nil || !j.Work.Once || j.Request.Granted
 }
 
-// askFirst asks the callers of the first waiting jobs for their permits.
-func (c dispatchController) askFirst(queue []*Job) {
-	for _, j := range queue[:min(len(queue), askAhead)] {
-		if !j.mayStart() && j.Request.AskedAt == 0 {
-			c.b.ask(j.Request)
+// askFirst asks the callers of the first waiting jobs for their permits, as many
+// as there will be slots soon.
+func (c dispatchController) askFirst(s *Service) {
+	if s.Waiting() == 0 {
+		return
+	}
+	soon := min(s.Free(c.b.Now)+c.ending(s), s.Free(c.b.Now)+askAhead)
+	for _, queue := range [][]*Job{s.Short, s.Long} {
+		for _, j := range queue[:min(len(queue), soon)] {
+			if !j.mayStart() && j.Request.AskedAt == 0 {
+				c.b.ask(j.Request)
+			}
+		}
+	}
+}
+
+// ending returns the number of runs here that are expected to end soon, by the
+// usual run time of their class.
+func (c dispatchController) ending(s *Service) int {
+	ending := 0
+	for _, j := range c.b.Runs {
+		if j.Service != s || j.At == nil || j.Stalled {
+			continue
+		}
+		usual := s.Times[j.Work.Class]
+		if usual.Count == 0 || c.b.Now+askLead >= j.Begun+clock.Millis(usual.Value) {
+			ending++
 		}
 	}
+	return ending
 }
 
-// slot returns the endpoint with the most room for a job of a class, or nil.
-func (c dispatchController) slot(s *Service, class packet.Class) *Endpoint {
+// slot returns the endpoint with room for a job that was used least of late, or
+// nil.
+func (c dispatchController) slot(s *Service, j *Job) *Endpoint {
+	if c.b.alone() {
+		return c.unbounded(s)
+	}
+	if j.Work.Class == packet.ClassLong && s.Running[packet.ClassLong] >= c.longSlots(s, j) {
+		return nil
+	}
 	var best *Endpoint
 	bestUse := 0.0
-	for _, ep := range s.Mine {
-		if !ep.Usable(c.b.Now) || !ep.room(class) {
+	for _, ep := range s.among(j, s.Mine, c.b.Now) {
+		if !ep.Usable(c.b.Now) || ep.room(c.b.Now) == 0 || !c.fits(s, j, ep) {
 			continue
 		}
-		use := float64(ep.Busy+1) / ep.Capacity()
+		use := ep.usedAt(c.b.Now)
+		if j.Work.Class == packet.ClassLong && ep.BusyLong >= max(1, ep.Record.Slots-1) {
+			use++ // the last slot of an endpoint goes to long work last
+		}
 		if best == nil || use < bestUse {
 			best, bestUse = ep, use
 		}
@@ -136,15 +219,6 @@
 	return best
 }
 
-// room reports whether a job of a class finds a slot. One slot of an endpoint
-// that has several is kept from long work.
-func (ep *Endpoint) room(class packet.Class) bool {
-	if ep.Busy >= ep.Record.Slots {
-		return false
-	}
-	return class != packet.ClassLong || ep.BusyLong < max(1, ep.Record.Slots-1)
-}
-
 func (c dispatchController) start(j *Job, ep *Endpoint) {
 	if c.b.Now >= j.Work.Deadline {
 		c.b.refuse(j, packet.ReasonDeadline)
@@ -154,10 +228,12 @@
 	j.At, j.Begun = ep, c.b.Now
 	j.Run = c.b.nextRun()
 	c.b.Runs[j.Run] = j
+	ep.usedAt(c.b.Now)
 	ep.Busy++
 	if j.Work.Class == packet.ClassLong {
 		ep.BusyLong++
 	}
+	j.Service.Running[j.Work.Class]++
 	c.b.do(Observe{Metric: "queue_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(c.b.Now - j.Queued)})
 	c.b.do(RunRequest{Run: j.Run, Endpoint: ep.Record.Address, Host: j.Service.Record.Host, Work: j.Work})
 }
@@ -172,10 +248,12 @@
 	ep := j.At
 	c.b.unstall(j)
 	j.Run, j.At = 0, nil
+	ep.usedAt(c.b.Now)
 	ep.Busy--
 	if j.Work.Class == packet.ClassLong {
 		ep.BusyLong--
 	}
+	j.Service.Running[j.Work.Class]--
 	c.b.learn(ep, j, ev.Result)
 	c.b.pump(j.Service)
 	c.b.resolve(j, ev.Result)
@@ -189,6 +267,9 @@
 	if r.Silent && j.Request == nil {
 		again = false // its owner may find a place that is less in doubt
 	}
+	if again && r.Outcome == OutcomeNotRun && r.Reason == packet.ReasonBusy && !r.Shed {
+		again = j.Service.spend() // another instance had no room
+	}
 	if again && r.Outcome == OutcomeUnknown {
 		again = j.Service.spend()
 		j.Doubt = true
@@ -258,15 +339,15 @@
 	s := c.b.Services[token.Hash(ev.Work.Service)]
 	j := &Job{Work: ev.Work, Service: s, Call: ev.Call, Queued: c.b.Now}
 	c.b.Calls[ev.Call] = j
-	c.b.Bytes += int64(len(ev.Work.Body))
+	c.b.holdBytes(token.Hash(ev.Work.Service), int64(len(ev.Work.Body)))
 	switch {
 	case s == nil:
 		c.b.refuse(j, packet.ReasonService)
 	case c.b.Stopping != 0:
 		c.b.refuse(j, packet.ReasonStopping)
-	case len(s.Mine) == 0:
+	case len(s.Mine) == 0, len(s.among(j, s.Mine, c.b.Now)) == 0:
 		c.b.refuse(j, packet.ReasonBackend)
-	case s.Waiting() >= s.Record.Queue:
+	case s.Waiting() >= s.Record.Queue, c.b.late(j):
 		c.b.refuse(j, packet.ReasonBusy)
 	default:
 		c.b.enqueue(j)
@@ -285,10 +366,14 @@
 // tick refuses jobs of other instances that waited past their deadline; own
 // requests have timers. Services are pumped since endpoints become usable again.
 func (c dispatchController) tick() {
+	services := c.b.sortedServices()
+	for _, s := range services {
+		c.askFirst(s)
+	}
 	if c.b.Now%expirePeriod >= TickPeriod {
 		return
 	}
-	for _, s := range c.b.sortedServices() {
+	for _, s := range services {
 		c.placeHeld(s)
 		if s.Waiting() == 0 {
 			continue
--- a/instance/frame_test.go
+++ b/instance/frame_test.go
@@ -30,6 +30,7 @@
 	random   *rand.Rand
 	queue    deliveries
 	order    uint64
+	carry    float64 // part of a ms not yet waited between two requests
 	nodes    []*node
 	callers  []*fakeCaller
 	backends map[string]*fakeBackend
@@ -187,15 +188,19 @@
 	runs    map[uint64]*fakeRun
 	notes   []instance.Note
 	status  record.Status
-	bytes   int // sent to other instances
+	drops   []string // instances whose status it removed
+	bytes   int      // sent to other instances
 	calls   uint64
 }
 
 // addNode starts an instance process; the same name again is a restart.
-func (f *frame) addNode(name, centre string) *node {
+func (f *frame) addNode(name, centre string) *node { return f.addSized(name, centre, 1) }
+
+// addSized starts an instance process that takes a share of work by its size.
+func (f *frame) addSized(name, centre string, size float64) *node {
 	n := len(f.nodes) + 1
 	self := record.Instance{
-		Name: name, Centre: centre, Size: 1, State: record.StateActive, Schema: record.Schema2, Incarnation: f.now,
+		Name: name, Centre: centre, Size: size, State: record.StateActive, Schema: record.Schema2, Incarnation: f.now,
 		Packets: fmt.Sprintf("127.1.0.%d:1000", n), Peers: fmt.Sprintf("127.1.0.%d:2000", n), Control: fmt.Sprintf("127.1.0.%d:3000", n),
 	}
 	d := &node{f: f, self: self, runs: make(map[uint64]*fakeRun)}
@@ -309,6 +314,8 @@
 		d.fetch(a)
 	case instance.WriteStatus:
 		d.status = a.Status
+	case instance.DropStatus:
+		d.drops = append(d.drops, a.Instance)
 	case instance.Announce:
 		if !d.f.store.down && !d.f.links[d.self.Name+">platform"] {
 			d.f.store.announce(a.Instance, d.f.now)
@@ -564,6 +571,7 @@
 	host     string
 	slots    int
 	work     clock.Millis
+	cost     func(body string) clock.Millis // run time by request body; nil means work
 	busy     int
 	peak     int            // most runs at once
 	runs     map[string]int // by request body
@@ -594,6 +602,14 @@
 	}
 }
 
+// span returns how long a request runs.
+func (b *fakeBackend) span(body string) clock.Millis {
+	if b.cost != nil {
+		return b.cost(body)
+	}
+	return b.work
+}
+
 // backendRun is one HTTP request at a fake backend server.
 type backendRun struct {
 	f    *frame
@@ -680,7 +696,7 @@
 	b.busy++
 	b.peak = max(b.peak, b.busy)
 	r.f.reach(pointRunning, r.f.asker[key], r.d, b.address)
-	r.f.after(b.work, func() {
+	r.f.after(b.span(key), func() {
 		if r.over {
 			return
 		}
@@ -743,11 +759,15 @@
 }
 
 func (c *fakeCaller) request(body string, once bool, deadline clock.Millis) {
+	c.ask(body, caller.Request{Body: []byte(body), Once: once, Deadline: deadline})
+}
+
+func (c *fakeCaller) ask(body string, r caller.Request) {
 	c.next++
 	c.bodies[c.next] = body
-	c.due[body], c.once[body] = c.f.now+deadline, once
+	c.due[body], c.once[body] = c.f.now+r.Deadline, r.Once
 	c.f.asker[body] = c
-	c.handle(caller.RequestStarted{Call: c.next, Request: caller.Request{Body: []byte(body), Once: once, Deadline: deadline}})
+	c.handle(caller.RequestStarted{Call: c.next, Request: r})
 }
 
 func (c *fakeCaller) handle(ev caller.Event) {
--- a/instance/health.go
+++ b/instance/health.go
@@ -27,7 +27,7 @@
 		b.learnRefusal(ep, r)
 	case OutcomeUnknown:
 		if !j.Dropped || r.Silent {
-			b.learnFailure(ep, r)
+			b.learnFailure(ep, j, r)
 		}
 	}
 	if r.Drain && !ep.Draining {
@@ -44,10 +44,33 @@
 	b.Report.clear(conditionNoBackend, "service/"+j.Work.Service)
 	took := b.Now - j.Begun
 	j.Service.Times[j.Work.Class].Add(float64(took))
+	ep.Times[j.Work.Class].Add(float64(took))
+	b.compare(ep, j)
+	j.Service.Sizes[sizeOf(len(j.Work.Body))].Add(float64(took))
 	j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
 	b.do(Observe{Metric: "run_ms", Service: j.Work.Service, Class: j.Work.Class, Value: int64(took)})
 }
 
+// Reporting of slow endpoints.
+const (
+	slowTimes = 4.0 // run times usual for the service from which an endpoint counts as slow
+	slowRuns  = 20  // answers of an endpoint before it is compared
+)
+
+// compare reports an endpoint that takes much longer than is usual for the service.
+// It goes on getting the work that it can carry.
+func (b *Board) compare(ep *Endpoint, j *Job) {
+	own, usual := ep.Times[j.Work.Class], j.Service.Times[j.Work.Class]
+	if own.Count < slowRuns {
+		return
+	}
+	if own.Value < slowTimes*usual.Value {
+		b.Report.clear(conditionSlow, ep.subject())
+		return
+	}
+	b.Report.raise(b.Now, conditionSlow, ep.subject(), "it takes much longer than others of the service", "gets the share of work that it carries")
+}
+
 func (b *Board) learnRefusal(ep *Endpoint, r Result) {
 	if r.Shed || r.Drain {
 		ep.Until = max(ep.Until, b.Now+shedPause)
@@ -58,11 +81,17 @@
 	}
 }
 
-func (b *Board) learnFailure(ep *Endpoint, r Result) {
+func (b *Board) learnFailure(ep *Endpoint, j *Job, r Result) {
 	if r.Silent {
 		b.Report.raise(b.Now, conditionSilent, ep.subject(), "a request was not answered in time", "the connection was replaced")
 		b.note("silent", "timeout", "", ep.subject(), r.Detail)
 	}
+	if r.Silent && j.Begun <= ep.SilentAt {
+		return // its connection was lost together with an earlier one
+	}
+	if r.Silent {
+		ep.SilentAt = b.Now
+	}
 	if ep.Fails < failsAllowed {
 		ep.Fails++
 		return
@@ -87,7 +116,7 @@
 		for _, ep := range s.Mine {
 			troubled := ep.Draining || ep.Misrouted || ep.Until > c.b.Now
 			age := c.b.Now - ep.Probed
-			if troubled && age >= probePeriod || ep.Doubted && age >= doubtPeriod {
+			if troubled && age >= probePeriod || ep.Doubted != 0 && age >= doubtPeriod {
 				ep.Probed = c.b.Now
 				c.b.do(ProbeEndpoint{Endpoint: ep.Record.Address, Host: s.Record.Host})
 			}
--- a/instance/members.go
+++ b/instance/members.go
@@ -12,10 +12,14 @@
 )
 
 // Failure detection. Heartbeats go round the instances of the data centre, one
-// a period, so their rate does not grow with the number of instances; an
-// instance that traffic is passed on to is asked at once when it has been quiet.
+// a period. The period shrinks as the data centre grows, down to a limit, so that
+// an instance nobody sends traffic to is found dead within beatCycle and three
+// timeouts. An instance that traffic is passed on to is asked at once when it has
+// been quiet.
 const (
-	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances
+	beatCycle   = 4 * clock.Second        // in which every instance of the data centre is asked, if the limits allow
+	beatPeriod  = 250 * clock.Millisecond // between heartbeats to successive instances, at most
+	beatLeast   = 60 * clock.Millisecond  // the same, at least: it bounds the traffic of large data centres
 	beatTimeout = 200 * clock.Millisecond // until an unanswered heartbeat is repeated
 	beatTries   = 3                       // unanswered heartbeats until an instance counts as dead
 	quietLimit  = 500 * clock.Millisecond // traffic to an instance quiet for longer asks for a heartbeat
@@ -40,13 +44,19 @@
 	Ahead       clock.Millis // since when its configuration is newer than ours, or 0
 	Until       clock.Millis // gets no work before, since it could not be reached
 	Loads       map[uint64]*PeerLoad
+	Trip        Average      // cost of work handed over to another data centre, in ms
+	TripAt      clock.Millis // when Trip was last measured
 }
 
 // PeerLoad is the newest queue state heard from another instance.
 type PeerLoad struct {
-	Free   int
-	Queued int
-	At     clock.Millis
+	Free   int          // idle slots
+	Queued int          // short requests waiting
+	Long   int          // long requests waiting or running
+	Rate   float64      // learnt capacity, in short requests a ms; 0 means not told
+	Used   float64      // share of its slots' time used of late
+	Slots  int          // of its endpoints, as the records say
+	At     clock.Millis // when it was heard
 }
 
 // Takes reports whether the member takes new flows and work.
@@ -62,13 +72,20 @@
 	ListAt  clock.Millis         // when the platform's list first came, or 0
 	Ready   bool                 // this instance may dispatch endpoints
 	changed bool                 // Live and the dispatch of endpoints are out of date
+	moved   bool                 // hops may be out of date
+	hops    []Hop                // those of the router in use
+	watch   watchState
 	beatAt  clock.Millis
+	period  clock.Millis // between heartbeats
 	beat    uint64
 	turn    int
 }
 
 func newMembers() Members {
-	return Members{ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member)}
+	return Members{
+		ByHash: make(map[uint64]*Member), Live: make(map[string][]*Member),
+		watch: watchState{watches: true},
+	}
 }
 
 // add takes in a new member as alive.
@@ -96,6 +113,7 @@
 type memberController struct{ b *Board }
 
 func (c memberController) listed(ev InstancesListed) {
+	c.b.Members.moved = true
 	for _, m := range c.b.Members.All {
 		m.Listed = false
 	}
@@ -132,6 +150,7 @@
 }
 
 func (c memberController) restart(m *Member, incarnation uint64) {
+	c.b.Members.moved = true
 	c.b.note("restart", "incarnation", "", "instance/"+m.Instance.Name, "")
 	m.Incarnation = incarnation
 	m.Alive, m.Leaving, m.Knows = true, false, false
@@ -182,7 +201,8 @@
 func (b *Board) envelope(to *Member) packet.Envelope {
 	e := packet.Envelope{
 		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
-		Leaving: b.Stopping != 0, Revision: b.Records.Revision,
+		Leaving: b.Stopping != 0, Revision: b.Records.Revision, Held: b.held(to),
+		Watching: b.Members.watch.chosen && b.Members.watch.answered,
 	}
 	if !to.Knows || to.Misses > 0 {
 		hello := b.Self.Instance
@@ -198,6 +218,7 @@
 		return nil
 	}
 	if ev.Envelope.Hello != nil {
+		c.b.Members.moved = true
 		c.learn(*ev.Envelope.Hello)
 	}
 	m := c.b.Members.ByHash[ev.Envelope.Sender]
@@ -207,8 +228,13 @@
 	if ev.Envelope.Incarnation > m.Incarnation {
 		c.restart(m, ev.Envelope.Incarnation)
 	}
+	if ev.Envelope.Watching {
+		c.b.Members.watch.heard = c.b.Now
+	}
 	c.leaving(m, ev.Envelope.Leaving)
 	c.loads(m, ev.Envelope.Loads)
+	c.b.away(ev.Envelope.Held)
+	watchController(c).compareRevision(m, ev.Envelope.Revision)
 	if ev.Envelope.Beat != 0 {
 		c.beat(m, ev.Envelope)
 	}
@@ -225,12 +251,11 @@
 			known = &PeerLoad{}
 			m.Loads[l.Service] = known
 		}
-		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), At: c.b.Now}
+		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), Long: int(l.Long), Rate: float64(l.Rate) / rateSpan, Used: float64(l.Used) / usedUnit, At: c.b.Now}
 	}
 }
 
 func (c memberController) beat(m *Member, e packet.Envelope) {
-	c.compareRevision(m, e.Revision)
 	if e.Reply {
 		c.answered(m)
 		return
@@ -244,6 +269,7 @@
 }
 
 func (c memberController) answered(m *Member) {
+	c.b.Members.moved = c.b.Members.moved || m.Misses > 0 || !m.Knows || !m.Alive
 	m.Heard, m.Asked, m.Misses, m.Knows = c.b.Now, 0, 0, true
 	if m.Alive {
 		return
@@ -260,24 +286,6 @@
 	fetchPeriod = 2 * clock.Second
 )
 
-// compareRevision asks another instance for its records when it has had newer
-// ones for a while and the platform has not brought them.
-func (c memberController) compareRevision(m *Member, revision uint64) {
-	if revision <= c.b.Records.Revision {
-		m.Ahead = 0
-		return
-	}
-	if m.Ahead == 0 {
-		m.Ahead = c.b.Now
-	}
-	starting := c.b.Records.Revision == 0
-	if !starting && c.b.Now-m.Ahead < aheadLimit {
-		return
-	}
-	m.Ahead = c.b.Now + fetchPeriod - aheadLimit
-	c.b.do(FetchObjects{Peer: m.Instance.Name, Control: m.Instance.Control})
-}
-
 func (c memberController) tick() {
 	c.beatNext()
 	for _, m := range slices.Clone(c.b.Members.All) {
@@ -291,7 +299,7 @@
 // beatNext sends one heartbeat a period, to the instances in turn.
 func (c memberController) beatNext() {
 	s := &c.b.Members
-	if c.b.Now-s.beatAt < beatPeriod || len(s.All) < 2 {
+	if len(s.All) < 2 || c.b.Now-s.beatAt < s.period {
 		return
 	}
 	s.beatAt = c.b.Now
@@ -311,6 +319,7 @@
 		return
 	}
 	m.Misses++
+	c.b.Members.moved = true
 	switch {
 	case m.Alive && m.Misses < beatTries:
 		c.ping(m)
@@ -321,8 +330,17 @@
 		m.Asked = 0
 	}
 	if !m.Alive && !m.Listed && c.b.Now-max(m.Heard, c.b.Started) > forgetAfter {
-		c.b.Members.remove(m)
-		c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+		c.forget(m)
+	}
+}
+
+// forget gives up an instance that is dead and no longer listed. One survivor
+// removes what it left on the platform.
+func (c memberController) forget(m *Member) {
+	c.b.Members.remove(m)
+	c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
+	if rendezvous(m.Hash, c.b.Members.Live[m.Instance.Centre]) == c.b.Self {
+		c.b.do(DropStatus{Instance: m.Instance.Name, Incarnation: clock.Millis(m.Incarnation)})
 	}
 }
 
@@ -357,7 +375,7 @@
 
 func (c memberController) known() bool {
 	for _, m := range c.b.Members.All {
-		if m != c.b.Self && m.Alive && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
+		if m != c.b.Self && m.Takes() && !m.Knows && m.Instance.Centre == c.b.Self.Instance.Centre {
 			return false
 		}
 	}
@@ -393,6 +411,8 @@
 	if here := c.b.Self.Instance.Centre; c.b.Stopping != 0 && len(s.Live) == 0 {
 		s.Live[here] = []*Member{c.b.Self} // no other can take over
 	}
+	s.period = min(max(beatCycle/clock.Millis(max(1, len(s.Live[c.b.Self.Instance.Centre])-1)), beatLeast), beatPeriod)
+	watchController(c).choose()
 	for _, v := range c.b.sortedServices() {
 		c.derivePlaces(v)
 		c.b.pump(v)
@@ -408,23 +428,29 @@
 			byCentre[ep.Backend.Centre] = append(byCentre[ep.Backend.Centre], ep)
 		}
 	}
+	if c.b.alone() {
+		v.Mine = byCentre[c.b.Self.Instance.Centre]
+	}
 	for centre, endpoints := range byCentre {
 		for i, m := range assign(endpoints, c.b.Members.Live[centre]) {
-			if m == c.b.Self {
+			c.b.keep(endpoints[i], m)
+			if m == c.b.Self && !c.b.alone() {
 				v.Mine = append(v.Mine, endpoints[i])
 			}
-			v.addPlace(centre, m, endpoints[i].Capacity())
+			v.addPlace(centre, m, endpoints[i])
 		}
 	}
 }
 
-func (s *Service) addPlace(centre string, m *Member, capacity float64) {
+func (s *Service) addPlace(centre string, m *Member, ep *Endpoint) {
 	places := s.Places[centre]
 	for i := range places {
 		if places[i].Member == m {
-			places[i].Capacity += capacity
+			places[i].Capacity += ep.Capacity()
+			places[i].Slots += ep.Record.Slots
+			places[i].Endpoints = append(places[i].Endpoints, ep)
 			return
 		}
 	}
-	s.Places[centre] = append(places, Place{Member: m, Capacity: capacity})
+	s.Places[centre] = append(places, Place{Member: m, Capacity: ep.Capacity(), Slots: ep.Record.Slots, Endpoints: []*Endpoint{ep}})
 }
--- a/instance/place.go
+++ b/instance/place.go
@@ -2,18 +2,20 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
 // Choice of the instance that runs a request.
 const (
 	maxTries    = 6                      // places tried for one request
 	loadAge     = 2 * clock.Second       // older queue states of others count as unknown
-	placeMargin = 0.5                    // queue per capacity by which another must be shorter
-	unknownLoad = 0.25                   // queue per capacity assumed of instances not heard of
+	placeMargin = 5.0                    // ms of waiting by which another must be shorter
+	usedWait    = 200.0                  // ms of waiting that slots in use all of the time count as
 	retryShare  = 0.1                    // retries allowed per request
 	retryBurst  = 20.0                   // retries saved up at most
 	holdLimit   = 3 * clock.Second       // how long a request is held while no place takes it
@@ -61,14 +63,28 @@
 // choose places a job here or at another instance.
 func (c placeController) choose(j *Job) {
 	j.Peer = nil
-	here, other := c.local(j.Service), c.shorter(j.Service, j.Avoid)
+	here, other := c.here(j), c.shorter(j, j.Avoid)
+	if c.b.alone() || c.pinnedHere(j) {
+		other = nil
+	}
+	nowhere := math.IsInf(here, 1) && other == nil
+	var far *Place
+	if !nowhere {
+		far = c.spill(j, c.nearest(j, here, other))
+	}
 	switch {
-	case here < 0 && other == nil && c.borrow(j):
-	case here < 0 && other == nil && c.hold(j):
-	case here < 0 && other == nil:
+	case math.IsInf(here, 1) && c.borrow(j):
+	case nowhere && c.hold(j):
+	case nowhere:
 		c.b.refuse(j, packet.ReasonBackend)
 		c.b.Report.raise(c.b.Now, conditionNoBackend, "service/"+j.Service.Record.Name, "no backend server takes work", "refused as not run")
-	case other != nil && (here < 0 || c.score(j.Service, other)+placeMargin < here):
+	case far != nil:
+		c.b.do(Note{Decision: "spill", Reason: "capacity", Service: j.Service.Record.Name, Subject: "instance/" + far.Member.Instance.Name, Detail: runSubject(&j.Work), Level: LevelDebug})
+		c.handOver(j, far.Member)
+	case c.hopeless(j, here, other):
+		c.b.refuse(j, packet.ReasonBusy)
+		c.b.Report.raise(c.b.Now, conditionOverload, "service/"+j.Service.Record.Name, "requests would wait past their deadlines", "refused as not run")
+	case other != nil && c.better(j, other, here):
 		c.handOver(j, other.Member)
 	case j.Service.Waiting() >= j.Service.Record.Queue:
 		c.b.refuse(j, packet.ReasonBusy)
@@ -78,11 +94,67 @@
 	}
 }
 
+// better reports whether another instance is enough of a better place than this
+// one. Work that must not be repeated is permitted before it is handed over, and is
+// lost to either instance's death: it goes where it starts at once, or sooner by
+// half a usual run.
+func (c placeController) better(j *Job, other *Place, here float64) bool {
+	there := c.score(j.Service, other, j.Work.Class)
+	margin := placeMargin
+	if j.Work.Once && there >= 0 {
+		margin = max(margin, j.Service.Times[j.Work.Class].Value/2)
+	}
+	return there+margin < here
+}
+
+// hopeless reports whether a job would wait past its deadline wherever it goes.
+func (c placeController) hopeless(j *Job, here float64, other *Place) bool {
+	if !math.IsInf(here, 1) && !c.b.late(j) {
+		return false
+	}
+	if other == nil {
+		return !math.IsInf(here, 1)
+	}
+	return c.score(j.Service, other, j.Work.Class) > float64(j.Work.Deadline-c.b.Now)
+}
+
+// late reports whether a job that joined the queue here now would start too late
+// to end by its deadline, going by the starts of late. Nothing is late when no job
+// waits, so that what changed is learnt.
+func (b *Board) late(j *Job) bool {
+	s, class := j.Service, j.Work.Class
+	waiting := len(s.Short)
+	if class == packet.ClassLong {
+		waiting = len(s.Long)
+	}
+	if waiting == 0 || s.Gaps[class].Count < usualRuns || s.Times[class].Count < usualRuns {
+		return false
+	}
+	expected := float64(waiting)*s.Gaps[class].Value + fitsFactor*s.Times[class].Value
+	return b.Now+clock.Millis(expected) > j.Work.Deadline
+}
+
+// started learns how long it takes from one start of a class to the next while
+// jobs wait. Longer than two usual runs it only takes while endpoints can't be
+// used, which says nothing about the time after.
+func (s *Service) started(class packet.Class, now clock.Millis, waiting int) {
+	if s.StartedAt[class] != 0 && waiting > 0 {
+		longest := 2 * max(s.Times[packet.ClassShort].Value, s.Times[packet.ClassLong].Value)
+		if gap := float64(now - s.StartedAt[class]); longest > 0 {
+			s.Gaps[class].Add(min(gap, longest))
+		}
+	}
+	s.StartedAt[class] = now
+	if waiting == 0 {
+		s.StartedAt[class] = 0
+	}
+}
+
 // hold lets a job wait until an instance that died is replaced or a backend
 // server takes work again, and reports whether it may.
 func (c placeController) hold(j *Job) bool {
 	s := j.Service
-	if len(s.Places) == 0 || len(s.Held) >= s.Record.Queue {
+	if !s.active() || len(s.Held) >= s.Record.Queue {
 		return false
 	}
 	if j.Held == 0 {
@@ -100,13 +172,14 @@
 }
 
 // borrow runs a job that was held for long at an endpoint that another instance
-// dispatches: that one can't be reached, and may be gone for all others too. One
-// run an endpoint bounds what is added to the slots that the other fills.
+// dispatches: that one can't be reached, and may be gone for all others too. As
+// when two instances believe that they dispatch an endpoint, each fills its slots
+// at most once.
 func (c placeController) borrow(j *Job) bool {
 	if j.Held == 0 || c.b.Now-j.Held < borrowAfter || c.b.Stopping != 0 {
 		return false
 	}
-	ep := c.lendable(j.Service)
+	ep := c.lendable(j)
 	if ep == nil {
 		return false
 	}
@@ -119,13 +192,14 @@
 	return true
 }
 
-// lendable returns an endpoint without a run from here, of this data centre
+// lendable returns an endpoint with room for a run from here, of this data centre
 // rather than of another, or nil.
-func (c placeController) lendable(s *Service) *Endpoint {
+func (c placeController) lendable(j *Job) *Endpoint {
+	s := j.Service
 	var far *Endpoint
-	for _, ep := range s.Endpoints {
+	for _, ep := range s.among(j, s.Endpoints, c.b.Now) {
 		switch {
-		case !ep.Usable(c.b.Now) || ep.Busy > 0:
+		case !ep.Usable(c.b.Now) || ep.Busy >= ep.Record.Slots:
 		case ep.Backend.Centre == c.b.Self.Instance.Centre:
 			return ep
 		case far == nil:
@@ -135,28 +209,57 @@
 	return far
 }
 
-// local returns this instance's queue per capacity, or -1 when it dispatches no
-// endpoint of the service that can be used.
-func (c placeController) local(s *Service) float64 {
-	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(s, nil)) > 0) {
-		return -1
+// here returns how long a job would wait here, as local does, or +Inf when it may
+// not run here: the rules, or its flow's pin, send it elsewhere.
+func (c placeController) here(j *Job) float64 {
+	s := j.Service
+	if len(s.Rules) > 0 && (!s.takes(j.Work.Class, c.b.Now) || c.pinnedAway(j)) {
+		return math.Inf(1)
 	}
-	if s.Free(c.b.Now) > s.Waiting() {
-		return 0
+	return c.local(s, j.Work.Class)
+}
+
+// pinnedHere reports whether the backend server that a job's flow is pinned to is
+// dispatched here and takes work.
+func (c placeController) pinnedHere(j *Job) bool {
+	return j.Work.Backend != 0 && slices.ContainsFunc(j.Service.Mine, func(ep *Endpoint) bool {
+		return ep.Usable(c.b.Now) && token.Hash(ep.Backend.Name) == j.Work.Backend
+	})
+}
+
+// pinnedAway reports whether the backend server that a job's flow is pinned to is
+// dispatched by others only.
+func (c placeController) pinnedAway(j *Job) bool {
+	pinned := j.Work.Backend
+	if pinned == 0 {
+		return false
 	}
-	return float64(s.Waiting()+1) / s.Capacity()
+	holds := func(p Place) bool { return p.holds(pinned) }
+	if mine := (Place{Endpoints: j.Service.Mine}); mine.holds(pinned) {
+		return false
+	}
+	return slices.ContainsFunc(c.others(j, j.Avoid), holds)
 }
 
-// shorter draws two other instances and returns the one with the shorter queue
-// per capacity.
-func (c placeController) shorter(s *Service, avoid *Member) *Place {
-	others := c.others(s, avoid)
+// local returns how long a job of a class would wait here, in ms, or +Inf when
+// this instance dispatches no endpoint of the service that can be used. Idle slots
+// count as negative waiting.
+func (c placeController) local(s *Service, class packet.Class) float64 {
+	if !s.usable(c.b.Now) || (c.b.Stopping != 0 && len(c.others(&Job{Service: s}, nil)) > 0) {
+		return math.Inf(1)
+	}
+	return s.waiting(class, PeerLoad{Free: s.Free(c.b.Now), Queued: len(s.Short), Long: s.Backlog(), Rate: s.Rate(c.b.Now), Slots: s.Slots(c.b.Now), Used: s.used(c.b.Now)})
+}
+
+// shorter draws two other instances by their capacity and returns the one where a
+// job would wait less.
+func (c placeController) shorter(j *Job, avoid *Member) *Place {
+	others := c.others(j, avoid)
 	if len(others) == 0 {
 		return nil
 	}
-	best := &others[c.b.random.IntN(len(others))]
-	second := &others[c.b.random.IntN(len(others))]
-	if c.score(s, second) < c.score(s, best) {
+	best, second := c.b.drawPlace(j.Service, others), c.b.drawPlace(j.Service, others)
+	if c.score(j.Service, second, j.Work.Class) < c.score(j.Service, best, j.Work.Class) {
 		best = second
 	}
 	return best
@@ -164,24 +267,32 @@
 
 // others returns the other instances that dispatch endpoints of a service in
 // this data centre, or in others when there are none here or a rule allows it.
-func (c placeController) others(s *Service, avoid *Member) []Place {
+func (c placeController) others(j *Job, avoid *Member) []Place {
+	s := j.Service
 	var found []Place
 	for _, p := range s.Places[c.b.Self.Instance.Centre] {
 		if p.Member != c.b.Self && p.Member != avoid && p.Member.Takes() && c.b.Now >= p.Member.Until {
 			found = append(found, p)
 		}
 	}
-	if len(found) > 0 || len(s.Mine) > 0 {
+	found = s.steered(j, found)
+	if len(found) > 0 || len(s.among(j, s.Mine, c.b.Now)) > 0 {
 		return found
 	}
-	for _, centre := range c.farCentres(s) {
-		for _, p := range s.Places[centre] {
+	return c.far(j, avoid)
+}
+
+// far returns the instances of other data centres that a job may go to.
+func (c placeController) far(j *Job, avoid *Member) []Place {
+	var found []Place
+	for _, centre := range c.farCentres(j.Service) {
+		for _, p := range j.Service.Places[centre] {
 			if p.Member != avoid && p.Member.Takes() && c.b.Now >= p.Member.Until {
 				found = append(found, p)
 			}
 		}
 	}
-	return found
+	return j.Service.steered(j, found)
 }
 
 // farCentres returns the other data centres with endpoints of a service, sorted.
@@ -190,16 +301,47 @@
 	return slices.DeleteFunc(centres, func(name string) bool { return name == c.b.Self.Instance.Centre })
 }
 
-// score returns another instance's queue per capacity as last heard.
-func (c placeController) score(s *Service, p *Place) float64 {
+// score returns how long a job of a class would wait at another instance, in ms,
+// as last heard.
+func (c placeController) score(s *Service, p *Place, class packet.Class) float64 {
 	l := p.Member.Loads[s.Hash]
 	if l == nil || c.b.Now-l.At > loadAge {
-		return unknownLoad
+		return 0
+	}
+	load := *l
+	load.Rate, load.Slots = c.b.placeRate(s, p), p.Slots
+	return s.waiting(class, load)
+}
+
+// waiting returns how long a job of a class would wait in a queue, in ms. Long
+// work waits for long work only.
+func (s *Service) waiting(class packet.Class, l PeerLoad) float64 {
+	rate := max(l.Rate, 1/rateSpan)
+	if class == packet.ClassLong {
+		return float64(l.Long+1)*s.longFactor()/rate + usedWait*l.Used*s.longFactor()
+	}
+	if idle := l.Free - l.Queued; idle > 0 {
+		return usedWait*l.Used - assumedRun*float64(idle)/float64(max(1, l.Slots))
+	}
+	return usedWait*l.Used + float64(l.Queued+1-l.Free)/rate
+}
+
+// placeRate returns the capacity of a place, in short requests a ms: as learnt
+// there, else as the records say.
+func (b *Board) placeRate(s *Service, p *Place) float64 {
+	if p.Member == b.Self {
+		if rate := s.Rate(b.Now); rate > 0 {
+			return rate
+		}
+	}
+	if l := p.Member.Loads[s.Hash]; l != nil && l.Rate > 0 {
+		return l.Rate
 	}
-	if l.Free > l.Queued {
-		return -float64(l.Free) / p.Capacity
+	usual := assumedRun
+	if s.Times[packet.ClassShort].Count > 0 {
+		usual = s.Times[packet.ClassShort].Value
 	}
-	return float64(l.Queued+1) / p.Capacity
+	return p.Capacity / usual
 }
 
 // handOver sends a job to another instance, after the caller's permit if the
@@ -215,16 +357,16 @@
 	j.Begun = c.b.Now
 	c.b.Runs[j.Run] = j
 	if l := m.Loads[j.Service.Hash]; l != nil {
-		l.add()
+		l.add(j.Work.Class)
 	}
 	c.b.do(HandOver{Run: j.Run, Peer: m.Instance.Name, Control: m.Instance.Control, Work: j.Work})
 	c.b.used = append(c.b.used, m)
 }
 
 // add counts work sent to an instance since its queue state was heard.
-func (l *PeerLoad) add() {
-	if l.Free > 0 {
-		l.Free--
+func (l *PeerLoad) add(class packet.Class) {
+	if class == packet.ClassLong {
+		l.Long++
 		return
 	}
 	l.Queued++
@@ -243,6 +385,10 @@
 		j.Peer.Until = c.b.Now + refusedRest
 		c.b.doubted = append(c.b.doubted, j.Peer)
 	}
+	if ev.Result.Outcome == OutcomeAnswered {
+		j.Service.Budget = min(j.Service.Budget+retryShare, retryBurst)
+		c.measureTrip(j, j.Peer)
+	}
 	j.Run, j.Avoid, j.Peer = 0, j.Peer, nil
 	c.b.resolve(j, ev.Result)
 }
@@ -257,21 +403,22 @@
 		}
 		return b.Self
 	}
-	first, second := b.drawPlace(places), b.drawPlace(places)
+	first, second := b.drawPlace(s, places), b.drawPlace(s, places)
 	if b.placeScore(s, second) < b.placeScore(s, first) {
 		first = second
 	}
 	return first.Member
 }
 
-func (b *Board) drawPlace(places []Place) *Place {
+// drawPlace draws a place by capacity.
+func (b *Board) drawPlace(s *Service, places []Place) *Place {
 	sum := 0.0
 	for i := range places {
-		sum += places[i].Capacity
+		sum += b.placeRate(s, &places[i])
 	}
 	x := b.random.Float64() * sum
 	for i := range places {
-		x -= places[i].Capacity
+		x -= b.placeRate(s, &places[i])
 		if x < 0 {
 			return &places[i]
 		}
@@ -282,7 +429,7 @@
 func (b *Board) placeScore(s *Service, p *Place) float64 {
 	c := placeController{b}
 	if p.Member == b.Self {
-		return c.local(s)
+		return c.local(s, packet.ClassShort)
 	}
-	return c.score(s, p)
+	return c.score(s, p, packet.ClassShort)
 }
--- a/instance/report.go
+++ b/instance/report.go
@@ -18,6 +18,7 @@
 	conditionInstance  = "InstanceSilent"
 	conditionRejected  = "RecordRejected"
 	conditionOverload  = "Overloaded"
+	conditionSlow      = "BackendSlow"
 	conditionDraining  = "BackendDraining"
 	conditionStopping  = "Stopping"
 )
@@ -25,7 +26,7 @@
 // conditionOrder lists the types of conditions, worst first.
 var conditionOrder = []string{
 	conditionPlatform, conditionNoBackend, conditionMisrouted, conditionBackend, conditionSilent,
-	conditionInstance, conditionRejected, conditionOverload, conditionDraining, conditionStopping,
+	conditionInstance, conditionRejected, conditionOverload, conditionSlow, conditionDraining, conditionStopping,
 }
 
 // ConditionRank orders types of conditions: worse ones come first.
@@ -109,7 +110,7 @@
 func (c reportController) status() record.Status {
 	s := record.Status{
 		Instance: c.b.Self.Instance.Name, Centre: c.b.Self.Instance.Centre,
-		Updated: c.b.Now, Revision: c.b.Records.Revision, Conditions: []record.Condition{},
+		Incarnation: c.b.Self.Instance.Incarnation, Updated: c.b.Now, Revision: c.b.Records.Revision, Conditions: []record.Condition{},
 	}
 	for _, condition := range c.b.Report.conditions {
 		s.Conditions = append(s.Conditions, *condition)
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -14,7 +14,7 @@
 const stopAlone = 10 * clock.Second
 
 // announcePeriod is the time between renewals of the instance's lease.
-const announcePeriod = 10 * clock.Second
+const announcePeriod = 30 * clock.Second
 
 // stopController announces the instance, and ends it without cutting a request.
 type stopController struct {
@@ -36,7 +36,7 @@
 	}
 	c.b.Stopping = c.b.Now
 	c.b.Self.Instance.State = record.StateLeaving
-	c.b.Members.changed = true
+	c.b.Members.changed, c.b.Members.moved = true, true
 	c.b.note("stop", "requested", "", "instance/"+c.b.Self.Instance.Name, "")
 	c.b.Report.raise(c.b.Now, conditionStopping, "instance/"+c.b.Self.Instance.Name, "a graceful shutdown was asked for", "requests under way end here, new ones go to other instances")
 	c.announce()
--- a/measure/slopes.go
+++ b/measure/slopes.go
@@ -21,6 +21,8 @@
 	usage: `Drives the decision engine in this process at several sizes and fits lines by
 least squares of the relative differences: cost = base + slope * size.
 
+Endpoints are spread over 11 data centres, members are of one.
+
   bytes_*    live memory, in bytes
   us_*       processor time of one event, in us, at the size named; *_slope a unit
   beats_*    heartbeats' bytes a second, sent and received, by members`,
@@ -39,7 +41,10 @@
 	perService    = 7  // endpoints a service: 6,900 behind 1,000 addresses
 )
 
-const quickEvents = 200 // events measured in a row
+const (
+	quickEvents = 200 // events measured in a row
+	centres     = 11  // data centres that the endpoints are spread over
+)
 
 type slopes struct {
 	p       *printer
@@ -47,7 +52,7 @@
 }
 
 func (s slopes) run() error {
-	steps := []func() error{s.flows, s.endpoints, s.members, s.events, s.beats}
+	steps := []func() error{s.flows, s.records, s.endpoints, s.members, s.events, s.beats}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -81,6 +86,14 @@
 // newModel returns an engine with records of so many endpoints and that many
 // members, itself included.
 func newModel(endpoints, members int) (*model, error) {
+	objects, err := recordsOf(endpoints)
+	if err != nil {
+		return nil, err
+	}
+	return newModelOf(objects, members)
+}
+
+func newModelOf(objects []record.Object, members int) (*model, error) {
 	keys, err := token.NewKeys(1, map[uint8][]byte{1: secret})
 	if err != nil {
 		return nil, err
@@ -92,10 +105,6 @@
 		list = append(list, member(n))
 	}
 	m.handle(instance.InstancesListed{Instances: list})
-	objects, err := recordsOf(endpoints)
-	if err != nil {
-		return nil, err
-	}
 	m.handle(instance.ObjectsReceived{Objects: objects, Revision: uint64(len(objects)), Whole: true, Source: instance.SourcePlatform})
 	m.answerBeats(4 * clock.Second)
 	return m, nil
@@ -158,9 +167,17 @@
 	return objects, nil
 }
 
+// centreOf spreads endpoints over the data centres; one in centres is near.
+func centreOf(n int) string {
+	if n%centres == 0 {
+		return centre
+	}
+	return fmt.Sprintf("centre-%d", n%centres)
+}
+
 func backendOf(n int, service string) (record.Object, error) {
 	return record.EncodeBackend(record.Backend{
-		Name: fmt.Sprintf("backend-%d", n), Service: service, Centre: centre, State: record.StateActive,
+		Name: fmt.Sprintf("backend-%d", n), Service: service, Centre: centreOf(n), State: record.StateActive,
 		Endpoints: []record.Endpoint{{Address: address(n, 80), Slots: 2}},
 	}, record.Schema2)
 }
@@ -223,6 +240,57 @@
 	return instance.PacketReceived{From: from, Packet: packet.Packet{Version: packet.Version, Kind: packet.KindProbe, Token: m.token(0, flow), Nonce: 1}}
 }
 
+// records measures the memory of services and of rules.
+func (s slopes) records() error {
+	kinds := []struct {
+		name  string
+		rules bool
+	}{{"bytes_per_service", false}, {"bytes_per_service_with_rule", true}}
+	for _, k := range kinds {
+		var points []point
+		for _, n := range endpointSizes {
+			used, err := grown(func() (*model, error) {
+				objects, err := servicesOf(n, k.rules)
+				if err != nil {
+					return nil, err
+				}
+				return newModelOf(objects, 1)
+			})
+			if err != nil {
+				return err
+			}
+			points = append(points, point{float64(n), used})
+		}
+		_, slope := fit(points)
+		s.p.line(k.name, slope)
+	}
+	return nil
+}
+
+// servicesOf returns n services, each with a rule if asked for.
+func servicesOf(n int, rules bool) ([]record.Object, error) {
+	var objects []record.Object
+	for i := range n {
+		name := fmt.Sprintf("service-%d", i)
+		o, err := record.EncodeService(record.Service{Name: name, Host: name}, record.Schema2)
+		if err != nil {
+			return nil, err
+		}
+		o.Revision = uint64(len(objects) + 1)
+		objects = append(objects, o)
+		if !rules {
+			continue
+		}
+		o, err = record.EncodeRule(record.Rule{Name: "rule-" + name, Service: name, Class: record.ClassAny, Spill: true}, record.Schema2)
+		if err != nil {
+			return nil, err
+		}
+		o.Revision = uint64(len(objects) + 1)
+		objects = append(objects, o)
+	}
+	return objects, nil
+}
+
 // endpoints measures what grows with the endpoints, at the members of one data
 // centre.
 func (s slopes) endpoints() error {
@@ -351,10 +419,10 @@
 }
 
 // timeEvents returns the mean time of an event after those before it.
-func (m *model) timeEvents(make func(n uint64) []instance.Event) time.Duration {
+func (m *model) timeEvents(event func(n uint64) []instance.Event) time.Duration {
 	var events []instance.Event
 	for n := range uint64(quickEvents) {
-		events = append(events, make(n)...)
+		events = append(events, event(n)...)
 	}
 	start := time.Now()
 	for _, e := range events {
