--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,20 +36,22 @@
 load_all() {
   local name ledgers=""
   for name in orders-1 orders-2 gallery-1 gallery-2; do ledgers+=,$(address "$name" control); done
-  bin/tanagerdock load -fabric "$(address fabric listen)" -service orders=orders.example,gallery=gallery.example \
+  exec bin/tanagerdock load -fabric "$(address fabric listen)" -service orders=orders.example,gallery=gallery.example \
     -requests "$requests" -flows "$flows" -rate "$rate" -once 0.5 -sizes 1-2097152 -answers 1-262144 \
     -seed "$seed" -ledger "${ledgers#,}" -unknown -1
 }
 
 make --no-print-directory build
 start_all
-meet
 echo "3 instances, 4 backend servers, $requests requests over $flows flows"
+# In the background, so that a signal to this script is handled at once.
+load_all &
+pid[load]=$!
 disturb &
-disturber=$!
+pid[disturb]=$!
 verdict=0
-load_all || verdict=1
-wait "$disturber" || fail "the instance or the backend server could not be told to leave"
+wait "${pid[load]}" || verdict=1
+wait "${pid[disturb]}" || fail "the instance or the backend server could not be told to leave"
 ended entry-2 "$leave_seconds" || fail "entry-2 has not stopped $leave_seconds s after SIGTERM"
 wait "${pid[entry-2]}" || fail "entry-2 stopped with status $?"
 echo "entry-2 has stopped by itself"
