--- a/caller/network_test.go
+++ b/caller/network_test.go
@@ -62,6 +62,7 @@
 // faults say what goes wrong, shares in percent.
 type faults struct {
 	Loss, Double, Refuse  int
+	LossUp                int          // loss on the way to instances, besides Loss
 	Delay                 clock.Millis // packets take up to this time longer
 	Spare                 clock.Millis // added to each deadline
 	Dies, Pauses, Forgets int          // instances that die, pause, and flows whose token is refused
@@ -192,7 +193,9 @@
 	for _, a := range append([]Action(nil), w.engine.Handle(w.now, e)...) {
 		switch a := a.(type) {
 		case SendPacket:
-			w.carry(a.Packet, w.toInstance)
+			if !w.chance(w.faults.LossUp) {
+				w.carry(a.Packet, w.toInstance)
+			}
 		case RequestEnded:
 			r := w.requests[a.Call-1]
 			if r.ended != nil {
--- a/caller/transfer_test.go
+++ b/caller/transfer_test.go
@@ -19,6 +19,7 @@
 	Name    string       `yaml:"name"`
 	Size    int          `yaml:"size"`    // bytes
 	Loss    int          `yaml:"loss"`    // percent
+	LossUp  int          `yaml:"up"`      // percent, on the way to instances besides
 	Delay   clock.Millis `yaml:"delay"`   // packets take up to this time longer, each its own
 	Repeats int          `yaml:"repeats"` // most parts repeated, in percent of all
 	Time    clock.Millis `yaml:"time"`    // most time, in simulated ms
@@ -39,7 +40,7 @@
 }
 
 func runTransfer(t *testing.T, c transfer, seed uint64) {
-	w := newWorld(seed, faults{Loss: c.Loss, Delay: c.Delay, Spare: clock.Minute})
+	w := newWorld(seed, faults{Loss: c.Loss, LossUp: c.LossUp, Delay: c.Delay, Spare: clock.Minute})
 	r := &sentRequest{id: 1, size: c.Size}
 	w.requests = append(w.requests, r)
 	w.handle(OpenRequested{})
@@ -50,7 +51,7 @@
 	for at := clock.Millis(0); at < worldEnd; at += TickPeriod {
 		w.at(at, func() {
 			w.handle(Tick{})
-			if held == 0 && len(w.engine.calls) == 1 && w.engine.calls[0].upload.window.Done() {
+			if held == 0 && len(w.engine.calls) == 1 && w.engine.calls[0].number != 0 && w.engine.calls[0].upload.window.Done() {
 				held, repeats = w.now-1000, int(w.engine.counters.Repeats)
 			}
 		})
--- a/caller/upload.go
+++ b/caller/upload.go
@@ -18,6 +18,10 @@
 	maxPoke   = clock.Second
 )
 
+// secondTimeout is the number of vain timeouts after which a whole window is sent
+// again. Before and after it, a single part asks for an Ack.
+const secondTimeout = 2
+
 // mark remembers the sending of one part.
 type mark struct {
 	at    clock.Millis
@@ -35,6 +39,7 @@
 	halved  clock.Millis           // when the limit was last halved
 	former  uint32                 // limit before that
 	news    clock.Millis           // when an Ack last brought news
+	heard   clock.Millis           // when an Ack last came
 	backoff uint8                  // timeouts since then
 	pokes   uint8                  // repeats since the owner holds all parts
 	unheard bool                   // the latest repeat was not acknowledged
@@ -82,6 +87,7 @@
 func (u *upload) ack(now clock.Millis, r *rtt, next uint32, mask uint64) {
 	u.unheard = false
 	before := u.window
+	u.heard = now
 	if !u.window.Update(next, mask) {
 		u.findHoles(now, r)
 		return
@@ -154,6 +160,9 @@
 		if m.lost || now-m.at < r.holeAge() {
 			continue
 		}
+		if m.again && u.heard <= m.at {
+			continue // nothing was heard since: the timeout repeats it
+		}
 		m.lost, m.hole = true, true
 		u.halve(now, r)
 	}
@@ -179,7 +188,7 @@
 	}
 	u.backoff = min(u.backoff+1, 10)
 	missing := u.window.Missing()
-	if u.backoff == 1 && len(missing) > 0 {
+	if len(missing) > 0 && u.backoff != secondTimeout {
 		return u.probe(now, r, missing[len(missing)-1])
 	}
 	for _, p := range missing {
