Split the five largest files by concern; no code changed

Heartbeats, the choice of a flow's owner, held requests, calls of other instances, carrying out actions and the model that is measured each have a file of their own.

--- a/instance/members.go
+++ b/instance/members.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
-	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/record"
 	"github.com/tanagerdock/tanagerdock/token"
 )
@@ -171,172 +170,12 @@
 	c.b.note("leave", "announced", "", "instance/"+m.Instance.Name, "")
 }
 
-// greet sends a heartbeat to every instance of the data centre.
-func (c memberController) greet() {
-	for _, m := range c.b.Members.All {
-		c.pingNear(m)
-	}
-}
-
-// pingNear sends a heartbeat to an instance of this data centre.
-func (c memberController) pingNear(m *Member) {
-	if m != c.b.Self && m.Instance.Centre == c.b.Self.Instance.Centre {
-		c.ping(m)
-	}
-}
-
-// ping sends a heartbeat, unless one was sent within the last timeout.
-func (c memberController) ping(m *Member) {
-	if m.Sent != 0 && c.b.Now-m.Sent < beatTimeout {
-		return
-	}
-	c.b.Members.beat++
-	m.Sent = c.b.Now
-	if m.Asked == 0 {
-		m.Asked = c.b.Now
-	}
-	e := c.b.envelope(m)
-	e.Beat = c.b.Members.beat
-	c.b.do(SendEnvelope{To: m.Peers, Envelope: e})
-}
-
-// envelope returns an envelope with the sender's fields set.
-func (b *Board) envelope(to *Member) packet.Envelope {
-	e := packet.Envelope{
-		Sender: b.Self.Hash, Incarnation: b.Self.Incarnation,
-		Leaving: b.Stopping != 0, Revision: b.Records.Revision, Held: b.held(to),
-		Watching: b.Members.watch.chosen && b.Members.watch.answered,
-	}
-	if !to.Knows || to.Misses > 0 {
-		hello := b.Self.Instance
-		e.Hello = &hello
-	}
-	return e
-}
-
-// heard takes in what every envelope says about its sender. It returns nil when
-// the sender is unknown or an older incarnation.
-func (c memberController) heard(ev EnvelopeReceived) *Member {
-	if ev.Envelope.Sender == c.b.Self.Hash {
-		return nil
-	}
-	if ev.Envelope.Hello != nil {
-		c.b.Members.moved = true
-		c.learn(*ev.Envelope.Hello)
-	}
-	m := c.b.Members.ByHash[ev.Envelope.Sender]
-	if m == nil || ev.Envelope.Incarnation < m.Incarnation {
-		return nil
-	}
-	if ev.Envelope.Incarnation > m.Incarnation {
-		c.restart(m, ev.Envelope.Incarnation)
-	}
-	if ev.Envelope.Watching {
-		c.b.Members.watch.heard = c.b.Now
-	}
-	c.leaving(m, ev.Envelope.Leaving)
-	c.loads(m, ev.Envelope.Loads)
-	c.b.away(ev.Envelope.Held)
-	watchController(c).compareRevision(m, ev.Envelope.Revision)
-	if ev.Envelope.Beat != 0 {
-		c.beat(m, ev.Envelope)
-	}
-	return m
-}
-
-func (c memberController) loads(m *Member, loads []packet.Load) {
-	for _, l := range loads {
-		known := m.Loads[l.Service]
-		if known == nil {
-			if c.b.Services[l.Service] == nil {
-				continue
-			}
-			known = &PeerLoad{}
-			m.Loads[l.Service] = known
-		}
-		*known = PeerLoad{Free: int(l.Free), Queued: int(l.Queued), Long: int(l.Long), Rate: float64(l.Rate) / rateSpan, Used: float64(l.Used) / usedUnit, At: c.b.Now}
-	}
-}
-
-func (c memberController) beat(m *Member, e packet.Envelope) {
-	if e.Reply {
-		c.answered(m)
-		return
-	}
-	reply := c.b.envelope(m)
-	reply.Beat, reply.Reply = e.Beat, true
-	c.b.do(SendEnvelope{To: m.Peers, Envelope: reply})
-	if !m.Alive || !m.Knows {
-		c.ping(m)
-	}
-}
-
-func (c memberController) answered(m *Member) {
-	c.b.Members.moved = c.b.Members.moved || m.Misses > 0 || !m.Knows || !m.Alive
-	m.Heard, m.Asked, m.Misses, m.Knows = c.b.Now, 0, 0, true
-	if m.Alive {
-		return
-	}
-	m.Alive = true
-	c.b.Members.changed = true
-	c.b.note("revive", "heartbeat", "", "instance/"+m.Instance.Name, "")
-	c.b.Report.clear(conditionInstance, "instance/"+m.Instance.Name)
-}
-
 // Limits of asking other instances for newer configuration.
 const (
 	aheadLimit  = 1500 * clock.Millisecond // how long the platform is waited for first
 	fetchPeriod = 2 * clock.Second
 )
 
-func (c memberController) tick() {
-	c.beatNext()
-	for _, m := range slices.Clone(c.b.Members.All) {
-		if m != c.b.Self {
-			c.check(m)
-		}
-	}
-	c.join()
-}
-
-// beatNext sends one heartbeat a period, to the instances in turn.
-func (c memberController) beatNext() {
-	s := &c.b.Members
-	if len(s.All) < 2 || c.b.Now-s.beatAt < s.period {
-		return
-	}
-	s.beatAt = c.b.Now
-	for range s.All {
-		s.turn++
-		m := s.All[s.turn%len(s.All)]
-		if m != c.b.Self && m.Instance.Centre == c.b.Self.Instance.Centre {
-			c.ping(m)
-			return
-		}
-	}
-}
-
-// check repeats an unanswered heartbeat and counts a silent instance as dead.
-func (c memberController) check(m *Member) {
-	if m.Asked == 0 || c.b.Now-m.Sent < beatTimeout {
-		return
-	}
-	m.Misses++
-	c.b.Members.moved = true
-	switch {
-	case m.Alive && m.Misses < beatTries:
-		c.ping(m)
-	case m.Alive:
-		m.Asked = 0
-		c.lost(m)
-	default:
-		m.Asked = 0
-	}
-	if !m.Alive && !m.Listed && c.b.Now-max(m.Heard, c.b.Started) > forgetAfter {
-		c.forget(m)
-	}
-}
-
 // forget gives up an instance that is dead and no longer listed. One survivor
 // removes what it left on the platform.
 func (c memberController) forget(m *Member) {
@@ -387,20 +226,6 @@
 	return true
 }
 
-// used asks an instance that traffic goes to for a sign of life.
-func (c memberController) used(m *Member) {
-	if m.Asked == 0 && c.b.Now-max(m.Heard, m.Sent) > quietLimit {
-		c.ping(m)
-	}
-}
-
-// doubt asks an instance that could not be reached for a sign of life at once.
-func (c memberController) doubt(m *Member) {
-	if m.Asked == 0 {
-		c.ping(m)
-	}
-}
-
 // derive works out which instances take work, and which of them dispatches each
 // endpoint.
 func (c memberController) derive() {
--- /dev/null
+++ b/measure/model.go
@@ -0,0 +1,133 @@
+package measure
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/packet"
+	"github.com/tanagerdock/tanagerdock/record"
+	"github.com/tanagerdock/tanagerdock/token"
+)
+
+// model is one engine with its records and members.
+type model struct {
+	engine *instance.Engine
+	keys   *token.Keys
+	self   record.Instance
+	now    clock.Millis
+}
+
+const modelStart = 1_000_000 * clock.Second
+
+func member(n int) record.Instance {
+	return record.Instance{
+		Name: entryName(n), Centre: centre, Packets: address(n, 1), Peers: address(n, 2), Control: address(n, 3),
+		Size: 1, Incarnation: modelStart, State: record.StateActive, Schema: record.Schema2,
+	}
+}
+
+// address returns a distinct address for each n and port.
+func address(n, port int) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), uint16(port)).String()
+}
+
+// newModel returns an engine with records of so many endpoints and that many
+// members, itself included.
+func newModel(endpoints, members int) (*model, error) {
+	objects, err := recordsOf(endpoints)
+	if err != nil {
+		return nil, err
+	}
+	return newModelOf(objects, members)
+}
+
+func newModelOf(objects []record.Object, members int) (*model, error) {
+	keys, err := token.NewKeys(1, map[uint8][]byte{1: secret})
+	if err != nil {
+		return nil, err
+	}
+	m := &model{keys: keys, self: member(0), now: modelStart}
+	m.engine = instance.New(instance.Settings{Self: m.self, Keys: keys, Seed: 1, Flows: 1 << 20}, m.now)
+	var list []record.Instance
+	for n := range members {
+		list = append(list, member(n))
+	}
+	m.handle(instance.InstancesListed{Instances: list})
+	m.handle(instance.ObjectsReceived{Objects: objects, Revision: uint64(len(objects)), Whole: true, Source: instance.SourcePlatform})
+	m.answerBeats(4 * clock.Second)
+	return m, nil
+}
+
+func (m *model) handle(e instance.Event) []instance.Action { return m.engine.Handle(m.now, e) }
+
+// answerBeats lets time pass while every member answers its heartbeats, and
+// returns the bytes of heartbeats sent and received.
+func (m *model) answerBeats(span clock.Millis) int {
+	bytes := 0
+	for end := m.now + span; m.now < end; m.now += instance.TickPeriod {
+		for _, a := range append([]instance.Action(nil), m.handle(instance.Tick{})...) {
+			if sent, is := a.(instance.SendEnvelope); is {
+				bytes += m.answerBeat(sent)
+			}
+		}
+	}
+	return bytes
+}
+
+func (m *model) answerBeat(sent instance.SendEnvelope) int {
+	data, err := packet.EncodeEnvelope(sent.Envelope)
+	if err != nil {
+		return 0
+	}
+	host := sent.To.Addr().As4()
+	n := int(host[1])<<16 | int(host[2])<<8 | int(host[3])
+	reply := packet.Envelope{
+		Sender: token.Hash(entryName(n)), Incarnation: uint64(modelStart), Beat: sent.Envelope.Beat, Reply: true, Revision: sent.Envelope.Revision,
+	}
+	back, err := packet.EncodeEnvelope(reply)
+	if err != nil {
+		return 0
+	}
+	m.handle(instance.EnvelopeReceived{From: sent.To, Envelope: reply})
+	return len(data) + len(back)
+}
+
+// recordsOf returns services, backend servers and a rule a service for so many
+// endpoints.
+func recordsOf(endpoints int) ([]record.Object, error) {
+	var objects []record.Object
+	add := func(o record.Object, err error) error {
+		o.Revision = uint64(len(objects) + 1)
+		objects = append(objects, o)
+		return err
+	}
+	for n := range endpoints {
+		name := fmt.Sprintf("service-%d", n/perService)
+		if n%perService == 0 {
+			if err := add(record.EncodeService(record.Service{Name: name, Host: name}, record.Schema2)); err != nil {
+				return nil, err
+			}
+		}
+		if err := add(backendOf(n, name)); err != nil {
+			return nil, err
+		}
+	}
+	return objects, nil
+}
+
+// centreOf spreads endpoints over the data centres; one in centres is near.
+func centreOf(n int) string {
+	if n%centres == 0 {
+		return centre
+	}
+	return fmt.Sprintf("centre-%d", n%centres)
+}
+
+func backendOf(n int, service string) (record.Object, error) {
+	return record.EncodeBackend(record.Backend{
+		Name: fmt.Sprintf("backend-%d", n), Service: service, Centre: centreOf(n), State: record.StateActive,
+		Endpoints: []record.Endpoint{{Address: address(n, 80), Slots: 2}},
+	}, record.Schema2)
+}
