An instance that starts while the platform is down finds the others through its neighbours

Cause: a starting instance learnt of the others only from the platform's list, so with the platform away it got no records and served nothing. Change: the setting neighbours names peers addresses; while no other instance is known it introduces itself there once a second, and the others answer, from whom it fetches the records. TestStartingWithoutThePlatformFindsTheNeighbours: no records without the setting, all five with it.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -131,7 +131,7 @@
 	}
 	d.engine = makeEngine(instance.Settings{
 		Self: d.self, Keys: o.Keys, Memory: o.Settings.Memory, Flows: o.Settings.Flows, Seed: rand.Uint64(),
-		Policy: policies[o.Settings.Policy],
+		Policy: policies[o.Settings.Policy], Neighbours: o.Settings.neighbours(),
 	}, clock.Now())
 	return d, nil
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -31,11 +31,14 @@
 	Control  string  `yaml:"control"`  // IP address and TCP port for other instances; port 0 picks one
 	Status   string  `yaml:"status"`   // IP address and TCP port for metrics and health; port 0 picks one
 	Platform string  `yaml:"platform"` // URL of the platform
-	Keyfile  string  `yaml:"keyfile"`  // file of token keys; relative to the settings file
-	Log      Log     `yaml:"log"`
-	Memory   int64   `yaml:"memory"`           // bytes of request and answer bodies held at once; default 256 MiB
-	Flows    int     `yaml:"flows"`            // flows held at once; default 500000
-	Policy   string  `yaml:"policy,omitempty"` // learnt, or for measurements random or outstanding; default learnt
+	// Neighbours are peers addresses of other instances of the data centre, asked
+	// when the platform does not answer.
+	Neighbours []string `yaml:"neighbours,omitempty"`
+	Keyfile    string   `yaml:"keyfile"` // file of token keys; relative to the settings file
+	Log        Log      `yaml:"log"`
+	Memory     int64    `yaml:"memory"`           // bytes of request and answer bodies held at once; default 256 MiB
+	Flows      int      `yaml:"flows"`            // flows held at once; default 500000
+	Policy     string   `yaml:"policy,omitempty"` // learnt, or for measurements random or outstanding; default learnt
 }
 
 // Log tells what is logged and how.
@@ -206,6 +209,11 @@
 	if _, err := netip.ParseAddrPort(s.Status); err != nil {
 		return &fault{"status", s.Status, "an IP address with a port"}
 	}
+	for _, n := range s.Neighbours {
+		if a, err := netip.ParseAddrPort(n); err != nil || a.Port() == 0 {
+			return &fault{"neighbours", n, "an IP address with a port"}
+		}
+	}
 	return nil
 }
 
@@ -245,3 +253,14 @@
 	}
 	return nil
 }
+
+// neighbours returns the checked peers addresses of other instances.
+func (s *Settings) neighbours() []netip.AddrPort {
+	var found []netip.AddrPort
+	for _, n := range s.Neighbours {
+		if a, err := netip.ParseAddrPort(n); err == nil {
+			found = append(found, a)
+		}
+	}
+	return found
+}
--- a/instance/alone_test.go
+++ b/instance/alone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -129,3 +130,14 @@
 	}
 	return found
 }
+
+func TestStartingWithoutThePlatformFindsTheNeighbours(t *testing.T) {
+	f := busyDesk(t, 9)
+	f.store.down = true
+	d := f.addNode("entry-5", "riga-1")
+	neighbour := netip.MustParseAddrPort(f.node("entry-1").self.Peers)
+	d.engine = instance.New(instance.Settings{Self: d.self, Keys: f.keys, Seed: 5, Neighbours: []netip.AddrPort{neighbour}}, f.now)
+	f.run(10 * clock.Second)
+	objects, _ := d.engine.Objects()
+	require.Len(t, objects, 5, "the service and four backend servers")
+}
--- a/instance/heartbeat.go
+++ b/instance/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/packet"
 )
 
@@ -119,6 +120,7 @@
 }
 
 func (c memberController) tick() {
+	c.introduce()
 	c.beatNext()
 	for _, m := range slices.Clone(c.b.Members.All) {
 		if m != c.b.Self {
@@ -166,6 +168,25 @@
 	}
 }
 
+// neighbourPeriod is the time between introductions to neighbours.
+const neighbourPeriod = 1 * clock.Second
+
+// introduce makes this instance known to its neighbours while it knows of no other
+// instance, so that it finds them without the platform's list.
+func (c memberController) introduce() {
+	s := &c.b.Members
+	if len(s.All) > 1 || c.b.Now-s.introduced < neighbourPeriod {
+		return
+	}
+	s.introduced = c.b.Now
+	hello := c.b.Self.Instance
+	for _, address := range c.b.Settings.Neighbours {
+		s.beat++
+		e := packet.Envelope{Sender: c.b.Self.Hash, Incarnation: c.b.Self.Incarnation, Beat: s.beat, Hello: &hello}
+		c.b.do(SendEnvelope{To: address, Envelope: e})
+	}
+}
+
 // used asks an instance that traffic goes to for a sign of life.
 func (c memberController) used(m *Member) {
 	if m.Asked == 0 && c.b.Now-max(m.Heard, m.Sent) > quietLimit {
--- a/instance/members.go
+++ b/instance/members.go
@@ -65,19 +65,20 @@
 
 // Members holds every instance this instance knows, itself included.
 type Members struct {
-	ByHash  map[uint64]*Member
-	All     []*Member            // by name
-	Live    map[string][]*Member // by data centre: those that take new work, by name
-	ListAt  clock.Millis         // when the platform's list first came, or 0
-	Ready   bool                 // this instance may dispatch endpoints and take flows
-	changed bool                 // Live and the dispatch of endpoints are out of date
-	moved   bool                 // hops may be out of date
-	hops    []Hop                // those of the router in use
-	watch   watchState
-	beatAt  clock.Millis
-	period  clock.Millis // between heartbeats
-	beat    uint64
-	turn    int
+	ByHash     map[uint64]*Member
+	All        []*Member            // by name
+	Live       map[string][]*Member // by data centre: those that take new work, by name
+	ListAt     clock.Millis         // when the platform's list first came, or 0
+	Ready      bool                 // this instance may dispatch endpoints and take flows
+	changed    bool                 // Live and the dispatch of endpoints are out of date
+	moved      bool                 // hops may be out of date
+	hops       []Hop                // those of the router in use
+	watch      watchState
+	beatAt     clock.Millis
+	introduced clock.Millis // when neighbours were last written to
+	period     clock.Millis // between heartbeats
+	beat       uint64
+	turn       int
 }
 
 func newMembers() Members {
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"net/netip"
+
 	"github.com/tanagerdock/tanagerdock/record"
 	"github.com/tanagerdock/tanagerdock/token"
 )
@@ -11,8 +13,11 @@
 	Keys   *token.Keys     // seals flow tokens; the same in all instances
 	Memory int64           // bytes of request and answer bodies held at once; 0 means DefaultMemory
 	Flows  int             // flows held at once; 0 means DefaultFlows
-	Seed   uint64          // seed of every random choice
-	Policy Policy          // nil means Learnt
+	// Neighbours are peers addresses of other instances, to be found through when
+	// the platform does not answer.
+	Neighbours []netip.AddrPort
+	Seed       uint64 // seed of every random choice
+	Policy     Policy // nil means Learnt
 }
 
 // Defaults of Settings.
