Introductions are built like every envelope; one loop starts short and long work

An introduction to a neighbour was put together by hand beside Board.envelope; it is made by that now, and so also carries the sender's revision and whether it leaves, as other heartbeats do. startOne held the same steps for both queues. The report reads services through sortedServices. All tests pass unchanged.

--- a/instance/dispatch.go
+++ b/instance/dispatch.go
@@ -115,15 +115,13 @@
 
 // startOne starts the next job that may run and reports whether there was one.
 func (c dispatchController) startOne(s *Service) bool {
-	if j, ep := c.first(s, s.Short); j != nil {
-		s.Short = without(s.Short, j)
-		s.started(j.Work.Class, c.b.Now, len(s.Short))
-		c.start(j, ep)
-		return true
-	}
-	if j, ep := c.first(s, s.Long); j != nil {
-		s.Long = without(s.Long, j)
-		s.started(j.Work.Class, c.b.Now, len(s.Long))
+	for _, queue := range []*[]*Job{&s.Short, &s.Long} {
+		j, ep := c.first(s, *queue)
+		if j == nil {
+			continue
+		}
+		*queue = without(*queue, j)
+		s.started(j.Work.Class, c.b.Now, len(*queue))
 		c.start(j, ep)
 		return true
 	}
--- a/instance/heartbeat.go
+++ b/instance/heartbeat.go
@@ -179,10 +179,10 @@
 		return
 	}
 	s.introduced = c.b.Now
-	hello := c.b.Self.Instance
 	for _, address := range c.b.Settings.Neighbours {
 		s.beat++
-		e := packet.Envelope{Sender: c.b.Self.Hash, Incarnation: c.b.Self.Incarnation, Beat: s.beat, Hello: &hello}
+		e := c.b.envelope(&Member{}) // to one that does not know this instance
+		e.Beat = s.beat
 		c.b.do(SendEnvelope{To: address, Envelope: e})
 	}
 }
--- a/instance/report.go
+++ b/instance/report.go
@@ -112,7 +112,7 @@
 // are gone or that another instance dispatches and reports on now.
 func (c reportController) prune() {
 	current := make(map[string]bool)
-	for _, s := range c.b.sorted {
+	for _, s := range c.b.sortedServices() {
 		current["service/"+s.Record.Name] = true
 		for _, ep := range s.Mine {
 			current[ep.subject()] = true
