--- /dev/null
+++ b/forwarder/daemon.go
@@ -0,0 +1,268 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// Options are what a Daemon is made of.
+type Options struct {
+	Settings platform.Settings
+	File     string // settings file, read again when it changes; empty for none
+	Log      io.Writer
+}
+
+// Periods of the daemon, in ms.
+const (
+	// Openings that nobody answered are found within a tick, and consumers give
+	// one up after 1.4 s.
+	tickPeriod = 200 * clock.Millisecond
+	// A settings file may change without a signal; nothing in it is urgent.
+	filePeriod = 2 * clock.Second
+)
+
+// Daemon forwards the packets of one instance.
+type Daemon struct {
+	file     string
+	settings atomic.Pointer[platform.Settings]
+	journal  *journal
+	counts   *counts
+
+	packets *net.UDPConn
+	ready   net.Listener
+	control net.Listener // nil when it isn't served
+
+	mu     sync.Mutex // guards engine
+	engine *steering.Engine
+
+	store    atomic.Pointer[platform.Store]
+	touched  touch
+	arrived  atomic.Int64 // clock.Millis of the latest packet
+	halting  atomic.Bool
+	halt     chan struct{} // closed by Stop
+	haltOnce sync.Once
+	reload   chan struct{}
+	work     sync.WaitGroup
+}
+
+// Open opens the daemon's sockets. Nothing runs until Run.
+func Open(o Options) (*Daemon, error) {
+	d := &Daemon{
+		file:    o.File,
+		journal: newJournal(o.Log),
+		halt:    make(chan struct{}),
+		reload:  make(chan struct{}, 1),
+		engine:  steering.NewEngine(steering.Settings{Centre: o.Settings.Centre, Seed: rand.Uint64()}),
+	}
+	d.counts = newCounts(d)
+	d.use(o.Settings)
+	if err := d.openSockets(); err != nil {
+		d.closeSockets()
+		return nil, err
+	}
+	return d, nil
+}
+
+// use puts settings in force.
+func (d *Daemon) use(s platform.Settings) {
+	old := d.settings.Swap(&s)
+	if old == nil || old.Store != s.Store {
+		client := platform.NewClient(s.Store, storeTimeout)
+		client.Caller = s.Instance
+		d.store.Store(platform.NewStore(client))
+	}
+}
+
+func (d *Daemon) openSockets() (err error) {
+	s := d.settings.Load()
+	if d.packets, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Packets)); err != nil {
+		return errors.Wrapf(err, "listen for packets on %s", s.Packets)
+	}
+	_ = d.packets.SetReadBuffer(socketBuffer) // the system gives what it allows
+	if d.ready, err = net.Listen("tcp4", s.Ready.String()); err != nil {
+		return errors.Wrapf(err, "listen for readiness on %s", s.Ready)
+	}
+	return nil
+}
+
+func (d *Daemon) closeSockets() {
+	if d.packets != nil {
+		d.packets.Close()
+	}
+	if d.ready != nil {
+		d.ready.Close()
+	}
+}
+
+// Run serves until Stop has been called and packets stopped coming, or until ctx
+// ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := d.settings.Load()
+	d.journal.say("start", "instance", s.Instance, "centre", s.Centre, "packets", s.Packets, "store", s.Store, "version", version())
+	server := &http.Server{Handler: d.handler(), ReadHeaderTimeout: requestTimeout.Duration()}
+	d.work.Go(func() { d.journal.run(ctx) })
+	d.work.Go(func() { _ = server.Serve(d.ready) }) // ends with ErrServerClosed
+	d.work.Go(func() { d.followConfiguration(ctx) })
+	d.work.Go(func() { d.followEndpoints(ctx) })
+	d.work.Go(func() { d.tick(ctx) })
+	received := make(chan error, 1)
+	go func() { received <- d.receive() }()
+	var err error
+	select {
+	case err = <-received:
+	case <-ctx.Done():
+	case <-d.halt:
+		d.drain(ctx)
+	}
+	d.journal.say("stop", "instance", s.Instance, "flows", d.flows(), "error", text(err))
+	cancel()
+	_ = server.Close() // its connections are of no use any more
+	d.closeSockets()
+	d.work.Wait()
+	return err
+}
+
+// Stop starts a graceful shutdown.
+func (d *Daemon) Stop() {
+	d.haltOnce.Do(func() {
+		d.halting.Store(true)
+		close(d.halt)
+	})
+}
+
+// Times of a graceful shutdown, in ms.
+const (
+	// The platform asks for readiness twice a second and takes an instance out
+	// after two misses; packets under way come on top.
+	leaveTime = 1500 * clock.Millisecond
+	quietTime = 300 * clock.Millisecond // without a packet, then nobody sends any more
+	// What is left of the time until SIGKILL, for the last lines of the log.
+	leaveMargin = 500 * clock.Millisecond
+)
+
+// drain forwards until packets stop coming.
+func (d *Daemon) drain(ctx context.Context) {
+	d.journal.say("leaving", "flows", d.flows())
+	start := clock.Now()
+	latest := start + max(d.settings.Load().Grace-leaveMargin, leaveTime)
+	for pause(ctx, quietTime/2) {
+		now := clock.Now()
+		quiet := now-clock.Millis(d.arrived.Load()) >= quietTime
+		if now >= latest || now-start >= leaveTime && quiet {
+			return
+		}
+	}
+}
+
+// handle gives an event to the engine and carries out its actions.
+func (d *Daemon) handle(e steering.Event) {
+	d.mu.Lock()
+	actions := d.engine.Handle(clock.Now(), e)
+	d.mu.Unlock()
+	d.perform(actions)
+}
+
+func (d *Daemon) flows() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engine.Flows()
+}
+
+// isReady reports whether the instance should get packets.
+func (d *Daemon) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engine.Ready() && !d.halting.Load()
+}
+
+// perform carries out actions and logs them.
+func (d *Daemon) perform(actions []steering.Action) {
+	for _, a := range actions {
+		switch v := a.(type) {
+		case steering.Probe:
+			d.work.Go(func() { d.probe(v) })
+		case steering.Answered:
+			d.counts.answered(v)
+		case steering.ConfigurationAccepted:
+			d.counts.version.Update(v.Version)
+			d.journal.say("configuration accepted", "version", v.Version, "revision", v.Revision, "routes", v.Routes, "removed", v.Removed)
+		case steering.EndpointChanged:
+			d.journal.say("endpoint "+v.State, "endpoint", v.Endpoint, "service", v.Service, "address", v.Address, "revision", v.Revision)
+		case steering.EndpointSilent:
+			d.counts.silent.Inc(1)
+			d.journal.say("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.Missed, "rest_ms", v.Rest)
+		case steering.EndpointRefused:
+			d.journal.say("endpoint refused", "endpoint", v.Endpoint, "service", v.Service)
+		}
+	}
+}
+
+// tick lets time pass for the engine and watches the settings file.
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod.Duration())
+	defer ticker.Stop()
+	var answers []steering.Answered
+	file := watchFile(d.file)
+	sleep := newSleepWatch()
+	nextFile := clock.Now() + filePeriod
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.reload:
+			d.readSettings("signal")
+			continue
+		case <-ticker.C:
+		}
+		if slept := sleep.check(); slept > 0 {
+			d.journal.say("woke", "slept_ms", slept)
+			d.handle(steering.Woke{Slept: slept})
+		}
+		d.handle(steering.Ticked{})
+		d.mu.Lock()
+		answers = d.engine.TakeAnswers(answers[:0])
+		d.mu.Unlock()
+		for _, a := range answers {
+			d.counts.answered(a)
+		}
+		if now := clock.Now(); now >= nextFile {
+			nextFile = now + filePeriod
+			if file.changed() {
+				d.readSettings("file changed")
+			}
+		}
+	}
+}
+
+// pause waits for span and reports false when ctx ended first.
+func pause(ctx context.Context, span clock.Millis) bool {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/forwarder/metrics.go
@@ -0,0 +1,113 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// Limits of histograms.
+const (
+	sampleSize  = 256   // values a histogram keeps; 2 KB each
+	sampleAlpha = 0.015 // decay of a histogram; favours the last five minutes
+)
+
+// counts holds every metric of a daemon. It is safe for concurrent use.
+type counts struct {
+	registry   metrics.Registry
+	decisions  [3][]metrics.Counter // by verdict and reason
+	malformed  metrics.Counter
+	unsent     metrics.Counter
+	readErrors metrics.Counter
+	calls      metrics.Counter
+	unanswered metrics.Counter // calls to the store
+	probes     metrics.Counter
+	silent     metrics.Counter
+	version    metrics.Gauge // of the configuration
+
+	mu        sync.Mutex
+	histogram map[string]metrics.Histogram // of answer times, by service
+}
+
+func newCounts(d *Daemon) *counts {
+	c := &counts{registry: metrics.NewRegistry(), histogram: map[string]metrics.Histogram{}}
+	for v := range c.decisions {
+		for _, r := range steering.Reasons() {
+			c.decisions[v] = append(c.decisions[v], c.counter(fmt.Sprintf("packets.%s.%s", steering.Verdict(v), r)))
+		}
+	}
+	c.malformed = c.counter("packets.malformed")
+	c.unsent = c.counter("packets.unsent")
+	c.readErrors = c.counter("packets.read_errors")
+	c.calls = c.counter("store.calls")
+	c.unanswered = c.counter("store.unanswered")
+	c.probes = c.counter("endpoints.probes")
+	c.silent = c.counter("endpoints.silent")
+	c.version = metrics.NewRegisteredGauge("configuration.version", c.registry)
+	metrics.NewRegisteredFunctionalGauge("flows", c.registry, func() int64 { return int64(d.flows()) })
+	metrics.NewRegisteredFunctionalGauge("log.dropped", c.registry, d.journal.lost.Load)
+	return c
+}
+
+func (c *counts) counter(name string) metrics.Counter {
+	return metrics.NewRegisteredCounter(name, c.registry)
+}
+
+// decided counts a decision.
+func (c *counts) decided(v *steering.Decision) { c.decisions[v.Verdict][v.Reason].Inc(1) }
+
+// called counts a call to the store.
+func (c *counts) called(err error) {
+	c.calls.Inc(1)
+	if err != nil {
+		c.unanswered.Inc(1)
+	}
+}
+
+// answered takes the time of an answer in.
+func (c *counts) answered(a steering.Answered) {
+	c.mu.Lock()
+	h := c.histogram[a.Service]
+	if h == nil {
+		h = metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+		c.histogram[a.Service] = h
+		_ = c.registry.Register("answers."+a.Service, h) // a name is registered once
+	}
+	c.mu.Unlock()
+	h.Update(int64(a.Took))
+}
+
+// write prints every metric that isn't 0 as a line name=value, sorted by name.
+func (c *counts) write(w io.Writer) error {
+	lines := map[string]int64{}
+	c.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			lines[name] = m.Count()
+		case metrics.Gauge:
+			lines[name] = m.Snapshot().Value()
+		case metrics.Histogram:
+			s := m.Snapshot()
+			lines[name+".count"] = s.Count()
+			lines[name+".p50"] = int64(s.Percentile(0.5))
+			lines[name+".p99"] = int64(s.Percentile(0.99))
+			lines[name+".max"] = s.Max()
+		}
+	})
+	for _, name := range slices.Sorted(maps.Keys(lines)) {
+		if lines[name] == 0 {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "%s=%d\n", name, lines[name]); err != nil {
+			return errors.Wrap(err, "write metrics")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/forwarder/packets.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// socketBuffer is what the packet socket may hold, in bytes: about a tenth of a
+// second of packets at the highest rate that the smallest instance can forward.
+const socketBuffer = 1 << 20
+
+// receive forwards packets until the socket is closed.
+func (d *Daemon) receive() error {
+	// The prefix goes in front of the packet without a copy.
+	buffer := make([]byte, platform.PrefixSize+platform.MaxPacket+1)
+	var p steering.Packet
+	var reset [platform.HeaderSize]byte
+	for {
+		n, _, err := d.packets.ReadFromUDPAddrPort(buffer[platform.PrefixSize:])
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			d.counts.readErrors.Inc(1)
+			d.journal.limited("packet unread", "error", err.Error())
+			continue
+		}
+		if err := platform.DecodePacket(buffer[platform.PrefixSize:platform.PrefixSize+n], &p); err != nil {
+			d.counts.malformed.Inc(1)
+			d.journal.limited("packet malformed", "error", err.Error())
+			continue
+		}
+		d.forward(&p, buffer[:platform.PrefixSize+n], &reset)
+	}
+}
+
+// forward decides on one packet and sends what the decision asks for.
+func (d *Daemon) forward(p *steering.Packet, data []byte, reset *[platform.HeaderSize]byte) {
+	now := clock.Now()
+	d.arrived.Store(int64(now))
+	d.mu.Lock()
+	v := d.engine.Steer(now, p)
+	d.mu.Unlock()
+	d.counts.decided(&v)
+	var err error
+	switch v.Verdict {
+	case steering.Forward:
+		platform.AddressPacket(data, &v.Endpoint)
+		_, err = d.packets.WriteToUDPAddrPort(data, v.Endpoint.Address.AddrPort())
+	case steering.Reset:
+		platform.EncodeReset(reset, p)
+		to := netip.AddrPortFrom(p.Consumer.AddrPort().Addr(), d.settings.Load().Packets.Port())
+		_, err = d.packets.WriteToUDPAddrPort(reset[:], to)
+	case steering.Drop:
+	}
+	if err != nil {
+		d.counts.unsent.Inc(1)
+		d.journal.limited("packet unsent", "flow", p.ID(), "error", err.Error())
+	}
+	if v.Verdict != steering.Forward || p.Opening() {
+		d.journal.decision(now, p, &v)
+	}
+}
--- /dev/null
+++ b/steering/engine.go
@@ -0,0 +1,224 @@
+package steering
+
+import (
+	"math/rand/v2"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// Settings are what an engine is told at its start.
+type Settings struct {
+	Centre string // name of the data centre
+	Seed   uint64 // of choices among equals
+}
+
+// Engine decides for one daemon. It is not safe for concurrent use.
+type Engine struct {
+	settings Settings
+	random   *rand.Rand
+
+	configuration *Configuration
+	confirmed     clock.Millis // when the store last confirmed the configuration
+	removedRoutes map[End]bool // of earlier configurations, and not in force
+	directory     directory
+	flows         flows
+	storeLost     bool
+
+	notes   []Action // of packets, until the daemon takes them
+	answers []Answered
+}
+
+// NewEngine returns an engine without records.
+func NewEngine(s Settings) *Engine {
+	return &Engine{
+		settings:      s,
+		random:        rand.New(rand.NewPCG(s.Seed, 0)),
+		removedRoutes: map[End]bool{},
+		directory:     newDirectory(),
+		flows:         newFlows(),
+	}
+}
+
+// Steer decides on one packet.
+func (e *Engine) Steer(now clock.Millis, p *Packet) Decision {
+	var d Decision
+	if p.Opening() {
+		d = e.open(now, p)
+	} else {
+		d = e.established(now, p)
+	}
+	if e.configuration != nil {
+		d.Version = e.configuration.Version
+	}
+	d.Age = now - e.directory.confirmed
+	return d
+}
+
+// Ready reports whether the engine knows what it takes to serve.
+func (e *Engine) Ready() bool { return e.configuration != nil && e.directory.listed }
+
+// Flows returns the number of flows remembered.
+func (e *Engine) Flows() int { return len(e.flows.byKey) }
+
+// TakeNotes returns what packets led to since the last call. The daemon owns it.
+func (e *Engine) TakeNotes() []Action {
+	notes := e.notes
+	e.notes = nil
+	return notes
+}
+
+// TakeAnswers appends the answers seen since the last call to a list.
+func (e *Engine) TakeAnswers(list []Answered) []Answered {
+	list = append(list, e.answers...)
+	e.answers = e.answers[:0]
+	return list
+}
+
+// Handle takes an event and returns what to do.
+func (e *Engine) Handle(now clock.Millis, event Event) []Action {
+	switch v := event.(type) {
+	case ConfigurationRead:
+		return e.configure(now, v)
+	case EndpointsListed:
+		return e.list(now, v)
+	case EndpointsChanged:
+		return e.change(now, v)
+	case StoreLost:
+		e.storeLost = true
+	case StoreReturned:
+		e.storeLost = false
+		e.directory.returned = now
+	case Woke:
+		// What the store said before the sleep may have changed since.
+		e.confirmed = 0
+		e.directory.returned = now
+	case Probed:
+		return e.probed(v)
+	case Ticked:
+		return e.tick(now)
+	}
+	return nil
+}
+
+func (e *Engine) configure(now clock.Millis, v ConfigurationRead) []Action {
+	if v.Confirmed {
+		e.confirmed = now
+	}
+	c := v.Configuration
+	if c == nil || e.configuration != nil && (c.Version <= e.configuration.Version || c.Revision <= e.configuration.Revision) {
+		return nil
+	}
+	removed := 0
+	if e.configuration != nil {
+		for end := range e.configuration.Routes {
+			if _, kept := c.Routes[end]; !kept {
+				e.removedRoutes[end] = true
+				removed++
+			}
+		}
+	}
+	for end := range c.Routes {
+		delete(e.removedRoutes, end)
+	}
+	e.configuration = c
+	if c.Idle > 0 {
+		e.flows.idle = c.Idle
+	}
+	return []Action{ConfigurationAccepted{Version: c.Version, Revision: c.Revision, Routes: len(c.Routes), Removed: removed}}
+}
+
+func (e *Engine) list(now clock.Millis, v EndpointsListed) (actions []Action) {
+	if e.directory.listed && v.Revision < e.directory.revision {
+		return nil
+	}
+	present := make(map[string]bool, len(v.Endpoints))
+	for _, p := range v.Endpoints {
+		present[p.ID] = true
+		actions = e.put(now, p, actions)
+	}
+	for _, c := range v.Unreadable {
+		present[c.Endpoint.ID] = true
+		actions = e.spoil(now, c, actions)
+	}
+	for id, s := range e.directory.byID {
+		if !present[id] && s.standing == listed {
+			actions = e.remove(now, id, v.Revision, actions)
+		}
+	}
+	e.directory.listed = true
+	e.directory.revision = v.Revision
+	e.directory.confirmed = now
+	return actions
+}
+
+func (e *Engine) change(now clock.Millis, v EndpointsChanged) (actions []Action) {
+	for _, c := range v.Changes {
+		switch {
+		case c.Removed:
+			actions = e.remove(now, c.Endpoint.ID, c.Endpoint.Revision, actions)
+		case c.Unreadable:
+			actions = e.spoil(now, c, actions)
+		default:
+			actions = e.put(now, c.Endpoint, actions)
+		}
+	}
+	e.directory.revision = max(e.directory.revision, v.Revision)
+	e.directory.confirmed = now
+	return actions
+}
+
+func (e *Engine) put(now clock.Millis, p Endpoint, actions []Action) []Action {
+	old := e.directory.byID[p.ID]
+	quiet := old != nil && old.standing == listed && old.Draining == p.Draining && old.Born == p.Born && old.Address == p.Address
+	if !e.directory.put(now, p) || quiet {
+		return actions
+	}
+	return append(actions, e.directory.byID[p.ID].changed())
+}
+
+func (e *Engine) remove(now clock.Millis, id string, revision uint64, actions []Action) []Action {
+	if !e.directory.remove(now, id, revision) {
+		return actions
+	}
+	return append(actions, e.directory.byID[id].changed())
+}
+
+func (e *Engine) spoil(now clock.Millis, c Change, actions []Action) []Action {
+	if !e.directory.spoil(now, c.Endpoint.ID, c.Endpoint.Revision) {
+		return actions
+	}
+	return append(actions, e.directory.byID[c.Endpoint.ID].changed())
+}
+
+func (s *server) changed() EndpointChanged {
+	return EndpointChanged{Endpoint: s.ID, Service: s.Service, Address: s.Address, State: s.state(), Revision: max(s.Revision, s.removed)}
+}
+
+func (s *server) state() string {
+	switch {
+	case s.standing == lapsed:
+		return "lapsed"
+	case s.standing == gone:
+		return "gone"
+	case s.Draining:
+		return "draining"
+	}
+	return "ready"
+}
+
+func (e *Engine) probed(v Probed) []Action {
+	s := e.directory.byID[v.Endpoint]
+	if s == nil || s.Born != v.Born || !v.Refused || s.silence.rest == 0 {
+		return nil
+	}
+	s.silence.refused = true
+	return []Action{EndpointRefused{Endpoint: s.ID, Service: s.Service}}
+}
+
+func (e *Engine) tick(now clock.Millis) (actions []Action) {
+	e.flows.expire(now, func(_ key, w *flow) { e.missed(now, w.server) })
+	for _, s := range e.directory.expire(now) {
+		actions = append(actions, s.changed())
+	}
+	return append(actions, e.TakeNotes()...)
+}
--- /dev/null
+++ b/steering/established.go
@@ -0,0 +1,140 @@
+package steering
+
+import (
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// established decides on a packet of a flow that is open, or is about to be.
+func (e *Engine) established(now clock.Millis, p *Packet) Decision {
+	if p.Flags.Has(Open) {
+		return Decision{Verdict: Drop, Reason: ReasonForged}
+	}
+	if p.Token == 0 {
+		return Decision{Verdict: Drop, Reason: ReasonNoToken}
+	}
+	if e.configuration == nil || !e.directory.listed {
+		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
+	}
+	s, reason := e.find(p)
+	if s == nil {
+		return Decision{Verdict: Drop, Reason: reason}
+	}
+	d := Decision{Verdict: Forward, Reason: ReasonToken, Endpoint: s.target(), Service: s.Service}
+	if over, reason := e.over(p, s); over {
+		if w := e.flows.byKey[p.key()]; w != nil {
+			e.flows.remove(p.key(), w)
+		}
+		if p.Flags.Has(Abort) {
+			return Decision{Verdict: Drop, Reason: reason, Service: s.Service}
+		}
+		return Decision{Verdict: Reset, Reason: reason, Endpoint: s.target(), Service: s.Service}
+	}
+	d.Opened = e.follow(now, p, s)
+	return d
+}
+
+// find returns the endpoint that a packet's token names, or nil and why not.
+func (e *Engine) find(p *Packet) (*server, Reason) {
+	list := e.directory.byToken[p.Token]
+	switch len(list) {
+	case 0:
+		return nil, ReasonUnknownToken
+	case 1:
+		return list[0], ReasonToken
+	}
+	if w := e.flows.byKey[p.key()]; w != nil && w.server.token == p.Token {
+		return w.server, ReasonToken
+	}
+	return nil, ReasonAmbiguous
+}
+
+// over reports whether a flow can't go on, and why.
+func (e *Engine) over(p *Packet, s *server) (bool, Reason) {
+	if e.removedRoutes[p.Route] {
+		return true, ReasonRouteRemoved
+	}
+	if s.standing == gone || s.silence.refused {
+		return true, ReasonEndpointGone
+	}
+	return false, ReasonToken
+}
+
+// follow takes what a packet tells of its flow, and reports whether it is the
+// first to show that the flow is open.
+func (e *Engine) follow(now clock.Millis, p *Packet, s *server) bool {
+	k := p.key()
+	w := e.flows.byKey[k]
+	opened := false
+	if w == nil {
+		if p.Flags.Has(Abort) || p.Flags.Has(Finish) {
+			return false
+		}
+		// Another daemon placed it, or this one before it was restarted.
+		if w = e.flows.add(k); w == nil {
+			return false
+		}
+		w.service = s.Service
+		w.established = true
+		w.opened = now
+		w.ack, w.end = p.Ack, p.Sequence
+		w.join(s)
+	} else if !w.established || w.server != s {
+		opened = !w.established
+		w.established = true
+		w.ack, w.end = p.Ack, p.Sequence
+		if w.server != s {
+			w.join(s)
+		}
+		s.silence.heard(now)
+	}
+	w.last = now
+	if p.Flags.Has(Abort) {
+		e.flows.remove(k, w)
+		return opened
+	}
+	e.followData(now, p, w, s)
+	if p.Flags.Has(Finish) && !w.closing {
+		w.closing = true
+		w.leave()
+	}
+	return opened
+}
+
+// followData takes the sequence numbers of a packet in.
+func (e *Engine) followData(now clock.Millis, p *Packet, w *flow, s *server) {
+	if p.Flags.Has(Acknowledge) && after(p.Ack, w.ack) {
+		w.ack = p.Ack
+		s.silence.heard(now)
+		if w.asked != 0 && w.counted {
+			took := w.answer(now)
+			s.load.learn(took)
+			e.answers = append(e.answers, Answered{Service: s.Service, Took: took})
+		}
+	}
+	if p.Length == 0 {
+		return
+	}
+	end := p.Sequence + uint32(p.Length)
+	if after(end, w.end) {
+		w.end = end
+		if w.counted {
+			w.ask(now)
+		}
+		return
+	}
+	w.repeats++
+	if w.repeats == 1 && w.asked != 0 && w.asked > s.silence.progress {
+		e.missed(now, s)
+	}
+}
+
+// missed notes that an endpoint left a flow without an answer.
+func (e *Engine) missed(now clock.Millis, s *server) {
+	if !s.silence.miss(now) {
+		return
+	}
+	e.notes = append(e.notes, EndpointSilent{Endpoint: s.ID, Service: s.Service, Missed: s.silence.missed, Rest: s.silence.rest})
+	if s.silence.probeDue(now) {
+		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address})
+	}
+}
--- /dev/null
+++ b/steering/flow.go
@@ -0,0 +1,140 @@
+package steering
+
+import (
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// flow is what passing packets tell of one flow. It is a help for placing and
+// for finding silent endpoints; a daemon that lacks it forwards all the same.
+type flow struct {
+	server      *server
+	service     string // of the route when it was placed
+	opened      clock.Millis
+	last        clock.Millis // of the latest packet
+	asked       clock.Millis // since when a request waits for its answer; 0 for none
+	end         uint32       // sequence number after the last new byte of data
+	ack         uint32
+	copies      uint32 // of the opening packet
+	repeats     uint32 // packets with data that was sent before, since asked
+	established bool
+	closing     bool // the consumer is done
+	counted     bool // in the load of its server
+}
+
+// flows holds the flows of a daemon, the latest ones only.
+type flows struct {
+	byKey map[key]*flow
+	limit int
+	idle  clock.Millis
+	free  []*flow // to use again
+}
+
+// How many flows a daemon remembers, and for how long at most, in ms.
+const (
+	// 100 bytes each; the whole table stays within a tenth of the smallest
+	// instance's 84 MB.
+	maxFlows = 65536
+	// The platform's flows are discarded after 15 s without a packet, and a
+	// shorter limit may be configured.
+	defaultIdle = 15 * clock.Second
+	// An opening that nobody answered has been given up by its consumer after 1.4 s.
+	openingHold = 1500 * clock.Millisecond
+)
+
+func newFlows() flows {
+	return flows{byKey: map[key]*flow{}, limit: maxFlows, idle: defaultIdle}
+}
+
+// add returns a new flow, or nil when there is no room.
+func (f *flows) add(k key) *flow {
+	if len(f.byKey) >= f.limit {
+		return nil
+	}
+	var w *flow
+	if n := len(f.free); n > 0 {
+		w, f.free = f.free[n-1], f.free[:n-1]
+		*w = flow{}
+	} else {
+		w = &flow{}
+	}
+	f.byKey[k] = w
+	return w
+}
+
+// remove forgets a flow.
+func (f *flows) remove(k key, w *flow) {
+	w.leave()
+	delete(f.byKey, k)
+	if len(f.free) < maxFree {
+		f.free = append(f.free, w)
+	}
+}
+
+// maxFree bounds the forgotten flows kept for use; a second of new flows at the
+// size designed for is about 100 a daemon.
+const maxFree = 1024
+
+// expire forgets flows that are idle, and openings that nobody answered. It
+// reports each of the latter.
+func (f *flows) expire(now clock.Millis, unanswered func(key, *flow)) {
+	for k, w := range f.byKey {
+		limit := f.idle
+		if !w.established {
+			limit = openingHold
+		} else if w.closing {
+			limit = closingHold
+		}
+		if now-w.last < limit {
+			continue
+		}
+		if !w.established {
+			unanswered(k, w)
+		}
+		f.remove(k, w)
+	}
+}
+
+// closingHold is how long a flow is remembered after its consumer was done: a
+// few of the repeats that start at 200 ms.
+const closingHold = 2 * clock.Second
+
+// join counts a flow in the load of an endpoint.
+func (w *flow) join(s *server) {
+	w.leave()
+	w.server = s
+	w.counted = true
+	s.load.flows++
+}
+
+// leave takes a flow out of the load of its endpoint.
+func (w *flow) leave() {
+	if !w.counted {
+		return
+	}
+	w.counted = false
+	w.server.load.flows--
+	if w.asked != 0 {
+		w.server.load.waiting--
+		w.asked = 0
+	}
+}
+
+// ask notes that a request waits for its answer.
+func (w *flow) ask(now clock.Millis) {
+	if w.asked == 0 {
+		w.asked = now
+		w.repeats = 0
+		w.server.load.waiting++
+	}
+}
+
+// answer notes that the request got its answer, and returns the time it took.
+func (w *flow) answer(now clock.Millis) clock.Millis {
+	took := now - w.asked
+	w.asked, w.repeats = 0, 0
+	w.server.load.waiting--
+	return took
+}
+
+// after reports whether sequence number a is past b. They wrap around.
+func after(a, b uint32) bool { return int32(a-b) > 0 }
