--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -42,7 +42,6 @@
 
 	packets *net.UDPConn
 	ready   net.Listener
-	control net.Listener // nil when it isn't served
 
 	mu     sync.Mutex // guards engine
 	engine *steering.Engine
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -46,7 +46,7 @@
 	Endpoint
 	token    Token
 	standing standing
-	since    clock.Millis // of its standing
+	since    clock.Millis // when it got its entry, or lost it
 	removed  uint64       // revision of its removal; entries up to it are old
 	warm     clock.Millis // when it stops being slow after its start
 
@@ -124,7 +124,7 @@
 		case lapsed:
 			// Only while the store answers does an absence mean anything.
 			if now-max(s.since, d.returned) >= lapseHold && d.confirmed-max(s.since, d.returned) >= lapseHold {
-				s.standing, s.since = gone, now
+				s.standing = gone
 				d.reindex(s)
 				turned = append(turned, s)
 			}
--- a/steering/established.go
+++ b/steering/established.go
@@ -53,7 +53,8 @@
 	if e.removedRoutes[p.Route] {
 		return true, ReasonRouteRemoved
 	}
-	if s.standing == gone || s.silence.refused {
+	// An endpoint that is cut off from the store alone still answers its flows.
+	if s.silence.refused || s.standing == gone && s.silence.progress < s.since {
 		return true, ReasonEndpointGone
 	}
 	return false, ReasonToken
