--- /dev/null
+++ b/fleet/engine.go
@@ -0,0 +1,418 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// Settings are what an engine is told at its start.
+type Settings struct {
+	Self  Member
+	Bound clock.Millis // within which a change of records has to be in force
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// MembersListed brings the members that the store knows.
+type MembersListed struct{ Members []Member }
+
+// Received brings a message of another member.
+type Received struct {
+	From    Member
+	Message Message
+}
+
+// RecordsRead tells that the store was read, and how far the own records go now.
+type RecordsRead struct {
+	Configuration bool // the configuration was read, else the endpoints
+	State         State
+	From          uint64            // revision before
+	Changes       []steering.Change // of endpoints, since From; Whole when they don't tell all
+	Whole         bool
+	Delta         *steering.Delta // of the configuration
+	Returned      bool            // the store had not answered before
+}
+
+// RecordsFetched tells that records were fetched from a peer.
+type RecordsFetched struct {
+	Peer  string
+	OK    bool
+	State State // of the peer when it answered
+}
+
+// SilenceSeen tells that an endpoint left a flow without an answer.
+type SilenceSeen struct {
+	Endpoint string
+	Born     clock.Millis
+	Hung     bool // nor did it answer a probe
+}
+
+// Stopping tells that the process is going to end.
+type Stopping struct{}
+
+// Ticked tells that time has passed.
+type Ticked struct{}
+
+func (MembersListed) event()  {}
+func (Received) event()       {}
+func (RecordsRead) event()    {}
+func (RecordsFetched) event() {}
+func (SilenceSeen) event()    {}
+func (Stopping) event()       {}
+func (Ticked) event()         {}
+
+// Action is something for the daemon to do.
+type Action interface{ action() }
+
+// Send sends a message.
+type Send struct {
+	To      []netip.AddrPort
+	Message Message
+}
+
+// Watch starts or ends watching the store.
+type Watch struct{ On bool }
+
+// Fetch fetches all records from a peer, or from the store when that fails.
+type Fetch struct{ Peer Member }
+
+// Apply brings changes to steering.
+type Apply struct{ Event steering.Event }
+
+// Forget removes a member that is no more from the store.
+type Forget struct{ Name string }
+
+func (Send) action()   {}
+func (Watch) action()  {}
+func (Fetch) action()  {}
+func (Apply) action()  {}
+func (Forget) action() {}
+
+// Times of members, in ms.
+const (
+	// Losing a message costs a fetch, so a fetch is not asked for more often than
+	// a few beats.
+	fetchPause = 500 * clock.Millisecond
+	// A member that was replaced leaves its object behind. A watcher asks each one
+	// for a sign of life at this pace, and forgets it after the second time.
+	signPeriod   = 1 * clock.Minute
+	forgetPeriod = 10 * clock.Minute
+	// Members told to a newcomer; a message holds some twenty.
+	maxIntroduced = 10
+)
+
+// Engine decides for one member. It is not safe for concurrent use.
+type Engine struct {
+	settings Settings
+	members  members
+
+	state           State
+	configurationAt clock.Millis // when the store last confirmed the configuration
+	endpointsAt     clock.Millis // when the store last confirmed the endpoints
+	returnedAt      clock.Millis // when the store answered again; 0 when it never failed
+
+	watching bool
+	leaving  bool
+	beatAt   clock.Millis // of the latest own beat
+	fetchAt  clock.Millis // of the latest fetch
+	helper   *Member      // the latest one that was heard, of any data centre
+	signsAt  clock.Millis // when signs of life were last asked for
+}
+
+// NewEngine returns an engine that knows no other member.
+func NewEngine(s Settings, now clock.Millis) *Engine {
+	return &Engine{settings: s, configurationAt: now, endpointsAt: now, signsAt: now}
+}
+
+// Watching reports whether this member watches the store.
+func (e *Engine) Watching() bool { return e.watching }
+
+// Members returns the number of other members known.
+func (e *Engine) Members() int { return len(e.members.list) }
+
+// State returns how far the own records go, with their age.
+func (e *Engine) State(now clock.Millis) State {
+	s := e.state
+	s.ConfigurationAge, s.EndpointsAge = now-e.configurationAt, now-e.endpointsAt
+	if e.returnedAt != 0 {
+		s.ReturnedAge = max(now-e.returnedAt, 1)
+	}
+	return s
+}
+
+// Helper returns the member that was heard last, to fetch records from.
+func (e *Engine) Helper() (Member, bool) {
+	if e.helper == nil {
+		return Member{}, false
+	}
+	return *e.helper, true
+}
+
+// Handle takes an event and returns what to do.
+func (e *Engine) Handle(now clock.Millis, event Event) []Action {
+	switch v := event.(type) {
+	case MembersListed:
+		return e.listMembers(now, v)
+	case Received:
+		return e.receive(now, v)
+	case RecordsRead:
+		return e.read(now, v)
+	case RecordsFetched:
+		e.fetched(now, v)
+	case SilenceSeen:
+		return e.tell(Silent(v))
+	case Stopping:
+		return e.stop(now)
+	case Ticked:
+		return e.tick(now)
+	}
+	return nil
+}
+
+// tell sends a message to all members of the data centre.
+func (e *Engine) tell(m Message) []Action {
+	if len(e.members.list) == 0 {
+		return nil
+	}
+	to := make([]netip.AddrPort, len(e.members.list))
+	for i, p := range e.members.list {
+		to[i] = p.Address
+	}
+	return []Action{Send{To: to, Message: m}}
+}
+
+// known reports whether a member is worth keeping: another one of this data centre.
+func (e *Engine) known(m *Member) bool {
+	return m.Name != e.settings.Self.Name && m.Centre == e.settings.Self.Centre && m.Check() == nil
+}
+
+func (e *Engine) listMembers(now clock.Millis, v MembersListed) []Action {
+	var fresh []netip.AddrPort
+	for _, m := range v.Members {
+		if !e.known(&m) {
+			continue
+		}
+		if p, isNew := e.members.put(m); isNew {
+			fresh = append(fresh, p.Address)
+		}
+	}
+	if len(fresh) == 0 {
+		return e.watch(now)
+	}
+	return append([]Action{Send{To: fresh, Message: Hello{}}}, e.watch(now)...)
+}
+
+func (e *Engine) receive(now clock.Millis, v Received) []Action {
+	var p *peer
+	if v.From.Name != e.settings.Self.Name {
+		e.helper = &v.From
+	}
+	if e.known(&v.From) {
+		p, _ = e.members.put(v.From)
+		p.heard, p.asked = now, 0
+	}
+	switch m := v.Message.(type) {
+	case Hello:
+		return e.greeted(&v.From, m)
+	case Beat:
+		return e.beaten(now, p, m)
+	case News:
+		return e.news(now, p, m)
+	case Revised:
+		return e.revised(now, p, m)
+	case Silent:
+		return []Action{Apply{Event: steering.SilenceReported{
+			By: v.From.Name, Endpoint: m.Endpoint, Born: m.Born, Hung: m.Hung,
+		}}}
+	}
+	return nil
+}
+
+func (e *Engine) greeted(from *Member, m Hello) []Action {
+	for _, o := range m.Members {
+		if e.known(&o) {
+			e.members.put(o)
+		}
+	}
+	if !m.Answer {
+		return nil
+	}
+	answer := Hello{}
+	for _, p := range e.members.list {
+		if len(answer.Members) == maxIntroduced {
+			break
+		}
+		answer.Members = append(answer.Members, p.Member)
+	}
+	return []Action{Send{To: []netip.AddrPort{from.Address}, Message: answer}}
+}
+
+// hear takes the state of a watcher in.
+func (e *Engine) hear(now clock.Millis, p *peer, s State, leaving bool) []Action {
+	p.beat, p.state, p.leaving = now, s, leaving
+	if s.ReturnedAge != 0 {
+		e.returnedAt = max(e.returnedAt, now-s.ReturnedAge)
+	}
+	if s.Configuration == e.state.Configuration {
+		e.state.Confirmed = max(e.state.Confirmed, s.Confirmed)
+		e.configurationAt = max(e.configurationAt, now-s.ConfigurationAge)
+	}
+	if e.state.Complete >= s.Change && s.Complete >= e.state.Complete {
+		e.state.Complete = s.Complete
+		e.state.Change = max(e.state.Change, s.Change)
+		e.endpointsAt = max(e.endpointsAt, now-s.EndpointsAge)
+	}
+	actions := append([]Action{Apply{Event: e.Confirmation()}}, e.watch(now)...)
+	if s.Configuration <= e.state.Configuration && s.Change <= e.state.Complete {
+		return actions
+	}
+	if e.watching || now-e.fetchAt < fetchPause {
+		return actions // the own watch brings it, or the fetch under way
+	}
+	e.fetchAt = now
+	return append(actions, Fetch{Peer: p.Member})
+}
+
+// Confirmation tells steering how fresh its records are.
+func (e *Engine) Confirmation() steering.Confirmed {
+	return steering.Confirmed{Configuration: e.configurationAt, Endpoints: e.endpointsAt, Returned: e.returnedAt}
+}
+
+func (e *Engine) beaten(now clock.Millis, p *peer, m Beat) []Action {
+	if p == nil {
+		return nil
+	}
+	return e.hear(now, p, m.State, m.Leaving)
+}
+
+func (e *Engine) news(now clock.Millis, p *peer, m News) []Action {
+	if p == nil {
+		return nil
+	}
+	if e.state.Complete < m.From {
+		return e.hear(now, p, m.State, false)
+	}
+	actions := []Action{Apply{Event: steering.EndpointsChanged{Changes: m.Changes, Revision: m.State.Complete}}}
+	e.state.Complete = max(e.state.Complete, m.State.Complete)
+	e.state.Change = max(e.state.Change, m.State.Change)
+	return append(actions, e.hear(now, p, m.State, false)...)
+}
+
+func (e *Engine) revised(now clock.Millis, p *peer, m Revised) []Action {
+	if p == nil {
+		return nil
+	}
+	if e.state.Configuration != m.Delta.From {
+		return e.hear(now, p, m.State, false)
+	}
+	e.state.Configuration = m.Delta.Revision
+	actions := []Action{Apply{Event: steering.ConfigurationRevised{Delta: m.Delta}}}
+	return append(actions, e.hear(now, p, m.State, false)...)
+}
+
+// read takes what the store said, and tells the others.
+func (e *Engine) read(now clock.Millis, v RecordsRead) []Action {
+	e.state = v.State
+	if v.Returned {
+		e.returnedAt = now
+	}
+	var m Message
+	if v.Configuration {
+		e.configurationAt = now
+		if v.Delta != nil {
+			m = Revised{Delta: *v.Delta, State: e.State(now)}
+		}
+	} else {
+		e.endpointsAt = now
+		if len(v.Changes) > 0 && !v.Whole {
+			m = News{From: v.From, Changes: v.Changes, State: e.State(now)}
+		}
+	}
+	actions := e.watch(now)
+	if !e.watching || m == nil {
+		return actions
+	}
+	e.beatAt = now
+	return append(actions, e.tell(m)...)
+}
+
+func (e *Engine) fetched(now clock.Millis, v RecordsFetched) {
+	if !v.OK {
+		return
+	}
+	if v.State.Configuration >= e.state.Configuration {
+		e.state.Configuration = v.State.Configuration
+		e.configurationAt = max(e.configurationAt, now-v.State.ConfigurationAge)
+	}
+	if v.State.Complete >= e.state.Complete {
+		e.state.Complete, e.state.Change = v.State.Complete, max(v.State.Change, e.state.Change)
+		e.endpointsAt = max(e.endpointsAt, now-v.State.EndpointsAge)
+	}
+}
+
+func (e *Engine) stop(now clock.Millis) []Action {
+	e.leaving = true
+	wasWatching := e.watching
+	actions := e.watch(now)
+	if wasWatching {
+		actions = append(actions, e.tell(Beat{State: e.State(now), Leaving: true})...)
+	}
+	return actions
+}
+
+// watch follows the decision on the duty.
+func (e *Engine) watch(now clock.Millis) []Action {
+	on := e.duty(now)
+	if on == e.watching {
+		return nil
+	}
+	e.watching = on
+	return []Action{Watch{On: on}}
+}
+
+func (e *Engine) tick(now clock.Millis) []Action {
+	actions := e.watch(now)
+	if !e.watching {
+		return actions
+	}
+	if now-e.beatAt >= beatPeriod {
+		e.beatAt = now
+		actions = append(actions, e.tell(Beat{State: e.State(now)})...)
+	}
+	if now-e.signsAt >= signPeriod {
+		e.signsAt = now
+		actions = append(actions, e.askSigns(now)...)
+	}
+	return actions
+}
+
+// askSigns asks the members that weren't heard for a sign of life, and forgets
+// those that gave none for long.
+func (e *Engine) askSigns(now clock.Millis) (actions []Action) {
+	var silent []netip.AddrPort
+	var ended []string
+	for _, p := range e.members.list {
+		if now-p.heard < signPeriod {
+			continue
+		}
+		if p.asked == 0 {
+			p.asked = now
+		}
+		if now-p.asked >= forgetPeriod {
+			ended = append(ended, p.Name)
+			continue
+		}
+		silent = append(silent, p.Address)
+	}
+	for _, name := range ended {
+		e.members.remove(name)
+		actions = append(actions, Forget{Name: name})
+	}
+	if len(silent) > 0 {
+		actions = append(actions, Send{To: silent, Message: Hello{Answer: true}})
+	}
+	return actions
+}
--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// ErrMessage reports a datagram that is no message of a member.
+var ErrMessage = errors.New("message is invalid")
+
+// MaxMessage bounds a message, in bytes: it passes any link in one piece.
+const MaxMessage = 1400
+
+// State is how far a member's records go.
+type State struct {
+	Configuration uint64 `cbor:"configuration"` // revision of the configuration
+	Confirmed     uint64 `cbor:"confirmed"`     // revision up to which the configuration is the newest
+	Change        uint64 `cbor:"change"`        // revision of the latest change of an endpoint
+	Complete      uint64 `cbor:"complete"`      // revision up to which all changes of endpoints are known
+	// How long ago the store said so, in ms.
+	ConfigurationAge clock.Millis `cbor:"configuration_age"`
+	EndpointsAge     clock.Millis `cbor:"endpoints_age"`
+	// How long ago the store answered again after it had not; 0 when it never failed.
+	ReturnedAge clock.Millis `cbor:"returned_age,omitempty"`
+}
+
+// Message is what one member tells another.
+type Message interface{ message() }
+
+// Hello introduces a member. A member that is asked to answers with its own.
+type Hello struct {
+	Answer  bool     `cbor:"answer,omitempty"`  // please answer
+	Members []Member `cbor:"members,omitempty"` // others that the sender knows, some of them
+}
+
+// Beat tells how far a watcher's records go.
+type Beat struct {
+	State   State `cbor:"state"`
+	Leaving bool  `cbor:"leaving,omitempty"` // it stops watching
+}
+
+// News brings changes of endpoints after From, up to the state's Complete.
+type News struct {
+	From    uint64            `cbor:"from"`
+	Changes []steering.Change `cbor:"changes"`
+	State   State             `cbor:"state"`
+}
+
+// Revised brings what a newer configuration changes.
+type Revised struct {
+	Delta steering.Delta `cbor:"delta"`
+	State State          `cbor:"state"`
+}
+
+// Silent tells that an endpoint left a flow without an answer.
+type Silent struct {
+	Endpoint string       `cbor:"endpoint"`
+	Born     clock.Millis `cbor:"born"`
+	Hung     bool         `cbor:"hung,omitempty"` // nor did it answer a probe
+}
+
+func (Hello) message()   {}
+func (Beat) message()    {}
+func (News) message()    {}
+func (Revised) message() {}
+func (Silent) message()  {}
+
+// envelope is a message on its way: the sender and one of the messages.
+type envelope struct {
+	From    Member   `cbor:"from"`
+	Hello   *Hello   `cbor:"hello,omitempty"`
+	Beat    *Beat    `cbor:"beat,omitempty"`
+	News    *News    `cbor:"news,omitempty"`
+	Revised *Revised `cbor:"revised,omitempty"`
+	Silent  *Silent  `cbor:"silent,omitempty"`
+}
+
+// Encode returns a message as a datagram. A message that is too large is
+// refused with ErrMessage.
+func Encode(from Member, m Message) ([]byte, error) {
+	e := envelope{From: from}
+	switch v := m.(type) {
+	case Hello:
+		e.Hello = &v
+	case Beat:
+		e.Beat = &v
+	case News:
+		e.News = &v
+	case Revised:
+		e.Revised = &v
+	case Silent:
+		e.Silent = &v
+	}
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrapf(ErrMessage, "%T: %v", m, err)
+	}
+	if len(data) > MaxMessage {
+		return nil, errors.Wrapf(ErrMessage, "%T: %d bytes, at most %d are sent", m, len(data), MaxMessage)
+	}
+	return data, nil
+}
+
+// Decode reads a datagram.
+func Decode(data []byte) (Member, Message, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return Member{}, nil, errors.Wrapf(ErrMessage, "%d bytes: %v", len(data), err)
+	}
+	if err := e.From.Check(); err != nil {
+		return Member{}, nil, errors.Wrapf(ErrMessage, "%v", err)
+	}
+	switch {
+	case e.Hello != nil:
+		return e.From, *e.Hello, nil
+	case e.Beat != nil:
+		return e.From, *e.Beat, nil
+	case e.News != nil:
+		return e.From, *e.News, nil
+	case e.Revised != nil:
+		return e.From, *e.Revised, nil
+	case e.Silent != nil:
+		return e.From, *e.Silent, nil
+	}
+	return Member{}, nil, errors.Wrapf(ErrMessage, "from %q: it says nothing", e.From.Name)
+}
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/fleet"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
@@ -42,13 +44,20 @@
 
 	packets *net.UDPConn
 	ready   net.Listener
+	peers   *net.UDPConn // nil when there is no port for it
+	inner   net.Listener // records and metrics
 
-	mu     sync.Mutex // guards engine
+	mu     sync.Mutex // guards engine, fleet and fed
 	engine *steering.Engine
+	fleet  *fleet.Engine
+	fed    bool // records came from a peer, so there is no need to list them
 
+	self     fleet.Member
 	store    atomic.Pointer[platform.Store]
 	touched  touch
-	arrived  atomic.Int64 // clock.Millis of the latest packet
+	watching *gate
+	fetches  chan fleet.Member // at most one waits
+	arrived  atomic.Int64      // clock.Millis of the latest packet
 	halting  atomic.Bool
 	halt     chan struct{} // closed by Stop
 	haltOnce sync.Once
@@ -59,11 +68,12 @@
 // Open opens the daemon's sockets. Nothing runs until Run.
 func Open(o Options) (*Daemon, error) {
 	d := &Daemon{
-		file:    o.File,
-		journal: newJournal(o.Log),
-		halt:    make(chan struct{}),
-		reload:  make(chan struct{}, 1),
-		engine:  steering.NewEngine(steering.Settings{Centre: o.Settings.Centre, Seed: rand.Uint64()}),
+		file:     o.File,
+		journal:  newJournal(o.Log),
+		halt:     make(chan struct{}),
+		reload:   make(chan struct{}, 1),
+		watching: newGate(),
+		fetches:  make(chan fleet.Member, 1),
 	}
 	d.counts = newCounts(d)
 	d.use(o.Settings)
@@ -71,6 +81,11 @@
 		d.closeSockets()
 		return nil, err
 	}
+	s := &o.Settings
+	d.self = fleet.Member{Name: s.Instance, Centre: s.Centre, Address: d.innerAddress(), Boot: clock.Now()}
+	bound := s.RecordBound()
+	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, Stale: fleet.Stale(bound), Seed: rand.Uint64()})
+	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, Bound: bound}, clock.Now())
 	return d, nil
 }
 
@@ -93,15 +108,14 @@
 	if d.ready, err = net.Listen("tcp4", s.Ready.String()); err != nil {
 		return errors.Wrapf(err, "listen for readiness on %s", s.Ready)
 	}
-	return nil
+	return d.openInner(s)
 }
 
 func (d *Daemon) closeSockets() {
-	if d.packets != nil {
-		d.packets.Close()
-	}
-	if d.ready != nil {
-		d.ready.Close()
+	for _, c := range []io.Closer{d.packets, d.ready, d.peers, d.inner} {
+		if !reflect.ValueOf(c).IsNil() {
+			_ = c.Close() // nothing is waiting to be sent
+		}
 	}
 }
 
@@ -112,11 +126,19 @@
 	defer cancel()
 	s := d.settings.Load()
 	d.journal.say("start", "instance", s.Instance, "centre", s.Centre, "packets", s.Packets, "store", s.Store, "version", version())
-	server := &http.Server{Handler: d.handler(), ReadHeaderTimeout: requestTimeout.Duration()}
+	server := &http.Server{Handler: d.readyHandler(), ReadHeaderTimeout: requestTimeout.Duration()}
+	inner := &http.Server{Handler: d.innerHandler(), ReadHeaderTimeout: requestTimeout.Duration()}
 	d.work.Go(func() { d.journal.run(ctx) })
 	d.work.Go(func() { _ = server.Serve(d.ready) }) // ends with ErrServerClosed
+	if d.inner != nil {
+		d.work.Go(func() { _ = inner.Serve(d.inner) })
+		d.work.Go(d.receivePeers)
+	}
 	d.work.Go(func() { d.followConfiguration(ctx) })
 	d.work.Go(func() { d.followEndpoints(ctx) })
+	d.work.Go(func() { d.join(ctx) })
+	d.work.Go(func() { d.feed(ctx) })
+	d.work.Go(func() { d.fetch(ctx) })
 	d.work.Go(func() { d.tick(ctx) })
 	received := make(chan error, 1)
 	go func() { received <- d.receive() }()
@@ -129,7 +151,8 @@
 	}
 	d.journal.say("stop", "instance", s.Instance, "flows", d.flows(), "error", text(err))
 	cancel()
-	_ = server.Close() // its connections are of no use any more
+	_ = server.Close() // their connections are of no use any more
+	_ = inner.Close()
 	d.closeSockets()
 	d.work.Wait()
 	return err
@@ -156,6 +179,7 @@
 // drain forwards until packets stop coming.
 func (d *Daemon) drain(ctx context.Context) {
 	d.journal.say("leaving", "flows", d.flows())
+	d.handleFleet(fleet.Stopping{})
 	start := clock.Now()
 	latest := start + max(d.settings.Load().Grace-leaveMargin, leaveTime)
 	for pause(ctx, quietTime/2) {
@@ -204,8 +228,12 @@
 		case steering.EndpointSilent:
 			d.counts.silent.Inc(1)
 			d.journal.say("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.Missed, "rest_ms", v.Rest)
-		case steering.EndpointRefused:
-			d.journal.say("endpoint refused", "endpoint", v.Endpoint, "service", v.Service)
+		case steering.SilenceSeen:
+			d.handleFleet(fleet.SilenceSeen(v))
+		case steering.ResetFlow:
+			d.resetFlow(v)
+		case steering.EndpointLost:
+			d.journal.say("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Why, "reset", v.Reset)
 		}
 	}
 }
@@ -232,6 +260,7 @@
 			d.handle(steering.Woke{Slept: slept})
 		}
 		d.handle(steering.Ticked{})
+		d.handleFleet(fleet.Ticked{})
 		d.mu.Lock()
 		answers = d.engine.TakeAnswers(answers[:0])
 		d.mu.Unlock()
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -21,16 +21,19 @@
 
 // counts holds every metric of a daemon. It is safe for concurrent use.
 type counts struct {
-	registry   metrics.Registry
-	decisions  [3][]metrics.Counter // by verdict and reason
-	malformed  metrics.Counter
-	unsent     metrics.Counter
-	readErrors metrics.Counter
-	calls      metrics.Counter
-	unanswered metrics.Counter // calls to the store
-	probes     metrics.Counter
-	silent     metrics.Counter
-	version    metrics.Gauge // of the configuration
+	registry    metrics.Registry
+	decisions   [3][]metrics.Counter // by verdict and reason
+	malformed   metrics.Counter
+	unsent      metrics.Counter
+	readErrors  metrics.Counter
+	calls       metrics.Counter
+	unanswered  metrics.Counter // calls to the store
+	messagesIn  metrics.Counter // between members
+	messagesOut metrics.Counter
+	probes      metrics.Counter
+	given       metrics.Counter // flows given up
+	silent      metrics.Counter
+	version     metrics.Gauge // of the configuration
 
 	mu        sync.Mutex
 	histogram map[string]metrics.Histogram // of answer times, by service
@@ -48,7 +51,10 @@
 	c.readErrors = c.counter("packets.read_errors")
 	c.calls = c.counter("store.calls")
 	c.unanswered = c.counter("store.unanswered")
+	c.messagesIn = c.counter("members.messages_in")
+	c.messagesOut = c.counter("members.messages_out")
 	c.probes = c.counter("endpoints.probes")
+	c.given = c.counter("flows.given_up")
 	c.silent = c.counter("endpoints.silent")
 	c.version = metrics.NewRegisteredGauge("configuration.version", c.registry)
 	metrics.NewRegisteredFunctionalGauge("flows", c.registry, func() int64 { return int64(d.flows()) })
--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -54,9 +54,7 @@
 		platform.AddressPacket(data, &v.Endpoint)
 		_, err = d.packets.WriteToUDPAddrPort(data, v.Endpoint.Address.AddrPort())
 	case steering.Reset:
-		platform.EncodeReset(reset, p)
-		to := netip.AddrPortFrom(p.Consumer.AddrPort().Addr(), d.settings.Load().Packets.Port())
-		_, err = d.packets.WriteToUDPAddrPort(reset[:], to)
+		err = d.sendReset(p, reset)
 	case steering.Drop:
 	}
 	if err != nil {
@@ -67,3 +65,21 @@
 		d.journal.decision(now, p, &v)
 	}
 }
+
+// sendReset tells the consumer of a packet that its flow is over. Consumers
+// listen on the same port as instances.
+func (d *Daemon) sendReset(p *steering.Packet, buffer *[platform.HeaderSize]byte) error {
+	platform.EncodeReset(buffer, p)
+	to := netip.AddrPortFrom(p.Consumer.AddrPort().Addr(), d.settings.Load().Packets.Port())
+	_, err := d.packets.WriteToUDPAddrPort(buffer[:], to)
+	return err
+}
+
+// resetFlow tells a consumer that its flow is over, though it sent nothing.
+func (d *Daemon) resetFlow(v steering.ResetFlow) {
+	p := steering.Packet{Consumer: v.Consumer, Route: v.Route, Ack: v.Ack}
+	var buffer [platform.HeaderSize]byte
+	err := d.sendReset(&p, &buffer)
+	d.counts.given.Inc(1)
+	d.journal.limited("flow given up", "flow", p.ID(), "endpoint", v.Endpoint, "error", text(err))
+}
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -10,19 +10,24 @@
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
-// probeTimeout bounds a probe, in ms: many times the way between data centres,
-// and less than the consumers' time for a request.
-const probeTimeout = 500 * clock.Millisecond
+// probeTimeout bounds a probe, in ms: a hundred times the way there and back
+// within a region, and a fifth of the consumers' time for a request.
+const probeTimeout = 300 * clock.Millisecond
 
-// probe asks whether anything listens at an endpoint's address. A connection
-// that is refused at once says that nothing does; any other end says nothing.
+// probe asks whether anything listens at an endpoint's address.
 func (d *Daemon) probe(v steering.Probe) {
 	d.counts.probes.Inc(1)
 	c, err := net.DialTimeout("tcp4", v.Address.String(), probeTimeout.Duration())
-	if err == nil {
-		c.Close()
+	end := steering.ProbeHung
+	switch {
+	case err == nil:
+		_ = c.Close() // nothing was sent on it
+		end = steering.ProbeAnswered
+	case errors.Is(err, syscall.ECONNRESET):
+		end = steering.ProbeAnswered // by whoever reset it
+	case errors.Is(err, syscall.ECONNREFUSED):
+		end = steering.ProbeRefused
 	}
-	refused := errors.Is(err, syscall.ECONNREFUSED)
-	d.journal.say("endpoint probed", "endpoint", v.Endpoint, "address", v.Address, "refused", refused, "error", text(err))
-	d.handle(steering.Probed{Endpoint: v.Endpoint, Born: v.Born, Refused: refused})
+	d.journal.limited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address, "end", end.String(), "error", text(err))
+	d.handle(steering.Probed{Endpoint: v.Endpoint, Born: v.Born, End: end})
 }
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -8,16 +8,15 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/fleet"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
 // Times of following the store, in ms.
 const (
-	storeTimeout = 1 * clock.Second // for an answer, on top of a watch's wait
-	// A connection that went silent shows only by its time-out; changes have to
-	// be in force 3 s after they were accepted.
-	watchWait = 1500 * clock.Millisecond
+	// For an answer, on top of a watch's wait. The store takes 4 ms, and 0.3 s when slow.
+	storeTimeout = 700 * clock.Millisecond
 	// Changes come in series; a pause gathers them into one call.
 	watchPause = 400 * clock.Millisecond
 	firstPause = 100 * clock.Millisecond // after a failed call
@@ -27,129 +26,207 @@
 // source is one kind of records in the store.
 type source struct {
 	name  string
-	list  func(context.Context) (uint64, error)
-	watch func(context.Context, uint64) (uint64, error)
+	since func(fleet.State) uint64 // revision that the own records go up to
+	list  func(context.Context) error
+	watch func(context.Context, uint64) error
 }
 
 func (d *Daemon) followConfiguration(ctx context.Context) {
 	d.follow(ctx, source{
-		name: "configuration",
-		list: func(ctx context.Context) (uint64, error) {
-			c, revision, err := d.store.Load().Configuration(ctx)
+		name:  "configuration",
+		since: func(s fleet.State) uint64 { return s.Confirmed },
+		list:  d.listConfiguration,
+		watch: func(ctx context.Context, since uint64) error {
+			c, revision, err := d.store.Load().WatchConfiguration(ctx, since, d.watchWait())
 			if err == nil {
-				d.handle(steering.ConfigurationRead{Configuration: c, Confirmed: true})
+				d.tookConfiguration(c, revision)
 			}
-			return revision, err
-		},
-		watch: func(ctx context.Context, since uint64) (uint64, error) {
-			c, revision, err := d.store.Load().WatchConfiguration(ctx, since, watchWait)
-			if err == nil {
-				d.handle(steering.ConfigurationRead{Configuration: c, Confirmed: true})
-			}
-			return revision, err
+			return err
 		},
 	})
 }
 
+func (d *Daemon) listConfiguration(ctx context.Context) error {
+	c, revision, err := d.store.Load().Configuration(ctx)
+	if err == nil {
+		d.tookConfiguration(c, revision)
+	}
+	return err
+}
+
+// tookConfiguration takes in what the store said: a configuration or none, and
+// the revision up to which there is no newer one.
+func (d *Daemon) tookConfiguration(c *steering.Configuration, revision uint64) {
+	d.took(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
+		read := fleet.RecordsRead{Configuration: true, State: d.fleet.State(now)}
+		var actions []steering.Action
+		before := d.engine.Configuration()
+		if c != nil {
+			actions = d.engine.Handle(now, steering.ConfigurationRead{Configuration: c})
+		}
+		if after := d.engine.Configuration(); after != before {
+			delta := after.Difference(before)
+			read.Delta = &delta
+			read.State.Configuration = after.Revision
+		}
+		read.State.Confirmed = max(read.State.Confirmed, revision)
+		return actions, read
+	})
+}
+
 func (d *Daemon) followEndpoints(ctx context.Context) {
 	d.follow(ctx, source{
-		name: "endpoints",
-		list: func(ctx context.Context) (uint64, error) {
-			l, err := d.store.Load().Endpoints(ctx)
-			if err == nil {
-				d.handle(l)
-			}
-			return l.Revision, err
-		},
-		watch: func(ctx context.Context, since uint64) (uint64, error) {
-			c, err := d.store.Load().WatchEndpoints(ctx, since, watchWait)
+		name:  "endpoints",
+		since: func(s fleet.State) uint64 { return s.Complete },
+		list:  d.listEndpoints,
+		watch: func(ctx context.Context, since uint64) error {
+			c, err := d.store.Load().WatchEndpoints(ctx, since, d.watchWait())
 			if err == nil {
-				d.handle(c)
+				d.tookChanges(since, c)
 			}
-			return c.Revision, err
+			return err
 		},
 	})
 }
 
-// follow lists a kind of records, and watches it from there. It lists again when
-// the store's history doesn't reach back.
+func (d *Daemon) listEndpoints(ctx context.Context) error {
+	l, err := d.store.Load().Endpoints(ctx)
+	if err != nil {
+		return err
+	}
+	d.took(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
+		read := fleet.RecordsRead{Whole: true, State: d.fleet.State(now)}
+		read.State.Complete = max(read.State.Complete, l.Revision)
+		read.State.Change = read.State.Complete
+		return d.engine.Handle(now, l), read
+	})
+	return nil
+}
+
+func (d *Daemon) tookChanges(since uint64, c steering.EndpointsChanged) {
+	d.took(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
+		read := fleet.RecordsRead{From: since, Changes: c.Changes, State: d.fleet.State(now)}
+		read.State.Complete = max(read.State.Complete, c.Revision)
+		if len(c.Changes) > 0 {
+			read.State.Change = read.State.Complete
+		}
+		return d.engine.Handle(now, c), read
+	})
+}
+
+// took gives an answer of the store to both engines.
+func (d *Daemon) took(apply func(clock.Millis) ([]steering.Action, fleet.RecordsRead)) {
+	returned := d.touched.answered(d)
+	d.mu.Lock()
+	now := clock.Now()
+	actions, read := apply(now)
+	read.Returned = returned
+	tasks := d.fleet.Handle(now, read)
+	d.engine.Handle(now, d.fleet.Confirmation())
+	d.mu.Unlock()
+	d.perform(actions)
+	d.performFleet(tasks)
+}
+
+// watchWait is how long a watch may wait.
+func (d *Daemon) watchWait() clock.Millis {
+	return fleet.WatchWait(d.settings.Load().RecordBound())
+}
+
+// follow lists a kind of records once, and watches it while this instance has the
+// duty. It lists again when the store's history doesn't reach back.
 func (d *Daemon) follow(ctx context.Context, s source) {
-	var revision uint64
+	var b backoff
 	known := false
-	failed := clock.Millis(0) // pause after the latest failure
 	for ctx.Err() == nil {
-		var err error
+		call := s.list
+		inner, cancel := ctx, context.CancelFunc(func() {})
 		if known {
-			revision, err = s.watch(ctx, revision)
-		} else {
-			revision, err = s.list(ctx)
+			if !d.watching.wait(ctx) {
+				return
+			}
+			inner, cancel = d.watching.within(ctx)
+			since := s.since(d.state())
+			call = func(ctx context.Context) error { return s.watch(ctx, since) }
+		} else if d.isFed() {
+			known = true // a peer was faster
+			continue
 		}
-		d.counts.called(err)
-		if ctx.Err() != nil {
-			return
+		err := call(inner)
+		over := inner.Err() != nil
+		cancel()
+		if over {
+			continue // not this instance's duty any more
 		}
-		if err == nil {
-			known, failed = true, 0
-			d.touched.answered(d, s.name)
+		d.counts.called(err)
+		switch {
+		case err == nil:
+			known = true
+			b.reset()
 			pause(ctx, watchPause)
-			continue
-		}
-		if errors.Is(err, platform.ErrHistory) {
+		case errors.Is(err, platform.ErrHistory):
 			known = false
 			d.journal.limited("history lost", "records", s.name, "error", err.Error())
-			continue
+			d.mu.Lock()
+			d.fed = false
+			d.mu.Unlock()
+		default:
+			d.touched.failed(d, s.name, err)
+			pause(ctx, b.next())
 		}
-		if errors.Is(err, platform.ErrAbsent) || errors.Is(err, platform.ErrRefused) {
-			known = false
-		}
-		d.touched.failed(d, s.name, err)
-		failed = min(max(failed*2, firstPause), lastPause)
-		pause(ctx, failed/2+rand.N(failed/2+1))
 	}
 }
 
+// backoff gives growing pauses between failed calls. The zero value is ready.
+type backoff struct{ last clock.Millis }
+
+func (b *backoff) next() clock.Millis {
+	b.last = min(max(b.last*2, firstPause), lastPause)
+	return b.last/2 + rand.N(b.last/2+1)
+}
+
+func (b *backoff) reset() { b.last = 0 }
+
+// state returns how far the own records go.
+func (d *Daemon) state() fleet.State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.State(clock.Now())
+}
+
+// isFed reports whether records came from a peer.
+func (d *Daemon) isFed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fed
+}
+
 // touch keeps whether the store answers.
 type touch struct {
 	mu   sync.Mutex
-	lost map[string]clock.Millis // when, by kind of records
-	away bool                    // the engine was told so
+	away bool
+	lost clock.Millis // since when
 }
 
-// answered notes that the store answered for a kind of records.
-func (t *touch) answered(d *Daemon, name string) {
+// answered notes that the store answered, and reports whether it had not before.
+func (t *touch) answered(d *Daemon) bool {
 	t.mu.Lock()
-	since, lost := t.lost[name]
-	delete(t.lost, name)
-	returned := t.away && len(t.lost) == 0
-	if returned {
-		t.away = false
-	}
-	t.mu.Unlock()
-	if lost {
-		d.journal.say("store regained", "records", name, "away_ms", clock.Now()-since)
-	}
-	if returned {
-		d.handle(steering.StoreReturned{})
+	defer t.mu.Unlock()
+	if !t.away {
+		return false
 	}
+	t.away = false
+	d.journal.say("store regained", "away_ms", clock.Now()-t.lost)
+	return true
 }
 
 // failed notes that the store did not answer.
 func (t *touch) failed(d *Daemon, name string, err error) {
 	t.mu.Lock()
-	if t.lost == nil {
-		t.lost = map[string]clock.Millis{}
-	}
-	_, known := t.lost[name]
-	if !known {
-		t.lost[name] = clock.Now()
-	}
-	first := !t.away
-	t.away = true
-	t.mu.Unlock()
-	if !known {
-		d.journal.say("store lost", "records", name, "error", err.Error())
-	}
-	if first {
-		d.handle(steering.StoreLost{})
+	defer t.mu.Unlock()
+	if t.away {
+		return
 	}
+	t.away, t.lost = true, clock.Now()
+	d.journal.say("store lost", "records", name, "error", err.Error())
 }
--- a/steering/configuration.go
+++ b/steering/configuration.go
@@ -1,39 +1,88 @@
 package steering
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
 // Configuration is what operators wrote about routes and services. Each is
 // whole: the newest version replaces all earlier ones.
 type Configuration struct {
-	Version  int64  // by operators; grows
-	Revision uint64 // in the store
-	Routes   map[End]Route
+	Version  int64        // by operators; grows
+	Revision uint64       // in the store
 	Idle     clock.Millis // after which a flow may be forgotten
-	Services map[string]Service
+	Routes   map[End]Route
+}
+
+// Delta is what a configuration changes of an earlier one.
+type Delta struct {
+	From     uint64       `cbor:"from"`     // revision of the earlier one; 0 when there was none
+	Revision uint64       `cbor:"revision"` // of the newer one
+	Version  int64        `cbor:"version"`
+	Idle     clock.Millis `cbor:"idle"`
+	Set      []Placed     `cbor:"set,omitempty"`   // routes that are new or changed
+	Unset    []End        `cbor:"unset,omitempty"` // routes that are no more
+}
+
+// Placed is a route with its address.
+type Placed struct {
+	At    End   `cbor:"at"`
+	Route Route `cbor:"route"`
+}
+
+// Difference returns what c changes of an earlier configuration, which may be nil.
+func (c *Configuration) Difference(earlier *Configuration) Delta {
+	d := Delta{Revision: c.Revision, Version: c.Version, Idle: c.Idle}
+	var old map[End]Route
+	if earlier != nil {
+		d.From, old = earlier.Revision, earlier.Routes
+	}
+	for at, r := range c.Routes {
+		if was, found := old[at]; !found || !r.equal(&was) {
+			d.Set = append(d.Set, Placed{At: at, Route: r})
+		}
+	}
+	for at := range old {
+		if _, kept := c.Routes[at]; !kept {
+			d.Unset = append(d.Unset, at)
+		}
+	}
+	return d
+}
+
+// Revise returns the configuration that d makes of c, which stays as it is.
+func (c *Configuration) Revise(d *Delta) *Configuration {
+	n := &Configuration{Version: d.Version, Revision: d.Revision, Idle: d.Idle, Routes: maps.Clone(c.Routes)}
+	for _, at := range d.Unset {
+		delete(n.Routes, at)
+	}
+	for _, p := range d.Set {
+		n.Routes[p.At] = p.Route
+	}
+	return n
 }
 
 // Route says where new flows to an address go.
 type Route struct {
-	Name       string
-	Shares     []Share // sorted by service; at least one
-	Repeatable bool    // requests are idempotent
-	Priority   int     // 0 is highest
-	Goal       clock.Millis
-	Timeout    clock.Millis
+	Name       string       `cbor:"name"`
+	Shares     []Share      `cbor:"shares"`               // sorted by service; at least one
+	Repeatable bool         `cbor:"repeatable,omitempty"` // requests are idempotent
+	Priority   int          `cbor:"priority,omitempty"`   // 0 is highest
+	Goal       clock.Millis `cbor:"goal,omitempty"`       // for an answer
+	Timeout    clock.Millis `cbor:"timeout,omitempty"`
 }
 
 // Share is a service's part of a route's new flows.
 type Share struct {
-	Service string
-	Weight  int
+	Service string `cbor:"service"`
+	Weight  int    `cbor:"weight"`
 }
 
-// Service describes a service.
-type Service struct {
-	Health      string // path that answers whether an endpoint is healthy
-	Connections int    // flows that one endpoint holds; 0 for no limit
+func (r *Route) equal(o *Route) bool {
+	return r.Name == o.Name && slices.Equal(r.Shares, o.Shares) && r.Repeatable == o.Repeatable &&
+		r.Priority == o.Priority && r.Goal == o.Goal && r.Timeout == o.Timeout
 }
 
 // choose returns the service of a new flow, the same for each copy of its
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -9,16 +9,16 @@
 
 // Endpoint is what an endpoint says of itself.
 type Endpoint struct {
-	ID       string
-	Number   uint64 // by which it recognises its packets
-	Revision uint64 // in the store, of its last change
-	Service  string
-	Address  End
-	Centre   string
-	Slots    int // requests it works on at once
-	Draining bool
-	Warmup   clock.Millis // how much longer it is slow after its start
-	Born     clock.Millis // its start, Unix time; tells starts under one id apart
+	ID       string       `cbor:"id"`
+	Number   uint64       `cbor:"number,omitempty"` // by which it recognises its packets
+	Revision uint64       `cbor:"revision"`         // in the store, of its last change
+	Service  string       `cbor:"service,omitempty"`
+	Address  End          `cbor:"address,omitzero"`
+	Centre   string       `cbor:"centre,omitempty"`
+	Slots    int          `cbor:"slots,omitempty"` // requests it works on at once
+	Draining bool         `cbor:"draining,omitempty"`
+	Warmup   clock.Millis `cbor:"warmup,omitempty"` // how much longer it is slow after its start
+	Born     clock.Millis `cbor:"born,omitempty"`   // its start, Unix time; tells starts under one id apart
 }
 
 // token folds the endpoint's number. Numbers of up to 32 bits stay as they are.
@@ -151,6 +151,26 @@
 	return true
 }
 
+// list returns the endpoints whose entries are in the store.
+func (d *directory) list() []Endpoint {
+	list := make([]Endpoint, 0, len(d.byID))
+	for _, s := range d.byID {
+		if s.standing == listed {
+			list = append(list, s.Endpoint)
+		}
+	}
+	return list
+}
+
+// confirm notes that the store confirmed the endpoints. After a gap it counts as
+// returned, since it may have been away.
+func (d *directory) confirm(at, stale clock.Millis) {
+	if d.confirmed != 0 && at-d.confirmed > stale {
+		d.returned = max(d.returned, at)
+	}
+	d.confirmed = max(d.confirmed, at)
+}
+
 // usable reports whether new flows may go to an endpoint.
 func (d *directory) usable(s *server) bool {
 	if s.Draining || s.token == 0 || len(d.byToken[s.token]) > 1 {
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -9,7 +9,9 @@
 // Settings are what an engine is told at its start.
 type Settings struct {
 	Centre string // name of the data centre
-	Seed   uint64 // of choices among equals
+	// How old records are when the store is taken to be away.
+	Stale clock.Millis
+	Seed  uint64 // of choices among equals
 }
 
 // Engine decides for one daemon. It is not safe for concurrent use.
@@ -22,7 +24,6 @@
 	removedRoutes map[End]bool // of earlier configurations, and not in force
 	directory     directory
 	flows         flows
-	storeLost     bool
 
 	notes   []Action // of packets, until the daemon takes them
 	answers []Answered
@@ -78,33 +79,42 @@
 func (e *Engine) Handle(now clock.Millis, event Event) []Action {
 	switch v := event.(type) {
 	case ConfigurationRead:
-		return e.configure(now, v)
+		return e.configure(v.Configuration)
+	case ConfigurationRevised:
+		if e.configuration == nil || e.configuration.Revision != v.Delta.From {
+			return nil
+		}
+		return e.configure(e.configuration.Revise(&v.Delta))
+	case Confirmed:
+		e.confirmed = max(e.confirmed, v.Configuration)
+		e.directory.returned = max(e.directory.returned, v.Returned)
+		e.directory.confirm(v.Endpoints, e.settings.Stale)
+	case SilenceReported:
+		return e.reported(now, v)
 	case EndpointsListed:
 		return e.list(now, v)
 	case EndpointsChanged:
 		return e.change(now, v)
-	case StoreLost:
-		e.storeLost = true
-	case StoreReturned:
-		e.storeLost = false
-		e.directory.returned = now
 	case Woke:
 		// What the store said before the sleep may have changed since.
 		e.confirmed = 0
 		e.directory.returned = now
 	case Probed:
-		return e.probed(v)
+		return e.probed(now, v)
 	case Ticked:
 		return e.tick(now)
 	}
 	return nil
 }
 
-func (e *Engine) configure(now clock.Millis, v ConfigurationRead) []Action {
-	if v.Confirmed {
-		e.confirmed = now
-	}
-	c := v.Configuration
+// Configuration returns the configuration in force, nil when there is none. It is
+// never changed.
+func (e *Engine) Configuration() *Configuration { return e.configuration }
+
+// Endpoints returns the endpoints whose entries are in the store.
+func (e *Engine) Endpoints() []Endpoint { return e.directory.list() }
+
+func (e *Engine) configure(c *Configuration) []Action {
 	if c == nil || e.configuration != nil && (c.Version <= e.configuration.Version || c.Revision <= e.configuration.Revision) {
 		return nil
 	}
@@ -147,7 +157,6 @@
 	}
 	e.directory.listed = true
 	e.directory.revision = v.Revision
-	e.directory.confirmed = now
 	return actions
 }
 
@@ -163,7 +172,6 @@
 		}
 	}
 	e.directory.revision = max(e.directory.revision, v.Revision)
-	e.directory.confirmed = now
 	return actions
 }
 
@@ -206,19 +214,13 @@
 	return "ready"
 }
 
-func (e *Engine) probed(v Probed) []Action {
-	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Born != v.Born || !v.Refused || s.silence.rest == 0 {
-		return nil
-	}
-	s.silence.refused = true
-	return []Action{EndpointRefused{Endpoint: s.ID, Service: s.Service}}
-}
-
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
-	e.flows.expire(now, func(_ key, w *flow) { e.missed(now, w.server) })
+	e.flows.expire(now, func(_ key, w *flow) { e.missed(now, w.server, w.opened) })
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.changed())
+		if s.silence.progress < s.since {
+			e.giveUp(s, "gone")
+		}
 	}
 	return append(actions, e.TakeNotes()...)
 }
--- a/steering/established.go
+++ b/steering/established.go
@@ -54,9 +54,13 @@
 		return true, ReasonRouteRemoved
 	}
 	// An endpoint that is cut off from the store alone still answers its flows.
-	if s.silence.refused || s.standing == gone && s.silence.progress < s.since {
+	if s.standing == gone && s.silence.progress < s.since {
 		return true, ReasonEndpointGone
 	}
+	// A request that must not be repeated goes on in the hope that it arrives.
+	if s.silence.over() && p.Length > 0 && e.repeatable(p.Route) {
+		return true, ReasonEndpointSilent
+	}
 	return false, ReasonToken
 }
 
@@ -124,18 +128,7 @@
 		return
 	}
 	w.repeats++
-	if w.repeats == 1 && w.asked != 0 && w.asked > s.silence.progress {
-		e.missed(now, s)
-	}
-}
-
-// missed notes that an endpoint left a flow without an answer.
-func (e *Engine) missed(now clock.Millis, s *server) {
-	if !s.silence.miss(now) {
-		return
-	}
-	e.notes = append(e.notes, EndpointSilent{Endpoint: s.ID, Service: s.Service, Missed: s.silence.missed, Rest: s.silence.rest})
-	if s.silence.probeDue(now) {
-		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address})
+	if w.asked != 0 {
+		e.missed(now, s, w.asked)
 	}
 }
--- a/steering/event.go
+++ b/steering/event.go
@@ -7,11 +7,15 @@
 // Event is something that happened to a daemon, other than a packet.
 type Event interface{ event() }
 
-// ConfigurationRead brings a configuration, or confirms the one in force.
-type ConfigurationRead struct {
-	Configuration *Configuration // nil when nothing has changed
-	Confirmed     bool           // by the store, so that nothing newer was there
-}
+// ConfigurationRead brings a configuration.
+type ConfigurationRead struct{ Configuration *Configuration }
+
+// ConfigurationRevised brings what a newer configuration changes.
+type ConfigurationRevised struct{ Delta Delta }
+
+// Confirmed tells when the store last confirmed the records in force, and when it
+// last answered again after it had not.
+type Confirmed struct{ Configuration, Endpoints, Returned clock.Millis }
 
 // EndpointsListed brings every endpoint of the store at a revision.
 type EndpointsListed struct {
@@ -28,16 +32,18 @@
 
 // Change is a new entry of an endpoint, or the end of one.
 type Change struct {
-	Endpoint   Endpoint // with just ID and Revision when Removed or Unreadable
-	Removed    bool
-	Unreadable bool // another writer wrote what names no endpoint
+	Endpoint   Endpoint `cbor:"endpoint"` // with just ID and Revision when Removed or Unreadable
+	Removed    bool     `cbor:"removed,omitempty"`
+	Unreadable bool     `cbor:"unreadable,omitempty"` // another writer wrote what names no endpoint
 }
 
-// StoreLost tells that the store doesn't answer.
-type StoreLost struct{}
-
-// StoreReturned tells that the store answers again.
-type StoreReturned struct{}
+// SilenceReported tells that another instance got no answer from an endpoint.
+type SilenceReported struct {
+	By       string // name of the other instance
+	Endpoint string
+	Born     clock.Millis
+	Hung     bool // nor did it answer a probe
+}
 
 // Woke tells that the process stood still for a while.
 type Woke struct{ Slept clock.Millis }
@@ -46,20 +52,36 @@
 type Probed struct {
 	Endpoint string
 	Born     clock.Millis
-	Refused  bool // nothing listens at its address
+	End      ProbeEnd
 }
 
+// ProbeEnd tells how a probe ended.
+type ProbeEnd uint8
+
+// The ends of a probe.
+const (
+	ProbeHung     ProbeEnd = iota // nothing came back in time
+	ProbeAnswered                 // something listens
+	ProbeRefused                  // nothing listens at the address
+)
+
+var probeEnds = map[ProbeEnd]string{ProbeHung: "hung", ProbeAnswered: "answered", ProbeRefused: "refused"}
+
+// String returns the name of an end in logs.
+func (p ProbeEnd) String() string { return probeEnds[p] }
+
 // Ticked tells that time has passed.
 type Ticked struct{}
 
-func (ConfigurationRead) event() {}
-func (EndpointsListed) event()   {}
-func (EndpointsChanged) event()  {}
-func (StoreLost) event()         {}
-func (StoreReturned) event()     {}
-func (Woke) event()              {}
-func (Probed) event()            {}
-func (Ticked) event()            {}
+func (ConfigurationRead) event()    {}
+func (EndpointsListed) event()      {}
+func (EndpointsChanged) event()     {}
+func (ConfigurationRevised) event() {}
+func (Confirmed) event()            {}
+func (SilenceReported) event()      {}
+func (Woke) event()                 {}
+func (Probed) event()               {}
+func (Ticked) event()               {}
 
 // Action is something for the daemon to do or to tell.
 type Action interface{ action() }
@@ -102,10 +124,27 @@
 	Rest     clock.Millis
 }
 
-// EndpointRefused tells that nothing listens at an endpoint's address.
-type EndpointRefused struct {
+// SilenceSeen tells that an endpoint left a flow of this instance without an
+// answer, for the other instances to know.
+type SilenceSeen struct {
+	Endpoint string
+	Born     clock.Millis
+	Hung     bool // nor did it answer a probe
+}
+
+// ResetFlow tells a consumer that its flow is over.
+type ResetFlow struct {
+	Consumer, Route End
+	Ack             uint32 // next byte that the consumer expects
+	Endpoint        string
+}
+
+// EndpointLost tells that an endpoint's flows were given up.
+type EndpointLost struct {
 	Endpoint string
 	Service  string
+	Why      string // refused, silent or gone
+	Reset    int    // flows
 }
 
 func (Probe) action()                 {}
@@ -113,4 +152,6 @@
 func (ConfigurationAccepted) action() {}
 func (EndpointChanged) action()       {}
 func (EndpointSilent) action()        {}
-func (EndpointRefused) action()       {}
+func (SilenceSeen) action()           {}
+func (ResetFlow) action()             {}
+func (EndpointLost) action()          {}
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -77,7 +77,7 @@
 		return Decision{Verdict: Forward, Reason: ReasonRepeated, Endpoint: w.server.target(), Service: w.service}
 	}
 	w.copies = p.Ack
-	e.missed(now, w.server)
+	e.missed(now, w.server, w.opened)
 	service := w.service
 	if !route.allows(service) {
 		service = route.choose(p.key().hash())
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -9,8 +9,8 @@
 
 // End is one end of a flow: an IPv4 address and a port.
 type End struct {
-	Address uint32
-	Port    uint16
+	Address uint32 `cbor:"address"`
+	Port    uint16 `cbor:"port"`
 }
 
 // String returns address:port.
@@ -96,26 +96,27 @@
 
 // The reasons for verdicts.
 const (
-	ReasonToken        Reason = iota // the token names the endpoint
-	ReasonPlaced                     // a new flow was placed
-	ReasonRepeated                   // a copy of an opening packet goes to the same endpoint
-	ReasonMoved                      // a copy of an opening packet goes to another endpoint
-	ReasonNoRecords                  // no configuration or no endpoints are known yet
-	ReasonNoRoute                    // the configuration has no such route
-	ReasonStaleRoute                 // no such route, but the configuration may be old
-	ReasonNoEndpoint                 // no endpoint can take the flow
-	ReasonRouteRemoved               // the flow's route was removed
-	ReasonEndpointGone               // the flow's endpoint is gone
-	ReasonUnknownToken               // no known endpoint has the token
-	ReasonAmbiguous                  // several endpoints have the token
-	ReasonNoToken                    // an established packet without a token
-	ReasonForged                     // a packet that only endpoints send
-	reasons                          // how many there are
+	ReasonToken          Reason = iota // the token names the endpoint
+	ReasonPlaced                       // a new flow was placed
+	ReasonRepeated                     // a copy of an opening packet goes to the same endpoint
+	ReasonMoved                        // a copy of an opening packet goes to another endpoint
+	ReasonNoRecords                    // no configuration or no endpoints are known yet
+	ReasonNoRoute                      // the configuration has no such route
+	ReasonStaleRoute                   // no such route, but the configuration may be old
+	ReasonNoEndpoint                   // no endpoint can take the flow
+	ReasonRouteRemoved                 // the flow's route was removed
+	ReasonEndpointGone                 // the flow's endpoint is gone
+	ReasonEndpointSilent               // nothing comes back from the flow's endpoint
+	ReasonUnknownToken                 // no known endpoint has the token
+	ReasonAmbiguous                    // several endpoints have the token
+	ReasonNoToken                      // an established packet without a token
+	ReasonForged                       // a packet that only endpoints send
+	reasons                            // how many there are
 )
 
 var reasonNames = [reasons]string{
 	"token", "placed", "repeated", "moved", "no_records", "no_route", "stale_route", "no_endpoint",
-	"route_removed", "endpoint_gone", "unknown_token", "ambiguous_token", "no_token", "forged",
+	"route_removed", "endpoint_gone", "endpoint_silent", "unknown_token", "ambiguous_token", "no_token", "forged",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -1,12 +1,14 @@
 package steering
 
 import (
+	"slices"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
-// When an endpoint counts as silent, and when it is tried again. They answer
-// endpoints that crash, or whose packets go nowhere, seconds before their entry
-// leaves the store.
+// When an endpoint counts as silent, when its flows are given up, and when it is
+// tried again. They answer endpoints that crash, or whose packets go nowhere,
+// seconds before their entry leaves the store.
 const (
 	// One packet in a hundred may be lost, so one flow's silence says little.
 	silentFlows = 2
@@ -15,7 +17,13 @@
 	silentAfter = 300 * clock.Millisecond
 	firstRest   = 1 * clock.Second // before one flow is tried again
 	lastRest    = 8 * clock.Second
-	probePause  = 1 * clock.Second // between two probes of an endpoint
+	probePause  = 500 * clock.Millisecond // between two probes of an endpoint
+	probeHold   = 3 * clock.Second        // for which the end of a probe says something
+	// A host that takes connections does so at once, however busy it is, and no
+	// endpoint on a healthy path is without any answer for this long while two
+	// flows wait.
+	lostAfter = 500 * clock.Millisecond
+	lostVotes = 2 // instances whose probes hang
 )
 
 // silence is what tells whether an endpoint has fallen silent.
@@ -24,17 +32,33 @@
 	missed   int          // flows that got no answer since
 	rest     clock.Millis // how long it gets no new flows; 0 when it isn't silent
 	until    clock.Millis // end of the rest
-	probed   clock.Millis
-	refused  bool // its address refuses connections, so it has ended
+	probed   clock.Millis // when a probe was last asked for
+	hung     clock.Millis // when a probe last got no answer; 0 when it got one since
+	votes    []vote       // other instances whose probes hang
+	refused  bool         // its address refuses connections, so its process has ended
+	lost     bool         // nothing comes back from it, on flows or on new connections
+}
+
+// vote is another instance's word that an endpoint answers no probe.
+type vote struct {
+	by string
+	at clock.Millis
 }
 
+// over reports whether flows of the endpoint have no hope.
+func (s *silence) over() bool { return s.refused || s.lost }
+
 // avoided reports whether new flows should go elsewhere.
 func (s *silence) avoided(now clock.Millis) bool {
-	return s.refused || s.rest != 0 && now < s.until
+	return s.over() || s.rest != 0 && now < s.until
 }
 
 // heard notes that an endpoint answered.
 func (s *silence) heard(now clock.Millis) {
+	if s.missed == 0 && !s.over() && s.hung == 0 {
+		s.progress = now
+		return
+	}
 	*s = silence{progress: now, probed: s.probed}
 }
 
@@ -59,3 +83,139 @@
 	s.probed = now
 	return true
 }
+
+// vote takes the word of another instance in.
+func (s *silence) vote(now clock.Millis, by string) {
+	s.votes = slices.DeleteFunc(s.votes, func(v vote) bool { return v.by == by || now-v.at > probeHold })
+	s.votes = append(s.votes, vote{by, now})
+}
+
+// loses reports whether all that is known says that nothing comes back from the
+// endpoint any more.
+func (s *silence) loses(now clock.Millis) bool {
+	if s.lost || now-s.progress < lostAfter {
+		return false
+	}
+	votes := 0
+	for _, v := range s.votes {
+		if now-v.at <= probeHold {
+			votes++
+		}
+	}
+	own := s.hung != 0 && now-s.hung <= probeHold
+	if own {
+		votes++
+	}
+	return own && s.missed >= silentFlows || votes >= lostVotes
+}
+
+// missed notes that an endpoint left a flow of this instance without an answer
+// since a time.
+func (e *Engine) missed(now clock.Millis, s *server, since clock.Millis) {
+	if since <= s.silence.progress || s.silence.over() {
+		return
+	}
+	e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born})
+	e.missedAnywhere(now, s)
+	if s.silence.probeDue(now) {
+		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address})
+	}
+}
+
+// missedAnywhere counts a flow without an answer, here or at another instance.
+func (e *Engine) missedAnywhere(now clock.Millis, s *server) {
+	if s.silence.miss(now) {
+		e.notes = append(e.notes, EndpointSilent{Endpoint: s.ID, Service: s.Service, Missed: s.silence.missed, Rest: s.silence.rest})
+	}
+	e.settle(now, s)
+}
+
+// reported takes the word of another instance in.
+func (e *Engine) reported(now clock.Millis, v SilenceReported) []Action {
+	s := e.directory.byID[v.Endpoint]
+	if s == nil || s.Born != v.Born || s.silence.over() {
+		return nil
+	}
+	if v.Hung {
+		s.silence.vote(now, v.By)
+	}
+	// What was answered here since tells more than what wasn't elsewhere.
+	if now-s.silence.progress >= silentAfter {
+		e.missedAnywhere(now, s)
+	}
+	return e.TakeNotes()
+}
+
+// probed takes the end of a probe in.
+func (e *Engine) probed(now clock.Millis, v Probed) []Action {
+	s := e.directory.byID[v.Endpoint]
+	if s == nil || s.Born != v.Born || s.silence.missed == 0 {
+		return nil // it has answered since
+	}
+	switch v.End {
+	case ProbeAnswered:
+		s.silence.hung, s.silence.votes = 0, nil
+	case ProbeRefused:
+		if !s.silence.refused {
+			s.silence.refused = true
+			e.giveUp(s, "refused")
+		}
+	case ProbeHung:
+		s.silence.hung = now
+		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Hung: true})
+		e.settle(now, s)
+	}
+	return e.TakeNotes()
+}
+
+// settle gives an endpoint's flows up when nothing comes back from it.
+func (e *Engine) settle(now clock.Millis, s *server) {
+	if !s.silence.loses(now) || e.isolated(now) {
+		return
+	}
+	s.silence.lost = true
+	e.giveUp(s, "silent")
+}
+
+// isolated reports whether most endpoints of the own data centre are silent. Then
+// it is more likely this instance that nothing comes through to.
+func (e *Engine) isolated(now clock.Millis) bool {
+	silent, answering := 0, 0
+	for _, s := range e.directory.byID {
+		if s.Centre != e.settings.Centre || s.standing != listed || s.load.flows == 0 {
+			continue
+		}
+		switch {
+		case s.silence.missed > 0:
+			silent++
+		case now-s.silence.progress <= probeHold:
+			answering++
+		}
+	}
+	return silent > answering
+}
+
+// giveUp tells the consumers of an endpoint's flows that they are over, so that
+// their next requests don't wait for a deadline. A request under way that must not
+// be repeated is left to its consumer: it may have run.
+func (e *Engine) giveUp(s *server, why string) {
+	reset := 0
+	for k, w := range e.flows.byKey {
+		if w.server != s || !w.established || w.closing || w.asked != 0 && !e.repeatable(k.route) {
+			continue
+		}
+		e.notes = append(e.notes, ResetFlow{Consumer: k.consumer, Route: k.route, Ack: w.ack, Endpoint: s.ID})
+		e.flows.remove(k, w)
+		reset++
+	}
+	e.notes = append(e.notes, EndpointLost{Endpoint: s.ID, Service: s.Service, Why: why, Reset: reset})
+}
+
+// repeatable reports whether requests on a route are idempotent.
+func (e *Engine) repeatable(at End) bool {
+	if e.configuration == nil {
+		return false
+	}
+	r, found := e.configuration.Routes[at]
+	return found && r.Repeatable
+}
