A control probe tells a silent endpoint from a stalled instance; members are listed again

Now a probe counts only when another endpoint answers one at the same time and the process isn't late; records come from the store first. Cause of 59 watchers at once: all instances started together and listed no member, and nobody looked again.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -76,8 +76,13 @@
 // Watch starts or ends watching the store.
 type Watch struct{ On bool }
 
-// Fetch fetches all records from a peer, or from the store when that fails.
-type Fetch struct{ Peer Member }
+// Fetch reads records from the store, or from a peer when that fails. Many members
+// may lack the same at once, and the peer's link is small.
+type Fetch struct {
+	Peer          Member
+	Configuration bool // it is the configuration that is old
+	Endpoints     bool // it is the endpoints that are old
+}
 
 // Apply brings changes to steering.
 type Apply struct{ Event steering.Event }
@@ -273,7 +278,9 @@
 		return actions // the own watch brings it, or the fetch under way
 	}
 	e.fetchAt = now
-	return append(actions, Fetch{Peer: p.Member})
+	return append(actions, Fetch{
+		Peer: p.Member, Configuration: s.Configuration > e.state.Configuration, Endpoints: s.Change > e.state.Complete,
+	})
 }
 
 // Confirmation tells steering how fresh its records are.
@@ -319,24 +326,42 @@
 	if v.Returned {
 		e.returnedAt = now
 	}
-	var m Message
 	if v.Configuration {
 		e.configurationAt = now
-		if v.Delta != nil {
-			m = Revised{Delta: *v.Delta, State: e.State(now)}
-		}
 	} else {
 		e.endpointsAt = now
-		if len(v.Changes) > 0 && !v.Whole {
-			m = News{From: v.From, Changes: v.Changes, State: e.State(now)}
-		}
 	}
 	actions := e.watch(now)
-	if !e.watching || m == nil {
+	if !e.watching {
 		return actions
 	}
-	e.beatAt = now
-	return append(actions, e.tell(m)...)
+	if v.Delta != nil {
+		return append(actions, e.tell(Revised{Delta: *v.Delta, State: e.State(now)})...)
+	}
+	if !v.Whole {
+		actions = append(actions, e.tellChanges(now, v.From, v.Changes)...)
+	}
+	return actions
+}
+
+// changesPerNews is how many changes fit into a message for sure.
+const changesPerNews = 6
+
+// tellChanges sends changes in as many messages as it takes. Each goes on from the
+// revision where the one before ended.
+func (e *Engine) tellChanges(now clock.Millis, from uint64, changes []steering.Change) (actions []Action) {
+	whole := e.State(now)
+	for len(changes) > 0 {
+		n := min(changesPerNews, len(changes))
+		s := whole
+		if n < len(changes) {
+			s.Complete = changes[n-1].Endpoint.Revision
+			s.Change = s.Complete
+		}
+		actions = append(actions, e.tell(News{From: from, Changes: changes[:n], State: s})...)
+		from, changes = s.Complete, changes[n:]
+	}
+	return actions
 }
 
 func (e *Engine) fetched(now clock.Millis, v RecordsFetched) {
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -56,8 +56,8 @@
 	store    atomic.Pointer[platform.Store]
 	touched  touch
 	watching *gate
-	fetches  chan fleet.Member // at most one waits
-	arrived  atomic.Int64      // clock.Millis of the latest packet
+	fetches  chan fleet.Fetch // at most one waits
+	arrived  atomic.Int64     // clock.Millis of the latest packet
 	halting  atomic.Bool
 	halt     chan struct{} // closed by Stop
 	haltOnce sync.Once
@@ -73,7 +73,7 @@
 		halt:     make(chan struct{}),
 		reload:   make(chan struct{}, 1),
 		watching: newGate(),
-		fetches:  make(chan fleet.Member, 1),
+		fetches:  make(chan fleet.Fetch, 1),
 	}
 	d.counts = newCounts(d)
 	d.use(o.Settings)
@@ -224,10 +224,10 @@
 			d.counts.version.Update(v.Version)
 			d.journal.say("configuration accepted", "version", v.Version, "revision", v.Revision, "routes", v.Routes, "removed", v.Removed)
 		case steering.EndpointChanged:
-			d.journal.say("endpoint "+v.State, "endpoint", v.Endpoint, "service", v.Service, "address", v.Address, "revision", v.Revision)
+			d.journal.say("endpoint "+v.State, "endpoint", v.Endpoint, "service", v.Service, "address", v.Address.String(), "revision", v.Revision)
 		case steering.EndpointSilent:
 			d.counts.silent.Inc(1)
-			d.journal.say("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.Missed, "rest_ms", v.Rest)
+			d.journal.say("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.Missed, "rest_ms", int64(v.Rest))
 		case steering.SilenceSeen:
 			d.handleFleet(fleet.SilenceSeen(v))
 		case steering.ResetFlow:
@@ -246,6 +246,7 @@
 	file := watchFile(d.file)
 	sleep := newSleepWatch()
 	nextFile := clock.Now() + filePeriod
+	due := clock.Now() + tickPeriod
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,7 +260,9 @@
 			d.journal.say("woke", "slept_ms", slept)
 			d.handle(steering.Woke{Slept: slept})
 		}
-		d.handle(steering.Ticked{})
+		now := clock.Now()
+		d.handle(steering.Ticked{Late: now - due})
+		due = now + tickPeriod
 		d.handleFleet(fleet.Ticked{})
 		d.mu.Lock()
 		answers = d.engine.TakeAnswers(answers[:0])
@@ -267,7 +270,7 @@
 		for _, a := range answers {
 			d.counts.answered(a)
 		}
-		if now := clock.Now(); now >= nextFile {
+		if now >= nextFile {
 			nextFile = now + filePeriod
 			if file.changed() {
 				d.readSettings("file changed")
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -127,7 +128,7 @@
 			d.watching.set(v.On)
 		case fleet.Fetch:
 			select {
-			case d.fetches <- v.Peer:
+			case d.fetches <- v:
 			default: // one is due already
 			}
 		case fleet.Apply:
@@ -167,32 +168,46 @@
 	d.journal.say("member forgotten", "member", name, "error", text(err))
 }
 
-// fetch fetches records from peers when asked to, and from the store when a peer
-// doesn't give them.
+// fetch reads records when the fleet's engine finds them old: from the store, and
+// from a peer when the store doesn't answer.
 func (d *Daemon) fetch(ctx context.Context) {
 	client := &http.Client{Timeout: fetchTimeout.Duration(), Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case p := <-d.fetches:
+		case v := <-d.fetches:
 			start := clock.Now()
-			err := d.fetchFrom(ctx, client, p)
-			d.journal.limited("records fetched", "member", p.Name, "took_ms", clock.Now()-start, "error", text(err))
-			if err == nil || ctx.Err() != nil {
-				continue
-			}
-			for _, list := range []func(context.Context) error{d.listConfiguration, d.listEndpoints} {
-				err := list(ctx)
-				d.counts.called(err)
-				if err != nil {
-					d.touched.failed(d, "fetch", err)
-				}
+			source := "store"
+			err := d.fetchStore(ctx, v)
+			if err != nil && ctx.Err() == nil {
+				source = v.Peer.Name
+				err = d.fetchFrom(ctx, client, v.Peer)
 			}
+			d.journal.limited("records fetched", "source", source, "took_ms", clock.Now()-start,
+				"configuration", v.Configuration, "endpoints", v.Endpoints, "error", text(err))
 		}
 	}
 }
 
+func (d *Daemon) fetchStore(ctx context.Context, v fleet.Fetch) error {
+	for _, k := range []struct {
+		wanted bool
+		list   func(context.Context) error
+	}{{v.Configuration, d.listConfiguration}, {v.Endpoints, d.listEndpoints}} {
+		if !k.wanted {
+			continue
+		}
+		err := k.list(ctx)
+		d.counts.called(err)
+		if err != nil {
+			d.touched.failed(d, "fetch", err)
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Daemon) fetchFrom(ctx context.Context, client *http.Client, p fleet.Member) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+recordsPath, http.NoBody)
 	if err != nil {
@@ -234,6 +249,14 @@
 	d.perform(actions)
 }
 
+// Pauses between lists of members, in ms. Instances that start together see each
+// other's objects only after some seconds, since a cheap list may be that old.
+var memberPauses = []clock.Millis{1 * clock.Second, 2 * clock.Second, 4 * clock.Second, 8 * clock.Second}
+
+// memberPeriod is the pause after those. Members that start later introduce
+// themselves, so this is for introductions that were lost, in ms.
+const memberPeriod = 2 * clock.Minute
+
 // join finds the other members: from the store, and from seeds while the store
 // doesn't tell.
 func (d *Daemon) join(ctx context.Context) {
@@ -241,40 +264,38 @@
 		return
 	}
 	var b backoff
-	for ctx.Err() == nil {
+	announced := false
+	for round := 0; ctx.Err() == nil; {
 		list, err := d.store.Load().Members(ctx)
 		d.counts.called(err)
-		if err == nil {
-			d.journal.say("members listed", "count", len(list))
-			d.handleFleet(fleet.MembersListed{Members: list})
-			d.announce(ctx, list)
-			return
+		if err == nil && !announced && !d.isIn(list) {
+			err = d.store.Load().Announce(ctx, d.self)
+			d.counts.called(err)
 		}
-		d.touched.failed(d, "members", err)
-		d.askSeeds()
-		pause(ctx, b.next())
-	}
-}
-
-// announce writes the own object, unless the list has it.
-func (d *Daemon) announce(ctx context.Context, list []fleet.Member) {
-	for _, m := range list {
-		if m.Name == d.self.Name && m.Address == d.self.Address && m.Centre == d.self.Centre {
-			return
+		if err != nil {
+			d.touched.failed(d, "members", err)
+			d.askSeeds()
+			pause(ctx, b.next())
+			continue
 		}
-	}
-	var b backoff
-	for ctx.Err() == nil {
-		err := d.store.Load().Announce(ctx, d.self)
-		d.counts.called(err)
-		if err == nil {
-			return
+		announced = true
+		d.handleFleet(fleet.MembersListed{Members: list})
+		wait := memberPeriod
+		if round < len(memberPauses) {
+			wait = memberPauses[round]
 		}
-		d.touched.failed(d, "announce", err)
-		pause(ctx, b.next())
+		round++
+		pause(ctx, wait)
 	}
 }
 
+// isIn reports whether a list of members has this instance as it is.
+func (d *Daemon) isIn(list []fleet.Member) bool {
+	return slices.ContainsFunc(list, func(m fleet.Member) bool {
+		return m.Name == d.self.Name && m.Address == d.self.Address && m.Centre == d.self.Centre
+	})
+}
+
 // askSeeds asks the instances at the seeds' addresses who they are. Ports are the
 // same on all instances.
 func (d *Daemon) askSeeds() {
@@ -306,7 +327,7 @@
 			return
 		}
 		if found {
-			d.performFleet([]fleet.Action{fleet.Fetch{Peer: p}})
+			d.performFleet([]fleet.Action{fleet.Fetch{Peer: p, Configuration: true, Endpoints: true}})
 		}
 	}
 }
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -16,18 +16,31 @@
 
 // probe asks whether anything listens at an endpoint's address.
 func (d *Daemon) probe(v steering.Probe) {
+	control := make(chan bool, 1)
+	go func() {
+		control <- v.Control == steering.End{} || d.dial(v.Control) == steering.ProbeAnswered
+	}()
+	end := d.dial(v.Address)
+	if end == steering.ProbeHung && !<-control {
+		end = steering.ProbeUnclear
+	}
+	d.journal.limited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", end.String(),
+		"control", v.Control.String())
+	d.handle(steering.Probed{Endpoint: v.Endpoint, Born: v.Born, End: end})
+}
+
+// dial opens a connection and closes it.
+func (d *Daemon) dial(to steering.End) steering.ProbeEnd {
 	d.counts.probes.Inc(1)
-	c, err := net.DialTimeout("tcp4", v.Address.String(), probeTimeout.Duration())
-	end := steering.ProbeHung
+	c, err := net.DialTimeout("tcp4", to.String(), probeTimeout.Duration())
 	switch {
 	case err == nil:
 		_ = c.Close() // nothing was sent on it
-		end = steering.ProbeAnswered
+		return steering.ProbeAnswered
 	case errors.Is(err, syscall.ECONNRESET):
-		end = steering.ProbeAnswered // by whoever reset it
+		return steering.ProbeAnswered // by whoever reset it
 	case errors.Is(err, syscall.ECONNREFUSED):
-		end = steering.ProbeRefused
+		return steering.ProbeRefused
 	}
-	d.journal.limited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address, "end", end.String(), "error", text(err))
-	d.handle(steering.Probed{Endpoint: v.Endpoint, Born: v.Born, End: end})
+	return steering.ProbeHung
 }
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -24,6 +24,7 @@
 	removedRoutes map[End]bool // of earlier configurations, and not in force
 	directory     directory
 	flows         flows
+	stalled       clock.Millis // until when this process judges nobody
 
 	notes   []Action // of packets, until the daemon takes them
 	answers []Answered
@@ -98,10 +99,14 @@
 	case Woke:
 		// What the store said before the sleep may have changed since.
 		e.confirmed = 0
+		e.stalled = now + stalledHold
 		e.directory.returned = now
 	case Probed:
 		return e.probed(now, v)
 	case Ticked:
+		if v.Late >= stalledAfter {
+			e.stalled = now + stalledHold
+		}
 		return e.tick(now)
 	}
 	return nil
--- a/steering/event.go
+++ b/steering/event.go
@@ -60,18 +60,21 @@
 
 // The ends of a probe.
 const (
-	ProbeHung     ProbeEnd = iota // nothing came back in time
+	ProbeHung     ProbeEnd = iota // nothing came back in time, though the control answered
 	ProbeAnswered                 // something listens
 	ProbeRefused                  // nothing listens at the address
+	ProbeUnclear                  // the control did not answer either
 )
 
-var probeEnds = map[ProbeEnd]string{ProbeHung: "hung", ProbeAnswered: "answered", ProbeRefused: "refused"}
+var probeEnds = map[ProbeEnd]string{ProbeHung: "hung", ProbeAnswered: "answered", ProbeRefused: "refused", ProbeUnclear: "unclear"}
 
 // String returns the name of an end in logs.
 func (p ProbeEnd) String() string { return probeEnds[p] }
 
 // Ticked tells that time has passed.
-type Ticked struct{}
+type Ticked struct {
+	Late clock.Millis // how long after its time this comes
+}
 
 func (ConfigurationRead) event()    {}
 func (EndpointsListed) event()      {}
@@ -91,6 +94,9 @@
 	Endpoint string
 	Born     clock.Millis
 	Address  End
+	// An endpoint that has just answered, asked at the same time: when it doesn't
+	// answer either, the trouble is on this side. Zero when there is none.
+	Control End
 }
 
 // Answered tells how long a request waited for its answer.
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -24,6 +24,11 @@
 	// flows wait.
 	lostAfter = 500 * clock.Millisecond
 	lostVotes = 2 // instances whose probes hang
+	// A process that is late by this much may have left answers unread, and is not
+	// to judge others for some time, in ms. Timers of the smallest instances are
+	// late by some 10 ms under load.
+	stalledAfter = 60 * clock.Millisecond
+	stalledHold  = 1 * clock.Second
 )
 
 // silence is what tells whether an endpoint has fallen silent.
@@ -118,10 +123,27 @@
 	e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born})
 	e.missedAnywhere(now, s)
 	if s.silence.probeDue(now) {
-		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address})
+		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address, Control: e.control(s)})
 	}
 }
 
+// control returns the address of the endpoint that answered last, but for s.
+func (e *Engine) control(s *server) End {
+	var best *server
+	for _, o := range e.directory.byID {
+		if o == s || o.standing != listed || o.Centre != e.settings.Centre || o.silence.missed > 0 {
+			continue
+		}
+		if best == nil || o.silence.progress > best.silence.progress {
+			best = o
+		}
+	}
+	if best == nil {
+		return End{}
+	}
+	return best.Address
+}
+
 // missedAnywhere counts a flow without an answer, here or at another instance.
 func (e *Engine) missedAnywhere(now clock.Millis, s *server) {
 	if s.silence.miss(now) {
@@ -161,6 +183,9 @@
 			e.giveUp(s, "refused")
 		}
 	case ProbeHung:
+		if now < e.stalled {
+			break
+		}
 		s.silence.hung = now
 		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Hung: true})
 		e.settle(now, s)
@@ -170,7 +195,7 @@
 
 // settle gives an endpoint's flows up when nothing comes back from it.
 func (e *Engine) settle(now clock.Millis, s *server) {
-	if !s.silence.loses(now) || e.isolated(now) {
+	if !s.silence.loses(now) || now < e.stalled || e.isolated(now) {
 		return
 	}
 	s.silence.lost = true
