Tests of fleet and forwarder; a request that carries an acknowledgement is missed like any other

Causes found by the tests: (1) a request whose packet also acknowledged the answer before counted as answered in the same millisecond, so its endpoint was never found silent; (2) a watcher that the store turned away kept the duty and took nothing from the others; (3) a large batch of changes did not fit into a message.

--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -22,6 +22,9 @@
 	// Of the bound, by how much the last in rank is slower to do so than the first.
 	// The first one's beats spare the others the call.
 	staggerShare = 0.2
+	// Ranks that are told apart by that. Those behind share the last place, since
+	// so many are seldom lost at once.
+	staggerRanks = 6
 )
 
 // WatchWait is how long a watch of the store may wait.
@@ -39,10 +42,16 @@
 	return now - min(e.configurationAt, e.endpointsAt)
 }
 
+// turnedAway reports whether the store doesn't answer this member, though it has
+// the duty.
+func (e *Engine) turnedAway(now clock.Millis) bool {
+	return now-e.readAt > share(e.settings.Bound, staleShare)
+}
+
 // limit is the age at which this member reads the store itself.
 func (e *Engine) limit() clock.Millis {
 	ahead := e.members.before(e.settings.Self.Name)
-	stagger := staggerShare * float64(ahead) / float64(len(e.members.list)+1)
+	stagger := staggerShare * float64(min(ahead, staggerRanks)) / staggerRanks
 	return share(e.settings.Bound, staleShare+stagger)
 }
 
@@ -68,12 +77,13 @@
 		}
 		if i < ahead {
 			// One of higher rank does; what it says is as fresh as reading it.
-			return e.watching && e.age(now) > e.limit()
+			return false
 		}
 		watcher = true
 	}
 	if e.watching {
-		return true
+		// Another one that reads the store spares this one calls in vain.
+		return !watcher || !e.turnedAway(now)
 	}
 	if ahead == 0 && !watcher {
 		return true
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -117,6 +117,7 @@
 	state           State
 	configurationAt clock.Millis // when the store last confirmed the configuration
 	endpointsAt     clock.Millis // when the store last confirmed the endpoints
+	readAt          clock.Millis // when this member last read the store itself
 	returnedAt      clock.Millis // when the store answered again; 0 when it never failed
 
 	watching bool
@@ -129,7 +130,7 @@
 
 // NewEngine returns an engine that knows no other member.
 func NewEngine(s Settings, now clock.Millis) *Engine {
-	return &Engine{settings: s, configurationAt: now, endpointsAt: now, signsAt: now}
+	return &Engine{settings: s, configurationAt: now, endpointsAt: now, readAt: now, signsAt: now}
 }
 
 // Watching reports whether this member watches the store.
@@ -274,8 +275,8 @@
 	if s.Configuration <= e.state.Configuration && s.Change <= e.state.Complete {
 		return actions
 	}
-	if e.watching || now-e.fetchAt < fetchPause {
-		return actions // the own watch brings it, or the fetch under way
+	if now-e.fetchAt < fetchPause || e.watching && !e.turnedAway(now) {
+		return actions // the fetch under way brings it, or the own watch
 	}
 	e.fetchAt = now
 	return append(actions, Fetch{
@@ -323,6 +324,7 @@
 // read takes what the store said, and tells the others.
 func (e *Engine) read(now clock.Millis, v RecordsRead) []Action {
 	e.state = v.State
+	e.readAt = now
 	if v.Returned {
 		e.returnedAt = now
 	}
@@ -345,7 +347,7 @@
 }
 
 // changesPerNews is how many changes fit into a message for sure.
-const changesPerNews = 6
+const changesPerNews = 4
 
 // tellChanges sends changes in as many messages as it takes. Each goes on from the
 // revision where the one before ended.
--- /dev/null
+++ b/fleet/script_test.go
@@ -0,0 +1,364 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/internal/script"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// fleetCase is one script of testdata/fleet.yaml: members of one data centre whose
+// messages pass between them, and a store that some of them can read.
+type fleetCase struct {
+	Name    string       `yaml:"name"`
+	Members int          `yaml:"members"`
+	Bound   clock.Millis `yaml:"bound"` // default 3000
+	Apart   bool         `yaml:"apart"` // members don't know each other at first
+	Steps   []fleetStep  `yaml:"steps"`
+}
+
+// fleetStep is what happens to members, by their rank from 0, and what has to hold
+// afterwards.
+type fleetStep struct {
+	Pass   clock.Millis `yaml:"pass"`   // time that passes
+	Kill   []int        `yaml:"kill"`   // end without a word
+	Stop   []int        `yaml:"stop"`   // end in order
+	Start  []int        `yaml:"start"`  // start again, with records of now
+	Freeze []int        `yaml:"freeze"` // stand still
+	Thaw   []int        `yaml:"thaw"`
+	Blind  []int        `yaml:"blind"` // can't read the store
+	See    []int        `yaml:"see"`
+	Deaf   []int        `yaml:"deaf"` // get no messages
+	Hear   []int        `yaml:"hear"`
+	Lose   bool         `yaml:"lose"`   // messages of the next change are lost
+	Change bool         `yaml:"change"` // the store changes
+	Meet   bool         `yaml:"meet"`   // the store's list of members reaches all
+
+	Watch []int        `yaml:"watch"` // who watches now; nil for any
+	Most  int          `yaml:"most"`  // so many watched at most, at any time of the pass; 0 for any
+	Age   clock.Millis `yaml:"age"`   // no live member's records got older than this; 0 for any
+	Calls int          `yaml:"calls"` // reads of the store in the pass, at most; 0 for any
+	Known bool         `yaml:"known"` // all live members know the latest change
+}
+
+func TestFleets(t *testing.T) {
+	var cases []fleetCase
+	script.Read(t, "testdata/fleet.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			w := newWorld(t, c)
+			for i, s := range c.Steps {
+				w.step(fmt.Sprintf("step %d", i+1), s)
+			}
+		})
+	}
+}
+
+// node is one member in the world.
+type node struct {
+	Member
+	engine *Engine
+	live   bool
+	frozen bool
+	blind  bool
+	deaf   bool
+	readAt clock.Millis // when it may read the store next
+	inbox  []Received
+}
+
+// world plays members on a fake clock.
+type world struct {
+	t        *testing.T
+	now      clock.Millis
+	bound    clock.Millis
+	nodes    []*node
+	revision uint64
+	changed  uint64 // revision of the latest change
+	lose     bool
+	calls    int
+	watchers int
+	oldest   clock.Millis
+}
+
+// Times of the world, in ms. A watcher's pause is that of the daemon.
+const (
+	tickTime  = 100
+	readPause = 400
+)
+
+func newWorld(t *testing.T, c fleetCase) *world {
+	w := &world{t: t, now: 1_000_000, bound: c.Bound, revision: 10, changed: 10}
+	if w.bound == 0 {
+		w.bound = 3000
+	}
+	for i := range c.Members {
+		m := Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Boot: w.now}
+		m.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i / 250), byte(i%250 + 1)}), 7720)
+		w.nodes = append(w.nodes, &node{Member: m})
+	}
+	slices.SortFunc(w.nodes, func(a, b *node) int {
+		return byRank(&peer{Member: a.Member, rank: rank(a.Name)}, &peer{Member: b.Member, rank: rank(b.Name)})
+	})
+	for _, n := range w.nodes {
+		w.boot(n)
+	}
+	if !c.Apart {
+		w.meet()
+	}
+	return w
+}
+
+func (w *world) boot(n *node) {
+	n.live, n.frozen = true, false
+	n.Boot = w.now
+	n.engine = NewEngine(Settings{Self: n.Member, Bound: w.bound}, w.now)
+	n.readAt = w.now
+	w.read(n)
+}
+
+func (w *world) meet() {
+	var all []Member
+	for _, n := range w.nodes {
+		all = append(all, n.Member)
+	}
+	for _, n := range w.nodes {
+		if n.live {
+			w.perform(n, n.engine.Handle(w.now, MembersListed{Members: all}))
+		}
+	}
+}
+
+// read lets a member read the store: both kinds of records.
+func (w *world) read(n *node) {
+	if n.blind {
+		return
+	}
+	s := n.engine.State(w.now)
+	from := s.Complete
+	read := RecordsRead{Configuration: true}
+	if s.Configuration != w.changed {
+		read.Delta = &steering.Delta{From: s.Configuration, Revision: w.changed}
+	}
+	s.Configuration, s.Confirmed = w.changed, w.revision
+	read.State = s
+	w.perform(n, n.engine.Handle(w.now, read))
+	s = n.engine.State(w.now)
+	s.Complete, s.Change = w.revision, w.changed
+	var changes []steering.Change
+	if from < w.changed {
+		changes = append(changes, steering.Change{Endpoint: steering.Endpoint{ID: "i-1", Revision: w.changed}})
+	}
+	w.perform(n, n.engine.Handle(w.now, RecordsRead{State: s, From: from, Changes: changes}))
+}
+
+func (w *world) perform(n *node, actions []Action) {
+	for _, a := range actions {
+		switch v := a.(type) {
+		case Send:
+			data, err := Encode(n.Member, v.Message)
+			require.NoError(w.t, err)
+			for _, to := range v.To {
+				w.deliver(to, data)
+			}
+		case Fetch:
+			w.calls++
+			if w.read(n); n.blind {
+				w.fetchFrom(n, v.Peer)
+			}
+		case Watch, Apply, Forget:
+		}
+	}
+}
+
+// fetchFrom lets a member take the records of a peer.
+func (w *world) fetchFrom(n *node, from Member) {
+	for _, p := range w.nodes {
+		if p.Name == from.Name && p.live && !p.frozen {
+			w.perform(n, n.engine.Handle(w.now, RecordsFetched{Peer: p.Name, OK: true, State: p.engine.State(w.now)}))
+		}
+	}
+}
+
+func (w *world) deliver(to netip.AddrPort, data []byte) {
+	from, m, err := Decode(data)
+	require.NoError(w.t, err)
+	if _, news := m.(News); news && w.lose {
+		return
+	}
+	for _, n := range w.nodes {
+		if n.Address == to && n.live && !n.deaf {
+			n.inbox = append(n.inbox, Received{From: from, Message: m})
+		}
+	}
+}
+
+func (w *world) each(list []int, do func(*node)) {
+	for _, i := range list {
+		do(w.nodes[i])
+	}
+}
+
+func (w *world) step(name string, s fleetStep) {
+	w.t.Helper()
+	w.calls, w.watchers, w.oldest = 0, 0, 0
+	w.each(s.Kill, func(n *node) { n.live, n.inbox = false, nil })
+	w.each(s.Stop, func(n *node) {
+		w.perform(n, n.engine.Handle(w.now, Stopping{}))
+		n.live, n.inbox = false, nil
+	})
+	w.each(s.Start, func(n *node) { w.boot(n) })
+	w.each(s.Freeze, func(n *node) { n.frozen = true })
+	w.each(s.Thaw, func(n *node) { n.frozen = false })
+	w.each(s.Blind, func(n *node) { n.blind = true })
+	w.each(s.See, func(n *node) { n.blind = false })
+	w.each(s.Deaf, func(n *node) { n.deaf, n.inbox = true, nil })
+	w.each(s.Hear, func(n *node) { n.deaf = false })
+	if s.Meet {
+		w.meet()
+	}
+	w.lose = s.Lose
+	if s.Change {
+		w.revision += 3
+		w.changed = w.revision
+	}
+	for end := w.now + s.Pass; w.now < end; {
+		w.now += tickTime
+		w.tick()
+	}
+	w.expect(name, s)
+}
+
+// tick lets time pass for all members. Watchers' watches answer at once when the
+// store has changed, and otherwise after their wait.
+func (w *world) tick() {
+	watchers := 0
+	for _, n := range w.nodes {
+		if !n.live || n.frozen {
+			continue
+		}
+		inbox := n.inbox
+		n.inbox = nil
+		for _, r := range inbox {
+			w.perform(n, n.engine.Handle(w.now, r))
+		}
+		w.perform(n, n.engine.Handle(w.now, Ticked{}))
+		if !n.engine.Watching() {
+			continue
+		}
+		watchers++
+		if w.now < n.readAt && (n.engine.state.Change == w.changed || w.now < n.readAt-WatchWait(w.bound)) {
+			continue
+		}
+		w.calls++
+		n.readAt = w.now + readPause + WatchWait(w.bound)
+		w.read(n)
+	}
+	w.watchers = max(w.watchers, watchers)
+	for _, n := range w.nodes {
+		if n.live && !n.frozen && !n.blind {
+			w.oldest = max(w.oldest, n.engine.age(w.now))
+		}
+	}
+}
+
+func (w *world) expect(name string, s fleetStep) {
+	w.t.Helper()
+	if s.Watch != nil {
+		watching := []int{}
+		for i, n := range w.nodes {
+			if n.live && !n.frozen && n.engine.Watching() {
+				watching = append(watching, i)
+			}
+		}
+		require.Equal(w.t, s.Watch, watching, name)
+	}
+	if s.Most > 0 {
+		require.LessOrEqual(w.t, w.watchers, s.Most, name)
+	}
+	if s.Age > 0 {
+		require.LessOrEqual(w.t, w.oldest, s.Age, name)
+	}
+	if s.Calls > 0 {
+		require.LessOrEqual(w.t, w.calls, s.Calls, name)
+	}
+	if s.Known {
+		for i, n := range w.nodes {
+			if n.live && !n.frozen {
+				require.GreaterOrEqual(w.t, n.engine.state.Complete, w.changed, "%s: member %d", name, i)
+				require.Equal(w.t, w.changed, n.engine.state.Configuration, "%s: member %d", name, i)
+			}
+		}
+	}
+}
+
+// Messages come out as they went in, and broken ones are refused.
+func TestMessages(t *testing.T) {
+	from := Member{Name: "edge-1", Centre: "here", Address: netip.MustParseAddrPort("127.0.0.1:7720"), Boot: 5}
+	state := State{Configuration: 1, Confirmed: 2, Change: 3, Complete: 4, ConfigurationAge: 5, EndpointsAge: 6, ReturnedAge: 7}
+	for _, m := range []Message{
+		Hello{Answer: true, Members: []Member{from}},
+		Beat{State: state, Leaving: true},
+		News{From: 3, State: state, Changes: []steering.Change{{Endpoint: steering.Endpoint{ID: "i-1", Number: 1, Revision: 4}, Removed: true}}},
+		Revised{State: state, Delta: steering.Delta{
+			From: 1, Revision: 2, Version: 3, Idle: 4, Unset: []steering.End{{Address: 1, Port: 2}},
+			Set: []steering.Placed{{At: steering.End{Address: 3, Port: 4}, Route: steering.Route{Name: "r", Shares: []steering.Share{{Service: "s", Weight: 1}}}}},
+		}},
+		Silent{Endpoint: "i-1", Born: 9, Hung: true},
+	} {
+		data, err := Encode(from, m)
+		require.NoError(t, err)
+		sender, got, err := Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, from, sender)
+		require.Equal(t, m, got)
+	}
+	_, err := Encode(from, Silent{Endpoint: strings.Repeat("x", MaxMessage)})
+	require.ErrorIs(t, err, ErrMessage)
+	for _, data := range [][]byte{nil, {0xff}, []byte("text")} {
+		_, _, err := Decode(data)
+		require.ErrorIs(t, err, ErrMessage)
+	}
+	nobody, err := Encode(Member{Name: "edge-1"}, Hello{})
+	require.NoError(t, err)
+	_, _, err = Decode(nobody)
+	require.ErrorIs(t, err, ErrMessage)
+	silent, err := Encode(from, nil)
+	require.NoError(t, err)
+	_, _, err = Decode(silent)
+	require.ErrorIs(t, err, ErrMessage)
+}
+
+// As many changes as may come at once fit into messages.
+func TestNewsFit(t *testing.T) {
+	change := steering.Change{Endpoint: steering.Endpoint{
+		ID: "i-" + strings.Repeat("f", 16), Number: 1 << 63, Revision: 1 << 40, Service: strings.Repeat("s", 24),
+		Address: steering.End{Address: 1 << 31, Port: 65535}, Centre: strings.Repeat("c", 24), Slots: 1 << 16,
+		Draining: true, Warmup: 100_000, Born: 1 << 41,
+	}}
+	m := News{From: 1 << 40, State: State{
+		Configuration: 1 << 40, Confirmed: 1 << 40, Change: 1 << 40, Complete: 1 << 40,
+		ConfigurationAge: 100_000, EndpointsAge: 100_000, ReturnedAge: 1 << 40,
+	}}
+	for range changesPerNews {
+		m.Changes = append(m.Changes, change)
+	}
+	_, err := Encode(Member{
+		Name: strings.Repeat("n", 40), Centre: strings.Repeat("c", 24), Address: netip.MustParseAddrPort("255.255.255.255:65535"), Boot: 1 << 41,
+	}, m)
+	require.NoError(t, err)
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte{0xa1})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _, _ = Decode(data)
+	})
+}
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -30,7 +30,7 @@
 const (
 	// Openings that nobody answered are found within a tick, and consumers give
 	// one up after 1.4 s.
-	tickPeriod = 200 * clock.Millisecond
+	tickPeriod = 100 * clock.Millisecond
 	// A settings file may change without a signal; nothing in it is urgent.
 	filePeriod = 2 * clock.Second
 )
--- /dev/null
+++ b/forwarder/site_test.go
@@ -0,0 +1,446 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/internal/script"
+	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/standin"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// patience bounds waits for what is bound to happen.
+const patience = clock.Minute
+
+// siteCase is one script of testdata/site.yaml. Each step is a line; see the verbs.
+type siteCase struct {
+	Name  string   `yaml:"name"`
+	Steps []string `yaml:"steps"`
+}
+
+// verbs are the steps of scripts.
+var verbs = map[string]func(s *site, words []string){
+	"route":    (*site).route,    // NAME SERVICE...: in the next configuration
+	"unroute":  (*site).unroute,  // NAME
+	"publish":  (*site).publish,  // writes the configuration
+	"endpoint": (*site).endpoint, // ID SERVICE CENTRE
+	"start":    (*site).start,    // NAME CENTRE
+	"stop":     (*site).stop,     // NAME: SIGTERM
+	"kill":     (*site).kill,     // NAME
+	"rotation": (*site).rotation, // COUNT: until so many are in rotation
+	"open":     (*site).open,     // FLOW ROUTE
+	"refused":  (*site).refused,  // ROUTE: a flow to it doesn't open
+	"ask":      (*site).ask,      // FLOW SERVICE [BYTES]: a request gets its whole answer
+	"reset":    (*site).reset,    // FLOW: until it was reset
+	"cut":      (*site).cut,      // FLOW: a request ends with an instance's reset
+	"drain":    (*site).drain,    // ID
+	"mute":     (*site).mute,     // ID
+	"crash":    (*site).crash,    // ID
+	"remove":   (*site).remove,   // ID: its entry leaves the store
+	"store":    (*site).fault,    // fine, or REFUSAL [NAME...]: turns all or some away
+	"compact":  (*site).compact,  // the store forgets its history
+	"version":  (*site).version,  // NUMBER: until it is in force everywhere
+	"watchers": (*site).watchers, // COUNT: until so many instances watch the store
+	"avoided":  (*site).avoided,  // ID: until no instance gives it new flows
+}
+
+func TestSites(t *testing.T) {
+	var cases []siteCase
+	script.Read(t, "testdata/site.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for i, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, byte(i+1))
+			for _, line := range c.Steps {
+				words := strings.Fields(line)
+				verb, known := verbs[words[0]]
+				require.True(t, known, "step %q", line)
+				s.line = line
+				verb(s, words[1:])
+			}
+			s.check()
+		})
+	}
+}
+
+// site is a small deployment on loopback addresses of its own.
+type site struct {
+	t       *testing.T
+	line    string
+	net     byte // second byte of its addresses
+	store   *standin.Metastore
+	url     string
+	routers *standin.FlowRouters
+	caller  *standin.FlowCaller
+
+	hosts     byte
+	published int64
+	routes    map[string][]string
+	addresses map[string]netip.AddrPort
+	daemons   map[string]*running
+	endpoints map[string]*standin.FlowEndpoint
+	flows     map[string]*standin.CallerFlow
+	asked     int
+}
+
+// running is a daemon that runs.
+type running struct {
+	daemon *Daemon
+	log    *logBuffer
+	cancel context.CancelFunc
+	ended  chan error
+	over   bool
+}
+
+// logBuffer keeps a log for the end of a test.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(data []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(data)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+var _ io.Writer = (*logBuffer)(nil)
+
+func newSite(t *testing.T, n byte) *site {
+	s := &site{
+		t: t, net: 100 + n, store: standin.NewMetastore(1), routers: standin.StartFlowRouters(),
+		routes: map[string][]string{}, addresses: map[string]netip.AddrPort{}, daemons: map[string]*running{},
+		endpoints: map[string]*standin.FlowEndpoint{}, flows: map[string]*standin.CallerFlow{},
+	}
+	server := httptest.NewServer(s.store)
+	s.url = server.URL
+	var err error
+	s.caller, err = standin.StartFlowCaller(s.host(), s.routers)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		for _, r := range s.daemons {
+			r.cancel()
+			if !r.over {
+				<-r.ended
+			}
+			if t.Failed() {
+				t.Logf("log:\n%s", r.log)
+			}
+		}
+		for _, e := range s.endpoints {
+			e.Close()
+		}
+		s.caller.Close()
+		s.routers.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return s
+}
+
+// host returns an address that nobody has yet.
+func (s *site) host() netip.Addr {
+	s.hosts++
+	return netip.AddrFrom4([4]byte{127, s.net, 0, s.hosts})
+}
+
+func (s *site) route(words []string) {
+	s.routes[words[0]] = words[1:]
+	if !s.addresses[words[0]].IsValid() {
+		s.addresses[words[0]] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), uint16(len(s.addresses)+1))
+	}
+}
+
+func (s *site) unroute(words []string) { delete(s.routes, words[0]) }
+
+func (s *site) publish([]string) {
+	s.published += 2
+	var routes []map[string]any
+	for name, services := range s.routes {
+		at := s.addresses[name]
+		var split []map[string]any
+		for _, service := range services {
+			split = append(split, map[string]any{"service": service, "weight": 1})
+		}
+		routes = append(routes, map[string]any{
+			"name": name, "hostname": at.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", at.Port()),
+			"type": "safe", "timeout_ms": 1500, "goal_ms": 100, "priority": 1, "traffic_split": split,
+		})
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": s.published, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+func (s *site) endpoint(words []string) {
+	number, err := strconv.ParseUint(words[0], 16, 64)
+	require.NoError(s.t, err)
+	e, err := standin.StartFlowEndpoint(standin.FlowEndpointSettings{
+		Number: number, Service: words[1], Centre: words[2], Slots: 2, Work: 5,
+		Address: netip.AddrPortFrom(s.host(), 8080).String(),
+	})
+	require.NoError(s.t, err)
+	s.endpoints[words[0]] = e
+	s.store.Put("servers", e.ID(), e.Entry())
+}
+
+func (s *site) start(words []string) {
+	at := s.host()
+	port := func(p uint16) netip.AddrPort { return netip.AddrPortFrom(at, p) }
+	log := &logBuffer{}
+	d, err := Open(Options{Log: log, Settings: platform.Settings{
+		Instance: words[0], Centre: words[1], Packets: port(standin.FlowPort), Ready: port(8167),
+		Inner: []uint16{7720, 7735}, Store: s.url, Grace: 6000, Drain: 3000, Apply: 3000,
+	}})
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{daemon: d, log: log, cancel: cancel, ended: make(chan error, 1)}
+	go func() { r.ended <- d.Run(ctx) }()
+	s.daemons[words[0]] = r
+	s.routers.Add(port(standin.FlowPort), port(8167).String())
+}
+
+func (s *site) stop(words []string) {
+	r := s.daemons[words[0]]
+	r.daemon.Stop()
+	require.NoError(s.t, <-r.ended)
+	r.over = true
+	s.routers.Remove(r.daemon.settings.Load().Packets)
+}
+
+func (s *site) kill(words []string) {
+	r := s.daemons[words[0]]
+	r.cancel()
+	require.NoError(s.t, <-r.ended)
+	r.over = true
+}
+
+// eventually waits until a condition holds.
+func (s *site) eventually(holds func() bool) {
+	s.t.Helper()
+	require.Eventually(s.t, holds, patience.Duration(), (5 * clock.Millisecond).Duration(), "step %q", s.line)
+}
+
+func (s *site) count(words []string) int {
+	n, err := strconv.Atoi(words[0])
+	require.NoError(s.t, err)
+	return n
+}
+
+func (s *site) rotation(words []string) {
+	want := s.count(words)
+	s.eventually(func() bool { return s.routers.InRotation() == want })
+}
+
+func (s *site) open(words []string) {
+	f, err := s.caller.Open(s.addresses[words[1]])
+	require.NoError(s.t, err, "step %q", s.line)
+	s.flows[words[0]] = f
+}
+
+func (s *site) refused(words []string) {
+	at := s.addresses[words[0]]
+	if !at.IsValid() {
+		at = netip.MustParseAddrPort("198.18.0.9:9")
+	}
+	_, err := s.caller.Open(at)
+	require.ErrorIs(s.t, err, standin.ErrUnopened)
+}
+
+func (s *site) ask(words []string) {
+	size := 10
+	if len(words) > 2 {
+		size = s.count(words[2:])
+	}
+	s.asked++
+	id := fmt.Sprintf("%s-%d", words[0], s.asked)
+	err := s.flows[words[0]].Request(id, bytes.Repeat([]byte("x"), size), patience, words[1])
+	require.NoError(s.t, err, "step %q", s.line)
+}
+
+func (s *site) reset(words []string) {
+	f := s.flows[words[0]]
+	s.eventually(f.Over)
+}
+
+func (s *site) cut(words []string) {
+	f := s.flows[words[0]]
+	err := f.Request(words[0]+"-cut", nil, patience, "none")
+	require.ErrorIs(s.t, err, standin.ErrReset, "step %q", s.line)
+	require.Equal(s.t, "instance", f.ResetBy)
+}
+
+func (s *site) drain(words []string) {
+	e := s.endpoints[words[0]]
+	e.Drain()
+	s.store.Put("servers", e.ID(), e.Entry())
+}
+
+func (s *site) mute(words []string)  { s.endpoints[words[0]].Mute(true) }
+func (s *site) crash(words []string) { s.endpoints[words[0]].Close() }
+
+func (s *site) remove(words []string) { s.store.Remove("servers", s.endpoints[words[0]].ID()) }
+
+func (s *site) fault(words []string) {
+	f := standin.MetastoreFaults{}
+	if words[0] != "fine" {
+		f = standin.MetastoreFaults{Refuse: words[0], Callers: words[1:]}
+	}
+	require.NoError(s.t, s.store.SetFaults(f))
+}
+
+func (s *site) compact([]string) { s.store.Compact() }
+
+func (s *site) version(words []string) {
+	want := int64(s.count(words))
+	s.eventually(func() bool {
+		for _, r := range s.daemons {
+			if !r.over && r.daemon.configurationVersion() != want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *Daemon) configurationVersion() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.engine.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (s *site) watchers(words []string) {
+	want := s.count(words)
+	s.eventually(func() bool {
+		n := 0
+		for _, r := range s.daemons {
+			r.daemon.mu.Lock()
+			if !r.over && r.daemon.fleet.Watching() {
+				n++
+			}
+			r.daemon.mu.Unlock()
+		}
+		return n == want
+	})
+}
+
+func (s *site) avoided(words []string) {
+	id := s.endpoints[words[0]].ID()
+	s.eventually(func() bool {
+		for _, r := range s.daemons {
+			r.daemon.mu.Lock()
+			usable := false
+			for _, p := range r.daemon.engine.Endpoints() {
+				usable = usable || p.ID == id && !p.Draining
+			}
+			r.daemon.mu.Unlock()
+			if usable && !r.over {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// check reports what ends of flows got that they should not have.
+func (s *site) check() {
+	require.Empty(s.t, s.caller.Faults())
+	for _, e := range s.endpoints {
+		require.Empty(s.t, e.Faults())
+		for id, n := range e.Runs() {
+			require.Equal(s.t, 1, n, "request %s", id)
+		}
+	}
+}
+
+// A log that nobody reads holds no packet up, and what it drops is counted.
+func TestUnreadLogBlocksNobody(t *testing.T) {
+	stuck := make(chan struct{})
+	j := newJournal(writerFunc(func(data []byte) (int, error) {
+		<-stuck
+		return len(data), nil
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { j.run(ctx) })
+	for range 10 * journalBuffer / 100 {
+		j.say("kind", "attribute", strings.Repeat("x", 100))
+	}
+	require.Positive(t, j.lost.Load())
+	close(stuck)
+	cancel()
+	done.Wait()
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(data []byte) (int, error) { return f(data) }
+
+// Lines of one kind are bounded, lines of others and those that always matter
+// aren't held up by them.
+func TestLogIsBoundedByKind(t *testing.T) {
+	var out logBuffer
+	j := newJournal(&out)
+	j.second = clock.Now() + clock.Hour // this second lasts
+	for range 10 * journalRate {
+		j.limited("often")
+	}
+	j.limited("seldom")
+	j.say("always")
+	j.flush()
+	require.Equal(t, journalRate, strings.Count(out.String(), `"often"`))
+	require.Contains(t, out.String(), `"seldom"`)
+	require.Contains(t, out.String(), `"always"`)
+	require.Contains(t, out.String(), `"lines dropped","count":`+strconv.Itoa(9*journalRate))
+}
+
+// Steering a packet of an open flow allocates nothing.
+func TestSteeringAllocatesNothing(t *testing.T) {
+	s := newSite(t, 99)
+	s.route([]string{"desk", "desk"})
+	s.publish(nil)
+	s.endpoint([]string{"a1", "desk", "here"})
+	s.start([]string{"f1", "here"})
+	s.rotation([]string{"1"})
+	d := s.daemons["f1"].daemon
+	p := steeringPacket(s.addresses["desk"])
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := clock.Now()
+	d.engine.Steer(now, &p)
+	var sum atomic.Int64
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		v := d.engine.Steer(now, &p)
+		sum.Add(int64(v.Verdict))
+	}))
+	require.Positive(t, sum.Load())
+}
+
+func steeringPacket(route netip.AddrPort) (p steering.Packet) {
+	p = steering.Packet{Consumer: steering.End{Address: 1, Port: 1}, Flags: steering.Acknowledge, Token: 0xa1, Ack: 9}
+	p.Route, _ = steering.EndOf(route)
+	return p
+}
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -80,68 +80,75 @@
 	t.Helper()
 	now := start + s.At
 	var told []string
-	handle := func(v Event) {
-		for _, a := range e.Handle(now, v) {
+	collect := func(actions []Action) {
+		for _, a := range actions {
 			if text := tell(a); text != "" {
 				told = append(told, text)
 			}
 		}
 	}
-	if c := s.Configuration; c != nil {
-		handle(configurationEvent(t, e, c))
+	for _, v := range s.events(t, e, now) {
+		collect(e.Handle(now, v))
 	}
-	if s.List != nil {
-		handle(listEvent(t, s))
+	if s.Packet != "" {
+		s.steer(t, e, name, now)
+		collect(e.TakeNotes())
+	}
+	if s.Tells != nil {
+		require.ElementsMatch(t, s.Tells, told, name)
 	}
-	if s.Change != nil {
-		v := EndpointsChanged{Revision: s.Revision}
-		for _, text := range s.Change {
-			v.Changes = append(v.Changes, parseChange(t, text))
+}
+
+// events returns the events of a step, in order.
+func (s *step) events(t *testing.T, e *Engine, now clock.Millis) (events []Event) {
+	add := func(wanted bool, v func() Event) {
+		if wanted {
+			events = append(events, v())
 		}
-		handle(v)
 	}
-	if s.Confirm || s.Returned {
+	add(s.Configuration != nil, func() Event { return configurationEvent(t, e, s.Configuration) })
+	add(s.List != nil, func() Event { return listEvent(t, *s) })
+	add(s.Change != nil, func() Event { return s.changes(t) })
+	add(s.Confirm || s.Returned, func() Event {
 		v := Confirmed{Configuration: now, Endpoints: now}
 		if s.Returned {
 			v.Returned = now
 		}
-		handle(v)
-	}
-	if s.Packet != "" {
-		p := parsePacket(t, s.Packet)
-		d := e.Steer(now, &p)
-		got := strings.TrimSpace(fmt.Sprintf("%s %s %s", d.Verdict, d.Reason, strings.TrimPrefix(d.Endpoint.ID, "i-")))
-		if d.Verdict != Forward {
-			got = fmt.Sprintf("%s %s", d.Verdict, d.Reason)
-		}
-		if s.Want != "" {
-			require.True(t, strings.HasPrefix(got+" ", s.Want+" "), "%s: %s is %q, want %q", name, s.Packet, got, s.Want)
-		}
-		if s.Not != "" {
-			require.NotEqual(t, "i-"+s.Not, d.Endpoint.ID, "%s: %s", name, s.Packet)
-		}
-		for _, a := range e.TakeNotes() {
-			if text := tell(a); text != "" {
-				told = append(told, text)
-			}
-		}
-	}
-	if s.Probe != "" {
+		return v
+	})
+	add(s.Probe != "", func() Event {
 		id, end, _ := strings.Cut(s.Probe, " ")
-		handle(Probed{Endpoint: "i-" + id, Born: 1, End: endNamed(t, end)})
-	}
-	if s.Report != "" {
+		return Probed{Endpoint: "i-" + id, Born: 1, End: endNamed(t, end)}
+	})
+	add(s.Report != "", func() Event {
 		words := strings.Fields(s.Report)
-		handle(SilenceReported{Endpoint: "i-" + words[0], By: words[1], Born: 1, Hung: len(words) > 2})
-	}
-	if s.Woke {
-		handle(Woke{Slept: 5000})
+		return SilenceReported{Endpoint: "i-" + words[0], By: words[1], Born: 1, Hung: len(words) > 2}
+	})
+	add(s.Woke, func() Event { return Woke{Slept: 5000} })
+	add(s.Tick || s.Late > 0, func() Event { return Ticked{Late: s.Late} })
+	return events
+}
+
+func (s *step) changes(t *testing.T) Event {
+	v := EndpointsChanged{Revision: s.Revision}
+	for _, text := range s.Change {
+		v.Changes = append(v.Changes, parseChange(t, text))
 	}
-	if s.Tick || s.Late > 0 {
-		handle(Ticked{Late: s.Late})
+	return v
+}
+
+// steer plays the packet of a step and checks the decision on it.
+func (s *step) steer(t *testing.T, e *Engine, name string, now clock.Millis) {
+	t.Helper()
+	p := parsePacket(t, s.Packet)
+	d := e.Steer(now, &p)
+	got := fmt.Sprintf("%s %s", d.Verdict, d.Reason)
+	if d.Verdict == Forward {
+		got += " " + strings.TrimPrefix(d.Endpoint.ID, "i-")
 	}
-	if s.Tells != nil {
-		require.ElementsMatch(t, s.Tells, told, name)
+	require.True(t, strings.HasPrefix(got+" ", s.Want), "%s: %s is %q, want %q", name, s.Packet, got, s.Want)
+	if s.Not != "" {
+		require.NotEqual(t, "i-"+s.Not, d.Endpoint.ID, "%s: %s", name, s.Packet)
 	}
 }
 
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -117,7 +117,7 @@
 // missed notes that an endpoint left a flow of this instance without an answer
 // since a time.
 func (e *Engine) missed(now clock.Millis, s *server, since clock.Millis) {
-	if since <= s.silence.progress || s.silence.over() {
+	if since < s.silence.progress || s.silence.over() {
 		return
 	}
 	e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born})
