--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -43,11 +43,11 @@
 	State State // of the peer when it answered
 }
 
-// SilenceSeen tells that an endpoint left a flow without an answer.
+// SilenceSeen tells that an endpoint did not answer a probe.
 type SilenceSeen struct {
 	Endpoint string
 	Born     clock.Millis
-	Hung     bool // nor did it answer a probe
+	Refused  bool // its address refuses connections
 }
 
 // Stopping tells that the process is going to end.
@@ -231,7 +231,7 @@
 		return e.revised(now, p, m)
 	case Silent:
 		return []Action{Apply{Event: steering.SilenceReported{
-			By: v.From.Name, Endpoint: m.Endpoint, Born: m.Born, Hung: m.Hung,
+			By: v.From.Name, Endpoint: m.Endpoint, Born: m.Born, Refused: m.Refused,
 		}}}
 	}
 	return nil
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -55,11 +55,11 @@
 	State State          `cbor:"state"`
 }
 
-// Silent tells that an endpoint left a flow without an answer.
+// Silent tells that an endpoint did not answer a probe.
 type Silent struct {
 	Endpoint string       `cbor:"endpoint"`
 	Born     clock.Millis `cbor:"born"`
-	Hung     bool         `cbor:"hung,omitempty"` // nor did it answer a probe
+	Refused  bool         `cbor:"refused,omitempty"` // its address refuses connections
 }
 
 func (Hello) message()   {}
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -311,7 +311,7 @@
 			From: 1, Revision: 2, Version: 3, Idle: 4, Unset: []steering.End{{Address: 1, Port: 2}},
 			Set: []steering.Placed{{At: steering.End{Address: 3, Port: 4}, Route: steering.Route{Name: "r", Shares: []steering.Share{{Service: "s", Weight: 1}}}}},
 		}},
-		Silent{Endpoint: "i-1", Born: 9, Hung: true},
+		Silent{Endpoint: "i-1", Born: 9, Refused: true},
 	} {
 		data, err := Encode(from, m)
 		require.NoError(t, err)
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -220,7 +220,7 @@
 }
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
-	e.flows.expire(now, func(_ key, w *flow) { e.missed(now, w.server, w.opened) })
+	e.flows.expire(now, func(w *flow, since clock.Millis) { e.wait(now, w.server, since, !w.established) })
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.changed())
 		if s.silence.progress < s.since {
--- a/steering/event.go
+++ b/steering/event.go
@@ -37,12 +37,13 @@
 	Unreadable bool     `cbor:"unreadable,omitempty"` // another writer wrote what names no endpoint
 }
 
-// SilenceReported tells that another instance got no answer from an endpoint.
+// SilenceReported tells that an endpoint did not answer a probe of another
+// instance.
 type SilenceReported struct {
 	By       string // name of the other instance
 	Endpoint string
 	Born     clock.Millis
-	Hung     bool // nor did it answer a probe
+	Refused  bool // its address refuses connections
 }
 
 // Woke tells that the process stood still for a while.
@@ -130,12 +131,12 @@
 	Rest     clock.Millis
 }
 
-// SilenceSeen tells that an endpoint left a flow of this instance without an
-// answer, for the other instances to know.
+// SilenceSeen tells that an endpoint did not answer a probe, for the other
+// instances to know.
 type SilenceSeen struct {
 	Endpoint string
 	Born     clock.Millis
-	Hung     bool // nor did it answer a probe
+	Refused  bool // its address refuses connections
 }
 
 // ResetFlow tells a consumer that its flow is over.
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -16,6 +16,7 @@
 	ack         uint32
 	copies      uint32 // of the opening packet
 	repeats     uint32 // packets with data that was sent before, since asked
+	waited      bool   // that it waits has been handed on
 	established bool
 	closing     bool // the consumer is done
 	counted     bool // in the load of its server
@@ -74,23 +75,27 @@
 // size designed for is about 100 a daemon.
 const maxFree = 1024
 
-// expire forgets flows that are idle, and openings that nobody answered. It
-// reports each of the latter.
-func (f *flows) expire(now clock.Millis, unanswered func(key, *flow)) {
+// expire forgets flows that are idle, and openings that were given up. It hands
+// those on that wait for their endpoint.
+func (f *flows) expire(now clock.Millis, waits func(w *flow, since clock.Millis)) {
 	for k, w := range f.byKey {
 		limit := f.idle
-		if !w.established {
+		switch {
+		case !w.established:
 			limit = openingHold
-		} else if w.closing {
+			if now-w.last >= openingWait && !w.waited {
+				w.waited = true
+				waits(w, w.last)
+			}
+		case w.closing:
 			limit = closingHold
+		case w.asked != 0 && w.repeats == 0 && now-w.asked >= requestWait && !w.waited:
+			w.waited = true
+			waits(w, w.asked)
 		}
-		if now-w.last < limit {
-			continue
+		if now-w.last >= limit {
+			f.remove(k, w)
 		}
-		if !w.established {
-			unanswered(k, w)
-		}
-		f.remove(k, w)
 	}
 }
 
@@ -123,7 +128,7 @@
 func (w *flow) ask(now clock.Millis) {
 	if w.asked == 0 {
 		w.asked = now
-		w.repeats = 0
+		w.repeats, w.waited = 0, false
 		w.server.load.waiting++
 	}
 }
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -76,7 +76,7 @@
 	if p.Ack <= w.copies && w.server.standing == listed && route.allows(w.server.Service) {
 		return Decision{Verdict: Forward, Reason: ReasonRepeated, Endpoint: w.server.target(), Service: w.service}
 	}
-	w.copies = p.Ack
+	w.copies, w.waited = p.Ack, false
 	e.missed(now, w.server, w.opened)
 	service := w.service
 	if !route.allows(service) {
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -34,7 +34,7 @@
 	Returned      bool               `yaml:"returned"` // and had not answered before
 	Packet        string             `yaml:"packet"`
 	Probe         string             `yaml:"probe"`  // "ID END": a probe ends
-	Report        string             `yaml:"report"` // "ID INSTANCE [hung]": another instance's word
+	Report        string             `yaml:"report"` // "ID INSTANCE hung" or refused: another instance's word
 	Woke          bool               `yaml:"woke"`
 	Late          clock.Millis       `yaml:"late"`
 	Tick          bool               `yaml:"tick"`
@@ -122,7 +122,7 @@
 	})
 	add(s.Report != "", func() Event {
 		words := strings.Fields(s.Report)
-		return SilenceReported{Endpoint: "i-" + words[0], By: words[1], Born: 1, Hung: len(words) > 2}
+		return SilenceReported{Endpoint: "i-" + words[0], By: words[1], Born: 1, Refused: words[2] == "refused"}
 	})
 	add(s.Woke, func() Event { return Woke{Slept: 5000} })
 	add(s.Tick || s.Late > 0, func() Event { return Ticked{Late: s.Late} })
@@ -297,10 +297,10 @@
 	case EndpointSilent:
 		return short(v.Endpoint) + " silent"
 	case SilenceSeen:
-		if v.Hung {
-			return "told others " + short(v.Endpoint) + " hung"
+		if v.Refused {
+			return "told others " + short(v.Endpoint) + " refused"
 		}
-		return "told others " + short(v.Endpoint)
+		return "told others " + short(v.Endpoint) + " hung"
 	case ResetFlow:
 		return fmt.Sprintf("reset c%d", v.Consumer.Address)
 	case EndpointLost:
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -15,6 +15,11 @@
 	// A consumer repeats data after 200 ms, so an endpoint that has answered
 	// nothing for longer, and owes answers, is not merely slow to acknowledge.
 	silentAfter = 300 * clock.Millisecond
+	// A handshake takes 8 ms on the platform. An opening that waits five times as
+	// long may have been reset by an endpoint that has just started or ended.
+	openingWait = 40 * clock.Millisecond
+	// Consumers repeat a request after 200 ms, unless their flow was reset.
+	requestWait = 260 * clock.Millisecond
 	firstRest   = 1 * clock.Second // before one flow is tried again
 	lastRest    = 8 * clock.Second
 	probePause  = 500 * clock.Millisecond // between two probes of an endpoint
@@ -34,7 +39,8 @@
 // silence is what tells whether an endpoint has fallen silent.
 type silence struct {
 	progress clock.Millis // when an answer last came
-	missed   int          // flows that got no answer since
+	missed   int          // flows of this instance that got no answer since
+	limbo    bool         // one of them is an opening
 	rest     clock.Millis // how long it gets no new flows; 0 when it isn't silent
 	until    clock.Millis // end of the rest
 	probed   clock.Millis // when a probe was last asked for
@@ -55,12 +61,12 @@
 
 // avoided reports whether new flows should go elsewhere.
 func (s *silence) avoided(now clock.Millis) bool {
-	return s.over() || s.rest != 0 && now < s.until
+	return s.over() || s.limbo || s.rest != 0 && now < s.until || s.others(now) > 0
 }
 
 // heard notes that an endpoint answered.
 func (s *silence) heard(now clock.Millis) {
-	if s.missed == 0 && !s.over() && s.hung == 0 {
+	if s.missed == 0 && !s.over() && s.hung == 0 && s.votes == nil {
 		s.progress = now
 		return
 	}
@@ -95,33 +101,58 @@
 	s.votes = append(s.votes, vote{by, now})
 }
 
+// others counts the other instances whose probes hang.
+func (s *silence) others(now clock.Millis) int {
+	n := 0
+	for _, v := range s.votes {
+		if now-v.at <= probeHold {
+			n++
+		}
+	}
+	return n
+}
+
 // loses reports whether all that is known says that nothing comes back from the
 // endpoint any more.
 func (s *silence) loses(now clock.Millis) bool {
 	if s.lost || now-s.progress < lostAfter {
 		return false
 	}
-	votes := 0
-	for _, v := range s.votes {
-		if now-v.at <= probeHold {
-			votes++
-		}
-	}
 	own := s.hung != 0 && now-s.hung <= probeHold
+	votes := s.others(now)
 	if own {
 		votes++
 	}
 	return own && s.missed >= silentFlows || votes >= lostVotes
 }
 
-// missed notes that an endpoint left a flow of this instance without an answer
-// since a time.
+// missed notes that an endpoint left a flow without an answer since a time. A
+// consumer repeats what isn't acknowledged, so this is seen from a packet.
 func (e *Engine) missed(now clock.Millis, s *server, since clock.Millis) {
 	if since < s.silence.progress || s.silence.over() {
 		return
 	}
-	e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born})
-	e.missedAnywhere(now, s)
+	if s.silence.miss(now) {
+		e.notes = append(e.notes, EndpointSilent{Endpoint: s.ID, Service: s.Service, Missed: s.silence.missed, Rest: s.silence.rest})
+	}
+	e.settle(now, s)
+	e.ask(now, s)
+}
+
+// wait notes that a flow has waited for its endpoint longer than usual. When the
+// endpoint reset it, or the consumer left, no packet ever tells.
+func (e *Engine) wait(now clock.Millis, s *server, since clock.Millis, opening bool) {
+	if since < s.silence.progress || s.silence.over() || now < e.stalled {
+		return
+	}
+	if opening {
+		s.silence.limbo = true
+	}
+	e.ask(now, s)
+}
+
+// ask asks for a probe of an endpoint, unless one was asked for lately.
+func (e *Engine) ask(now clock.Millis, s *server) {
 	if s.silence.probeDue(now) {
 		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address, Control: e.control(s)})
 	}
@@ -155,15 +186,15 @@
 // reported takes the word of another instance in.
 func (e *Engine) reported(now clock.Millis, v SilenceReported) []Action {
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Born != v.Born || s.silence.over() {
+	// What was answered here since tells more than what wasn't elsewhere.
+	if s == nil || s.Born != v.Born || s.silence.over() || now-s.silence.progress < silentAfter {
 		return nil
 	}
-	if v.Hung {
+	if v.Refused {
+		e.ask(now, s)
+	} else {
 		s.silence.vote(now, v.By)
-	}
-	// What was answered here since tells more than what wasn't elsewhere.
-	if now-s.silence.progress >= silentAfter {
-		e.missedAnywhere(now, s)
+		e.settle(now, s)
 	}
 	return e.TakeNotes()
 }
@@ -171,23 +202,22 @@
 // probed takes the end of a probe in.
 func (e *Engine) probed(now clock.Millis, v Probed) []Action {
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Born != v.Born || s.silence.missed == 0 {
+	if s == nil || s.Born != v.Born || s.silence.probed <= s.silence.progress || s.silence.over() {
 		return nil // it has answered since
 	}
 	switch v.End {
 	case ProbeAnswered:
-		s.silence.hung, s.silence.votes = 0, nil
+		s.silence.hung, s.silence.votes, s.silence.limbo = 0, nil, false
 	case ProbeRefused:
-		if !s.silence.refused {
-			s.silence.refused = true
-			e.giveUp(s, "refused")
-		}
+		s.silence.refused = true
+		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Refused: true})
+		e.giveUp(s, "refused")
 	case ProbeHung:
 		if now < e.stalled {
 			break
 		}
 		s.silence.hung = now
-		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Hung: true})
+		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born})
 		e.settle(now, s)
 	}
 	return e.TakeNotes()
