--- a/command/check.go
+++ b/command/check.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"regexp"
 
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/entry"
+	"github.com/tanagerdock/tanagerdock/platform"
 )
 
 var checkVerb = &verb{
@@ -16,8 +18,9 @@
 	summary: "check record and settings files",
 	usage: `FILE...
 
-Checks files of records, or of settings of an entry instance (those without a
-kind), and writes nothing. Errors name file, line, field and value.`,
+Checks files of records, of settings of an entry instance (those without a kind),
+the platform's settings of a forwarder (TOML) and the deploy file (system.toml), and
+writes nothing. Errors name file, field and value, and the line where there is one.`,
 	run: func(_ context.Context, i *invocation) error {
 		if err := i.parse(1, -1); err != nil {
 			return err
@@ -33,10 +36,21 @@
 	},
 }
 
+// deployFile is the name of the file that tells the platform what to run.
+const deployFile = "system.toml"
+
 var kindLine = regexp.MustCompile(`(?m)^\s*["{]*\s*"?kind"?\s*:`)
 
 // checkFile checks one file and tells what it holds.
 func checkFile(file string) (string, error) {
+	switch {
+	case filepath.Base(file) == deployFile:
+		d, err := platform.ReadDeploy(file)
+		return fmt.Sprintf("%d roles", len(d.Roles)), err
+	case filepath.Ext(file) == ".toml":
+		s, err := platform.ReadSettings(file)
+		return "platform settings of instance " + s.Instance, err
+	}
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return "", errors.WithStack(err)
--- a/command/command.go
+++ b/command/command.go
@@ -176,7 +176,7 @@
 }
 
 // connect returns the platform at a URL.
-func connect(url string) (platform.Platform, error) {
+func connect(url string) (*platform.Client, error) {
 	if url == "" {
 		return nil, errors.Wrapf(ErrUsage, "flag -platform is missing and %s is not set", platformVariable)
 	}
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -3,11 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -38,12 +42,32 @@
 	}
 }
 
+// metastore returns a store with the reports that a case's file reports.json
+// holds, if there is one.
+func metastore(t *testing.T, folder string) *standin.Metastore {
+	m := standin.NewMetastore(1)
+	data, err := os.ReadFile(filepath.Join(folder, "reports.json"))
+	if os.IsNotExist(err) {
+		return m
+	}
+	require.NoError(t, err)
+	var all map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(data, &all))
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		m.Put("reports", name, all[name])
+	}
+	return m
+}
+
 func runCase(t *testing.T, folder string) {
 	commands, err := os.ReadFile(filepath.Join(folder, "cmd"))
 	require.NoError(t, err)
 	expected, err := os.ReadFile(filepath.Join(folder, "expected"))
 	require.NoError(t, err)
-	server := httptest.NewServer(standin.NewPlatform(standin.PlatformSettings{}))
+	mux := http.NewServeMux()
+	mux.Handle("/", standin.NewPlatform(standin.PlatformSettings{}))
+	mux.Handle("/tanagerdock/", metastore(t, folder))
+	server := httptest.NewServer(mux)
 	defer server.Close()
 	t.Setenv(platformVariable, server.URL)
 	t.Chdir(folder)
--- a/command/status.go
+++ b/command/status.go
@@ -20,11 +20,13 @@
 var statusVerb = &verb{
 	name:    "status",
 	summary: "show what is wrong and what was done about it",
-	usage: `[-o table|json]
+	usage: `[-o table|json] [-store]
 
 Shows the conditions that the entry instances report, worst first: since when,
 what was seen, what the system did. An instance whose status has grown old is
-shown as StatusStale. Exits with 3 when there are conditions.`,
+shown as StatusStale. Exits with 3 when there are conditions. With -store, the
+platform is its metadata store, and the forwarders' reports of each data centre are
+shown.`,
 	run: status,
 }
 
@@ -45,9 +47,13 @@
 func status(ctx context.Context, i *invocation) error {
 	url := i.platformFlag()
 	form := i.flags.String("o", "table", "`FORM` of the output: table or json")
+	store := i.flags.Bool("store", false, "read the reports of forwarders from the metadata store")
 	if err := i.parse(0, 0); err != nil {
 		return err
 	}
+	if *store {
+		return reports(ctx, i, *url, *form)
+	}
 	p, err := connect(*url)
 	if err != nil {
 		return err
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -125,6 +125,7 @@
 	beatAt   clock.Millis // of the latest own beat
 	fetchAt  clock.Millis // of the latest fetch
 	helper   *Member      // the latest one that was heard, of any data centre
+	reports  reports
 	signsAt  clock.Millis // when signs of life were last asked for
 }
 
--- a/forwarder/command.go
+++ b/forwarder/command.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -24,7 +25,7 @@
 
 const program = "tanagerdock-forwarder"
 
-const usage = `Usage: tanagerdock-forwarder [-settings FILE] [-check]
+const usage = `Usage: tanagerdock-forwarder [-settings FILE] [-metrics PORT] [-check]
        tanagerdock-forwarder -version
 
 Forwards packets of flows to endpoints. Writes its log to standard output. SIGTERM
@@ -35,6 +36,7 @@
 // command is a parsed command line.
 type command struct {
 	settings string
+	metrics  uint
 	check    bool
 	version  bool
 }
@@ -48,6 +50,7 @@
 		flags.PrintDefaults()
 	}
 	flags.StringVar(&c.settings, "settings", os.Getenv(platform.SettingsVariable), "read the platform's settings from `FILE`")
+	flags.UintVar(&c.metrics, "metrics", 0, "serve metrics on `PORT` of the instance's address; 0 for the inner port alone")
 	flags.BoolVar(&c.check, "check", false, "check the settings and exit")
 	flags.BoolVar(&c.version, "version", false, "print the version and exit")
 	if err := flags.Parse(args); err != nil {
@@ -56,6 +59,9 @@
 	if flags.NArg() > 0 {
 		return c, refuse(stderr, "argument %q is not expected", flags.Arg(0))
 	}
+	if c.metrics > math.MaxUint16 {
+		return c, refuse(stderr, "flag -metrics: %d is not a port", c.metrics)
+	}
 	if c.settings == "" && !c.version {
 		return c, refuse(stderr, "flag -settings is missing, and %s is not set", platform.SettingsVariable)
 	}
@@ -108,7 +114,7 @@
 		fmt.Fprintf(stdout, "%s: instance %s in %s is usable\n", c.settings, s.Instance, s.Centre)
 		return nil
 	}
-	d, err := Open(Options{Settings: s, File: c.settings, Log: stdout})
+	d, err := Open(Options{Settings: s, File: c.settings, Log: stdout, Metrics: uint16(c.metrics)})
 	if err != nil {
 		return err
 	}
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"reflect"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	Settings platform.Settings
 	File     string // settings file, read again when it changes; empty for none
 	Log      io.Writer
+	Metrics  uint16 // port for metrics; 0 for the inner port alone
 }
 
 // Periods of the daemon, in ms.
@@ -46,6 +48,7 @@
 	ready   net.Listener
 	peers   *net.UDPConn // nil when there is no port for it
 	inner   net.Listener // records and metrics
+	metrics net.Listener // metrics; nil when there is no port of its own
 
 	mu     sync.Mutex // guards engine, fleet and fed
 	engine *steering.Engine
@@ -77,7 +80,7 @@
 	}
 	d.counts = newCounts(d)
 	d.use(o.Settings)
-	if err := d.openSockets(); err != nil {
+	if err := d.openSockets(o.Metrics); err != nil {
 		d.closeSockets()
 		return nil, err
 	}
@@ -99,7 +102,7 @@
 	}
 }
 
-func (d *Daemon) openSockets() (err error) {
+func (d *Daemon) openSockets(metrics uint16) (err error) {
 	s := d.settings.Load()
 	if d.packets, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Packets)); err != nil {
 		return errors.Wrapf(err, "listen for packets on %s", s.Packets)
@@ -108,12 +111,18 @@
 	if d.ready, err = net.Listen("tcp4", s.Ready.String()); err != nil {
 		return errors.Wrapf(err, "listen for readiness on %s", s.Ready)
 	}
+	if metrics != 0 {
+		at := netip.AddrPortFrom(s.Packets.Addr(), metrics)
+		if d.metrics, err = net.Listen("tcp4", at.String()); err != nil {
+			return errors.Wrapf(err, "listen for metrics on %s", at)
+		}
+	}
 	return d.openInner(s)
 }
 
 func (d *Daemon) closeSockets() {
-	for _, c := range []io.Closer{d.packets, d.ready, d.peers, d.inner} {
-		if !reflect.ValueOf(c).IsNil() {
+	for _, c := range []io.Closer{d.packets, d.ready, d.peers, d.inner, d.metrics} {
+		if v := reflect.ValueOf(c); v.IsValid() && !v.IsNil() {
 			_ = c.Close() // nothing is waiting to be sent
 		}
 	}
@@ -130,6 +139,9 @@
 	inner := &http.Server{Handler: d.innerHandler(), ReadHeaderTimeout: requestTimeout.Duration()}
 	d.work.Go(func() { d.journal.run(ctx) })
 	d.work.Go(func() { _ = server.Serve(d.ready) }) // ends with ErrServerClosed
+	if d.metrics != nil {
+		d.work.Go(func() { _ = inner.Serve(d.metrics) })
+	}
 	if d.inner != nil {
 		d.work.Go(func() { _ = inner.Serve(d.inner) })
 		d.work.Go(d.receivePeers)
@@ -270,6 +282,7 @@
 		for _, a := range answers {
 			d.counts.answered(a)
 		}
+		d.report(ctx)
 		if now >= nextFile {
 			nextFile = now + filePeriod
 			if file.changed() {
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,6 +55,7 @@
 	"compact":  (*site).compact,  // the store forgets its history
 	"version":  (*site).version,  // NUMBER: until it is in force everywhere
 	"watchers": (*site).watchers, // COUNT: until so many instances watch the store
+	"reported": (*site).reported, // CENTRE: until its watcher has reported to operators
 	"avoided":  (*site).avoided,  // ID: until no instance gives it new flows
 }
 
@@ -347,6 +349,10 @@
 	})
 }
 
+func (s *site) reported(words []string) {
+	s.eventually(func() bool { return slices.Contains(s.store.Names("reports"), words[0]) })
+}
+
 func (s *site) avoided(words []string) {
 	id := s.endpoints[words[0]].ID()
 	s.eventually(func() bool {
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 )
@@ -116,6 +118,55 @@
 // never changed.
 func (e *Engine) Configuration() *Configuration { return e.configuration }
 
+// Condition is one thing that is wrong with an endpoint.
+type Condition struct {
+	Type    string `json:"type"`
+	Subject string `json:"subject"`
+	Reason  string `json:"reason"`
+	Action  string `json:"action"` // what was done about it
+}
+
+// The types of conditions.
+const (
+	ConditionLost    = "EndpointLost"
+	ConditionLapsed  = "EndpointLapsed"
+	ConditionRefused = "EndpointRefused"
+)
+
+// Conditions returns what is wrong, sorted by subject.
+func (e *Engine) Conditions() []Condition {
+	var list []Condition
+	for id, s := range e.directory.byID {
+		c := Condition{Subject: "endpoint/" + id, Action: "it gets no new flows"}
+		switch {
+		case s.standing == gone:
+			continue
+		case s.silence.refused:
+			c.Type, c.Reason = ConditionRefused, "its address refuses connections"
+		case s.silence.lost:
+			c.Type, c.Reason = ConditionLost, "it answers neither flows nor connections"
+		case s.standing == lapsed:
+			c.Type, c.Reason = ConditionLapsed, "its entry left the store"
+		default:
+			continue
+		}
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b Condition) int { return strings.Compare(a.Subject, b.Subject) })
+	return list
+}
+
+// Listed returns the number of endpoints whose entries are in the store.
+func (e *Engine) Listed() int {
+	n := 0
+	for _, s := range e.directory.byID {
+		if s.standing == listed {
+			n++
+		}
+	}
+	return n
+}
+
 // Endpoints returns the endpoints whose entries are in the store.
 func (e *Engine) Endpoints() []Endpoint { return e.directory.list() }
 
