Endpoints that fail requests are found from the size of their answers and from requests given up

Answers pass by unseen, but consumers acknowledge their bytes. Eight small answers in a row at one endpoint, over all instances of the data centre, or three requests given up, and it gets no new flows for a while; its idle flows are ended. Tried and dropped: requests that merely wait as evidence.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/steering"
@@ -43,13 +44,17 @@
 	State State // of the peer when it answered
 }
 
-// SilenceSeen tells that an endpoint did not answer a probe.
+// SilenceSeen tells that an endpoint did not answer a probe, or one of what follows.
 type SilenceSeen struct {
 	Endpoint string
 	Born     clock.Millis
 	Refused  bool // its address refuses connections
+	Failing  bool // it answers, but with errors by their size
 }
 
+// EndpointsSeen brings what this instance saw of endpoints.
+type EndpointsSeen struct{ Tallies []steering.Tally }
+
 // Stopping tells that the process is going to end.
 type Stopping struct{}
 
@@ -61,6 +66,7 @@
 func (RecordsRead) event()    {}
 func (RecordsFetched) event() {}
 func (SilenceSeen) event()    {}
+func (EndpointsSeen) event()  {}
 func (Stopping) event()       {}
 func (Ticked) event()         {}
 
@@ -171,6 +177,8 @@
 		e.fetched(now, v)
 	case SilenceSeen:
 		return e.tell(Silent(v))
+	case EndpointsSeen:
+		return e.share(v.Tallies)
 	case Stopping:
 		return e.stop(now)
 	case Ticked:
@@ -191,6 +199,32 @@
 	return []Action{Send{To: to, Message: m}}
 }
 
+// How tallies are shared.
+const (
+	// A member tells the next ones in rank, so that each hears from as many however
+	// large the data centre is: 24 see enough of an endpoint with others' eyes.
+	sharedWith = 24
+	// Tallies in a message; each has up to 12 bytes.
+	talliesPerMessage = 80
+)
+
+// share tells some other members what this instance saw of endpoints.
+func (e *Engine) share(tallies []steering.Tally) (actions []Action) {
+	n := len(e.members.list)
+	if n == 0 {
+		return nil
+	}
+	first := e.members.before(e.settings.Self.Name)
+	to := make([]netip.AddrPort, min(n, sharedWith))
+	for i := range to {
+		to[i] = e.members.list[(first+i)%n].Address
+	}
+	for part := range slices.Chunk(tallies, talliesPerMessage) {
+		actions = append(actions, Send{To: to, Message: Seen{Tallies: part}})
+	}
+	return actions
+}
+
 // known reports whether a member is worth keeping: another one of this data centre.
 func (e *Engine) known(m *Member) bool {
 	return m.Name != e.settings.Self.Name && m.Centre == e.settings.Self.Centre && m.Check() == nil
@@ -230,9 +264,11 @@
 		return e.news(now, p, m)
 	case Revised:
 		return e.revised(now, p, m)
+	case Seen:
+		return []Action{Apply{Event: steering.TalliesReported{Tallies: m.Tallies}}}
 	case Silent:
 		return []Action{Apply{Event: steering.SilenceReported{
-			By: v.From.Name, Endpoint: m.Endpoint, Born: m.Born, Refused: m.Refused,
+			By: v.From.Name, Endpoint: m.Endpoint, Born: m.Born, Refused: m.Refused, Failing: m.Failing,
 		}}}
 	}
 	return nil
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -55,13 +55,20 @@
 	State State          `cbor:"state"`
 }
 
-// Silent tells that an endpoint did not answer a probe.
+// Silent tells that an endpoint did not answer a probe, or one of what follows.
 type Silent struct {
 	Endpoint string       `cbor:"endpoint"`
 	Born     clock.Millis `cbor:"born"`
 	Refused  bool         `cbor:"refused,omitempty"` // its address refuses connections
+	Failing  bool         `cbor:"failing,omitempty"` // it answers, but with errors by their size
 }
 
+// Seen brings what the sender saw of endpoints in a while.
+type Seen struct {
+	Tallies []steering.Tally `cbor:"tallies"`
+}
+
+func (Seen) message()    {}
 func (Hello) message()   {}
 func (Beat) message()    {}
 func (News) message()    {}
@@ -76,6 +83,7 @@
 	News    *News    `cbor:"news,omitempty"`
 	Revised *Revised `cbor:"revised,omitempty"`
 	Silent  *Silent  `cbor:"silent,omitempty"`
+	Seen    *Seen    `cbor:"seen,omitempty"`
 }
 
 // Encode returns a message as a datagram. A message that is too large is
@@ -93,6 +101,8 @@
 		e.Revised = &v
 	case Silent:
 		e.Silent = &v
+	case Seen:
+		e.Seen = &v
 	}
 	data, err := cbor.Marshal(e)
 	if err != nil {
@@ -124,6 +134,8 @@
 		return e.From, *e.Revised, nil
 	case e.Silent != nil:
 		return e.From, *e.Silent, nil
+	case e.Seen != nil:
+		return e.From, *e.Seen, nil
 	}
 	return Member{}, nil, errors.Wrapf(ErrMessage, "from %q: it says nothing", e.From.Name)
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -52,13 +52,13 @@
 
 // Report returns the report to write now, or nil when none is due or it isn't
 // this member's duty.
-func (e *Engine) Report(now clock.Millis, version int64, endpoints int, conditions func() []steering.Condition) *Report {
+func (e *Engine) Report(now clock.Millis, version int64, endpoints int, conditions func(clock.Millis) []steering.Condition) *Report {
 	if !e.watching || e.reports.at != 0 && now-e.reports.at < reportPause {
 		return nil
 	}
 	r := Report{
 		Centre: e.settings.Self.Centre, Instance: e.settings.Self.Name, Version: version, Revision: e.state.Configuration,
-		Members: len(e.members.list) + 1, Endpoints: endpoints, Conditions: conditions(), Written: now,
+		Members: len(e.members.list) + 1, Endpoints: endpoints, Conditions: conditions(now), Written: now,
 	}
 	if !e.reports.due(now, r) {
 		return nil
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -311,6 +311,7 @@
 			From: 1, Revision: 2, Version: 3, Idle: 4, Unset: []steering.End{{Address: 1, Port: 2}},
 			Set: []steering.Placed{{At: steering.End{Address: 3, Port: 4}, Route: steering.Route{Name: "r", Shares: []steering.Share{{Service: "s", Weight: 1}}}}},
 		}},
+		Seen{Tallies: []steering.Tally{{Token: 1 << 31, Normal: 2, Small: 3, Overdue: 4}}},
 		Silent{Endpoint: "i-1", Born: 9, Refused: true},
 	} {
 		data, err := Encode(from, m)
@@ -356,6 +357,18 @@
 	require.NoError(t, err)
 }
 
+// As many tallies as go into a message fit.
+func TestTalliesFit(t *testing.T) {
+	m := Seen{}
+	for range talliesPerMessage {
+		m.Tallies = append(m.Tallies, steering.Tally{Token: 1 << 31, Normal: 1 << 15, Small: 1 << 15, Overdue: 1 << 15})
+	}
+	_, err := Encode(Member{
+		Name: strings.Repeat("n", 40), Centre: strings.Repeat("c", 24), Address: netip.MustParseAddrPort("255.255.255.255:65535"), Boot: 1 << 41,
+	}, m)
+	require.NoError(t, err)
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte{0xa1})
 	f.Fuzz(func(_ *testing.T, data []byte) {
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -35,6 +35,9 @@
 	tickPeriod = 100 * clock.Millisecond
 	// A settings file may change without a signal; nothing in it is urgent.
 	filePeriod = 2 * clock.Second
+	// What was seen of endpoints is shared at this pace; one that fails answers ten
+	// requests in two of them at the sizes of today.
+	sharePeriod = 500 * clock.Millisecond
 )
 
 // Daemon forwards the packets of one instance.
@@ -244,6 +247,9 @@
 			d.handleFleet(fleet.SilenceSeen(v))
 		case steering.ResetFlow:
 			d.resetFlow(v)
+		case steering.EndpointFailing:
+			d.counts.failing.Inc(1)
+			d.journal.say("endpoint failing", "endpoint", v.Endpoint, "service", v.Service, "why", v.Why, "ban_ms", int64(v.Ban), "reset", v.Reset)
 		case steering.EndpointLost:
 			d.journal.say("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Why, "reset", v.Reset)
 		}
@@ -258,6 +264,7 @@
 	file := watchFile(d.file)
 	sleep := newSleepWatch()
 	nextFile := clock.Now() + filePeriod
+	nextShare := clock.Now() + sharePeriod
 	due := clock.Now() + tickPeriod
 	for {
 		select {
@@ -282,6 +289,10 @@
 		for _, a := range answers {
 			d.counts.answered(a)
 		}
+		if now >= nextShare {
+			nextShare = now + sharePeriod
+			d.shareTallies()
+		}
 		d.report(ctx)
 		if now >= nextFile {
 			nextFile = now + filePeriod
@@ -292,6 +303,16 @@
 	}
 }
 
+// shareTallies tells other instances what this one saw of endpoints.
+func (d *Daemon) shareTallies() {
+	d.mu.Lock()
+	tallies := d.engine.TakeTallies()
+	d.mu.Unlock()
+	if len(tallies) > 0 {
+		d.handleFleet(fleet.EndpointsSeen{Tallies: tallies})
+	}
+}
+
 // pause waits for span and reports false when ctx ended first.
 func pause(ctx context.Context, span clock.Millis) bool {
 	timer := time.NewTimer(span.Duration())
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -33,6 +33,7 @@
 	probes      metrics.Counter
 	given       metrics.Counter // flows given up
 	silent      metrics.Counter
+	failing     metrics.Counter
 	version     metrics.Gauge // of the configuration
 
 	mu        sync.Mutex
@@ -55,6 +56,7 @@
 	c.messagesOut = c.counter("members.messages_out")
 	c.probes = c.counter("endpoints.probes")
 	c.given = c.counter("flows.given_up")
+	c.failing = c.counter("endpoints.failing")
 	c.silent = c.counter("endpoints.silent")
 	c.version = metrics.NewRegisteredGauge("configuration.version", c.registry)
 	metrics.NewRegisteredFunctionalGauge("flows", c.registry, func() int64 { return int64(d.flows()) })
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -50,8 +50,9 @@
 	removed  uint64       // revision of its removal; entries up to it are old
 	warm     clock.Millis // when it stops being slow after its start
 
-	load    load
-	silence silence
+	load      load
+	silence   silence
+	judgement judgement
 }
 
 func (s *server) target() Target {
@@ -87,7 +88,7 @@
 		d.byID[p.ID] = s
 	} else if p.Born != s.Born || p.Address != s.Address {
 		// Another start: nothing seen of the earlier one holds.
-		s.load, s.silence = load{}, silence{}
+		s.load, s.silence, s.judgement = load{}, silence{}, judgement{}
 	}
 	if s.standing != listed {
 		s.silence = silence{}
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -26,6 +26,7 @@
 	removedRoutes map[End]bool // of earlier configurations, and not in force
 	directory     directory
 	flows         flows
+	baselines     map[End]*baseline
 	stalled       clock.Millis // until when this process judges nobody
 
 	notes   []Action // of packets, until the daemon takes them
@@ -40,6 +41,7 @@
 		removedRoutes: map[End]bool{},
 		directory:     newDirectory(),
 		flows:         newFlows(),
+		baselines:     map[End]*baseline{},
 	}
 }
 
@@ -92,6 +94,8 @@
 		e.confirmed = max(e.confirmed, v.Configuration)
 		e.directory.returned = max(e.directory.returned, v.Returned)
 		e.directory.confirm(v.Endpoints, e.settings.Stale)
+	case TalliesReported:
+		return e.seen(now, v.Tallies)
 	case SilenceReported:
 		return e.reported(now, v)
 	case EndpointsListed:
@@ -131,10 +135,11 @@
 	ConditionLost    = "EndpointLost"
 	ConditionLapsed  = "EndpointLapsed"
 	ConditionRefused = "EndpointRefused"
+	ConditionFailing = "EndpointFailing"
 )
 
 // Conditions returns what is wrong, sorted by subject.
-func (e *Engine) Conditions() []Condition {
+func (e *Engine) Conditions(now clock.Millis) []Condition {
 	var list []Condition
 	for id, s := range e.directory.byID {
 		c := Condition{Subject: "endpoint/" + id, Action: "it gets no new flows"}
@@ -145,6 +150,8 @@
 			c.Type, c.Reason = ConditionRefused, "its address refuses connections"
 		case s.silence.lost:
 			c.Type, c.Reason = ConditionLost, "it answers neither flows nor connections"
+		case s.judgement.failing(now):
+			c.Type, c.Reason = ConditionFailing, "its answers are errors by their size, or don't come"
 		case s.standing == lapsed:
 			c.Type, c.Reason = ConditionLapsed, "its entry left the store"
 		default:
@@ -271,7 +278,7 @@
 }
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
-	e.flows.expire(now, func(w *flow, since clock.Millis) { e.wait(now, w.server, since, !w.established) })
+	e.flows.expire(now, func(k key, w *flow) { e.waits(now, k, w) })
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.changed())
 		if s.silence.progress < s.since {
--- a/steering/established.go
+++ b/steering/established.go
@@ -93,16 +93,29 @@
 		s.silence.heard(now)
 	}
 	w.last = now
+	if !p.Flags.Has(Abort) {
+		e.followData(now, p, w, s)
+	}
+	if p.Flags.Has(Abort) || p.Flags.Has(Finish) {
+		e.left(now, p, w, s)
+	}
+	return opened
+}
+
+// left notes that a consumer is done with a flow. One that leaves while its request
+// has waited very long has given it up.
+func (e *Engine) left(now clock.Millis, p *Packet, w *flow, s *server) {
+	if waited := now - w.asked; w.asked != 0 && waited >= e.overdueAfter(s.Service) && waited <= overdueMostAge {
+		e.overdue(now, s)
+	}
 	if p.Flags.Has(Abort) {
-		e.flows.remove(k, w)
-		return opened
+		e.flows.remove(p.key(), w)
+		return
 	}
-	e.followData(now, p, w, s)
-	if p.Flags.Has(Finish) && !w.closing {
+	if !w.closing {
 		w.closing = true
 		w.leave()
 	}
-	return opened
 }
 
 // followData takes the sequence numbers of a packet in.
@@ -114,6 +127,7 @@
 			took := w.answer(now)
 			s.load.learn(took)
 			e.answers = append(e.answers, Answered{Service: s.Service, Took: took})
+			e.judge(now, p.Route, w, s, int(p.Ack-w.from))
 		}
 	}
 	if p.Length == 0 {
--- a/steering/event.go
+++ b/steering/event.go
@@ -37,15 +37,19 @@
 	Unreadable bool     `cbor:"unreadable,omitempty"` // another writer wrote what names no endpoint
 }
 
-// SilenceReported tells that an endpoint did not answer a probe of another
-// instance.
+// SilenceReported tells what another instance found of an endpoint: that it did not
+// answer a probe, or one of what follows.
 type SilenceReported struct {
 	By       string // name of the other instance
 	Endpoint string
 	Born     clock.Millis
 	Refused  bool // its address refuses connections
+	Failing  bool // it answers, but with errors by their size
 }
 
+// TalliesReported brings what another instance saw of endpoints.
+type TalliesReported struct{ Tallies []Tally }
+
 // Woke tells that the process stood still for a while.
 type Woke struct{ Slept clock.Millis }
 
@@ -83,6 +87,7 @@
 func (ConfigurationRevised) event() {}
 func (Confirmed) event()            {}
 func (SilenceReported) event()      {}
+func (TalliesReported) event()      {}
 func (Woke) event()                 {}
 func (Probed) event()               {}
 func (Ticked) event()               {}
@@ -131,12 +136,13 @@
 	Rest     clock.Millis
 }
 
-// SilenceSeen tells that an endpoint did not answer a probe, for the other
-// instances to know.
+// SilenceSeen tells what the other instances should know of an endpoint: that it did
+// not answer a probe, or one of what follows.
 type SilenceSeen struct {
 	Endpoint string
 	Born     clock.Millis
 	Refused  bool // its address refuses connections
+	Failing  bool // it answers, but with errors by their size
 }
 
 // ResetFlow tells a consumer that its flow is over.
@@ -146,6 +152,16 @@
 	Endpoint        string
 }
 
+// EndpointFailing tells that an endpoint gets no new flows for a while, since it
+// fails its requests.
+type EndpointFailing struct {
+	Endpoint string
+	Service  string
+	Why      string
+	Ban      clock.Millis
+	Reset    int // flows
+}
+
 // EndpointLost tells that an endpoint's flows were given up.
 type EndpointLost struct {
 	Endpoint string
@@ -161,4 +177,5 @@
 func (EndpointSilent) action()        {}
 func (SilenceSeen) action()           {}
 func (ResetFlow) action()             {}
+func (EndpointFailing) action()       {}
 func (EndpointLost) action()          {}
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -17,6 +17,10 @@
 	copies      uint32 // of the opening packet
 	repeats     uint32 // packets with data that was sent before, since asked
 	waited      bool   // that it waits has been handed on
+	late        bool   // it waits much too long
+	from        uint32 // ack when it was asked
+	epoch       uint32 // of the endpoint's run of small answers that smalls belongs to
+	smalls      uint8
 	established bool
 	closing     bool // the consumer is done
 	counted     bool // in the load of its server
@@ -77,21 +81,19 @@
 
 // expire forgets flows that are idle, and openings that were given up. It hands
 // those on that wait for their endpoint.
-func (f *flows) expire(now clock.Millis, waits func(w *flow, since clock.Millis)) {
+func (f *flows) expire(now clock.Millis, waits func(k key, w *flow)) {
 	for k, w := range f.byKey {
 		limit := f.idle
 		switch {
 		case !w.established:
 			limit = openingHold
 			if now-w.last >= openingWait && !w.waited {
-				w.waited = true
-				waits(w, w.last)
+				waits(k, w)
 			}
 		case w.closing:
 			limit = closingHold
-		case w.asked != 0 && w.repeats == 0 && now-w.asked >= requestWait && !w.waited:
-			w.waited = true
-			waits(w, w.asked)
+		case w.asked != 0 && now-w.asked >= requestWait && !w.late:
+			waits(k, w)
 		}
 		if now-w.last >= limit {
 			f.remove(k, w)
@@ -128,7 +130,8 @@
 func (w *flow) ask(now clock.Millis) {
 	if w.asked == 0 {
 		w.asked = now
-		w.repeats, w.waited = 0, false
+		w.repeats, w.waited, w.late = 0, false, false
+		w.from = w.ack
 		w.server.load.waiting++
 	}
 }
--- /dev/null
+++ b/steering/judge.go
@@ -0,0 +1,248 @@
+package steering
+
+import (
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// When an endpoint that answers is found to fail its requests. Answers aren't seen,
+// but consumers acknowledge their bytes: an error is much shorter than an answer,
+// and a request that is never answered is acknowledged never. They answer endpoints
+// that are well by their own account and fail requests all the same.
+const (
+	// Answers of more than one packet are acknowledged in pieces, so what is more
+	// than a packet holds says nothing.
+	mostSize      = 1200
+	smallShare    = 0.35                     // of the mean answer of its route; below, it is a small one
+	sizePace      = 0.01                     // weight of one answer in that mean
+	warmAnswers   = 20                       // answers of a route before its mean says something
+	commonSmalls  = 0.05                     // share of small answers above which they are usual on a route
+	failingSmalls = 8                        // small answers in a row, at all instances together, without another one
+	runHold       = 1500 * clock.Millisecond // between two of them, at most
+	flowSmalls    = 3                        // of them, how many may come from one flow
+	// A request is overdue when its consumer gave it up after so many times the mean
+	// of its service, and at least overdueLeast. That a request has no answer yet says
+	// nothing: when the routers deal flows anew, the answer is acknowledged elsewhere. The longest work of the platform's
+	// endpoints is 11 times its mean, on the slowest ones 18 times.
+	overdueTimes = 18
+	overdueLeast = 600 * clock.Millisecond
+	// What was asked longer ago says too little of the endpoint as it is now.
+	overdueMostAge = 2500 * clock.Millisecond
+	failingDue     = 3                       // overdue requests within overdueHold, at all instances together
+	overdueHold    = 3 * clock.Second        // for which an overdue request counts
+	overdueMost    = 0.25                    // share of a service's endpoints with overdue requests; above, it is the load
+	toldAfter      = 500 * clock.Millisecond // without a usual answer, to believe another instance
+	firstBan       = 3 * clock.Second        // without new flows, doubled each time
+	lastBan        = 12 * clock.Second       //
+)
+
+// judgement is what tells whether an endpoint fails its requests.
+type judgement struct {
+	usual  clock.Millis   // when an answer of usual size last came, here
+	run    int            // small answers in a row
+	runAt  clock.Millis   // when the latest of them came
+	epoch  uint32         // of the run, so that each flow counts a few times only
+	due    []clock.Millis // when requests became overdue, of the last overdueHold
+	ban    clock.Millis   // how long it got no new flows
+	until  clock.Millis   // end of that
+	tally  Tally          // since it was last told to others
+	active bool           // the tally holds something
+}
+
+// Why endpoints are found to fail.
+const (
+	whySmall   = "small answers"
+	whyOverdue = "overdue requests"
+	whyTold    = "told by another instance"
+)
+
+// failing reports whether an endpoint is found to fail now.
+func (j *judgement) failing(now clock.Millis) bool { return j.until != 0 && now < j.until }
+
+// Tally is what one instance saw of an endpoint in a while.
+type Tally struct {
+	_       struct{} `cbor:",toarray"`
+	Token   Token
+	Normal  int // answers of usual size
+	Small   int // small answers
+	Overdue int // requests that became overdue
+}
+
+// baseline is what is usual on a route.
+type baseline struct {
+	answers int
+	size    float64 // mean bytes of the first piece of an answer
+	smalls  float64 // share of small answers
+}
+
+// judge takes the size of an answer in.
+func (e *Engine) judge(now clock.Millis, at End, w *flow, s *server, size int) {
+	size = min(size, mostSize)
+	b := e.baselines[at]
+	if b == nil {
+		b = &baseline{size: float64(size)}
+		e.baselines[at] = b
+	}
+	small := b.answers >= warmAnswers && float64(size) < smallShare*b.size
+	if s.judgement.run < flowSmalls {
+		b.learn(size, small) // an endpoint under suspicion doesn't set what is usual
+	}
+	s.judgement.active = true
+	if !small {
+		s.judgement.tally.Normal++
+		s.judgement.usual = now
+		s.judgement.normal()
+		return
+	}
+	if b.smalls > commonSmalls {
+		return
+	}
+	if w.epoch != s.judgement.epoch {
+		w.epoch, w.smalls = s.judgement.epoch, 0
+	}
+	if w.smalls++; w.smalls <= flowSmalls {
+		s.judgement.tally.Small++
+		e.smalls(now, s, 1)
+	}
+}
+
+func (b *baseline) learn(size int, small bool) {
+	b.answers++
+	pace := max(sizePace, 1/float64(b.answers))
+	share := 0.0
+	if small {
+		share = 1
+	}
+	b.size += pace * (float64(size) - b.size)
+	b.smalls += sizePace * (share - b.smalls)
+}
+
+// normal notes an answer of usual size.
+func (j *judgement) normal() {
+	if j.run > 0 {
+		j.run = 0
+		j.epoch++
+	}
+}
+
+// smalls notes small answers of an endpoint. A run that stops ends, so that a single
+// small answer later doesn't add to it.
+func (e *Engine) smalls(now clock.Millis, s *server, n int) {
+	j := &s.judgement
+	if now-j.runAt > runHold {
+		j.normal()
+	}
+	j.run += n
+	j.runAt = now
+	if j.run >= failingSmalls {
+		e.convict(now, s, whySmall)
+	}
+}
+
+// overdue notes that a request has waited much too long.
+func (e *Engine) overdue(now clock.Millis, s *server) {
+	if now < e.stalled || s.silence.over() {
+		return
+	}
+	s.judgement.active = true
+	s.judgement.tally.Overdue++
+	e.dues(now, s, 1)
+}
+
+// dues notes overdue requests of an endpoint.
+func (e *Engine) dues(now clock.Millis, s *server, n int) {
+	j := &s.judgement
+	for range n {
+		j.due = append(j.due, now)
+	}
+	for len(j.due) > 0 && now-j.due[0] > overdueHold {
+		j.due = j.due[1:]
+	}
+	if len(j.due) >= failingDue && !e.overloaded(now, s) {
+		e.convict(now, s, whyOverdue)
+	}
+}
+
+// overloaded reports whether many endpoints of a service have overdue requests.
+func (e *Engine) overloaded(now clock.Millis, s *server) bool {
+	all, due := 0, 0
+	for _, o := range e.directory.byService[s.Service] {
+		all++
+		if n := len(o.judgement.due); n > 0 && now-o.judgement.due[n-1] <= overdueHold {
+			due++
+		}
+	}
+	return float64(due) > max(1, overdueMost*float64(all))
+}
+
+// convict gives an endpoint no new flows for a while and ends those that wait for
+// nothing. Requests under way are left to it, for some are answered.
+func (e *Engine) convict(now clock.Millis, s *server, why string) {
+	j := &s.judgement
+	if j.failing(now) {
+		return
+	}
+	j.ban = min(max(2*j.ban, firstBan), lastBan)
+	j.until = now + j.ban
+	j.run, j.due = 0, nil
+	j.epoch++
+	reset := 0
+	for k, w := range e.flows.byKey {
+		if w.server == s && w.established && !w.closing && (w.asked == 0 || w.late && e.repeatable(k.route)) {
+			e.end(k, w)
+			reset++
+		}
+	}
+	if why == whySmall {
+		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Failing: true})
+	}
+	e.notes = append(e.notes, EndpointFailing{Endpoint: s.ID, Service: s.Service, Why: why, Ban: j.ban, Reset: reset})
+}
+
+// end tells the consumer of a flow that it is over.
+func (e *Engine) end(k key, w *flow) {
+	e.notes = append(e.notes, ResetFlow{Consumer: k.consumer, Route: k.route, Ack: w.ack, Endpoint: w.server.ID})
+	e.flows.remove(k, w)
+}
+
+// TakeTallies returns what was seen of endpoints since the last call.
+func (e *Engine) TakeTallies() (list []Tally) {
+	for t, same := range e.directory.byToken {
+		for _, s := range same {
+			if !s.judgement.active {
+				continue
+			}
+			tally := s.judgement.tally
+			tally.Token = t
+			list = append(list, tally)
+			s.judgement.tally, s.judgement.active = Tally{}, false
+		}
+	}
+	return list
+}
+
+// seen takes in what another instance saw.
+func (e *Engine) seen(now clock.Millis, tallies []Tally) []Action {
+	for _, t := range tallies {
+		same := e.directory.byToken[t.Token]
+		if len(same) != 1 {
+			continue
+		}
+		s := same[0]
+		if t.Normal > 0 {
+			s.judgement.normal()
+		}
+		if t.Small > 0 {
+			e.smalls(now, s, t.Small)
+		}
+		if t.Overdue > 0 {
+			e.dues(now, s, t.Overdue)
+		}
+	}
+	return e.TakeNotes()
+}
+
+// overdueAfter is how long a request of a service may wait.
+func (e *Engine) overdueAfter(service string) clock.Millis {
+	mean := meanPace(e.directory.byService[service])
+	return max(overdueLeast, clock.Millis(overdueTimes*mean))
+}
--- a/steering/place.go
+++ b/steering/place.go
@@ -83,7 +83,7 @@
 	if s.Centre != e.settings.Centre {
 		cost *= awayFactor
 	}
-	if s.silence.avoided(now) {
+	if s.silence.avoided(now) || s.judgement.failing(now) {
 		cost *= silentFactor
 	}
 	return cost
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -139,13 +139,29 @@
 	e.ask(now, s)
 }
 
-// wait notes that a flow has waited for its endpoint longer than usual. When the
+// waits looks at a flow that waits for its endpoint longer than usual. When the
 // endpoint reset it, or the consumer left, no packet ever tells.
-func (e *Engine) wait(now clock.Millis, s *server, since clock.Millis, opening bool) {
+func (e *Engine) waits(now clock.Millis, k key, w *flow) {
+	s := w.server
+	if w.established && now-w.asked >= e.overdueAfter(s.Service) {
+		w.late = true
+		if s.judgement.failing(now) && e.repeatable(k.route) {
+			e.end(k, w)
+			return
+		}
+	}
+	if w.waited || w.established && w.repeats > 0 {
+		return
+	}
+	w.waited = true
+	since := w.last
+	if w.established {
+		since = w.asked
+	}
 	if since < s.silence.progress || s.silence.over() || now < e.stalled {
 		return
 	}
-	if opening {
+	if !w.established {
 		s.silence.limbo = true
 	}
 	e.ask(now, s)
@@ -175,19 +191,20 @@
 	return best.Address
 }
 
-// missedAnywhere counts a flow without an answer, here or at another instance.
-func (e *Engine) missedAnywhere(now clock.Millis, s *server) {
-	if s.silence.miss(now) {
-		e.notes = append(e.notes, EndpointSilent{Endpoint: s.ID, Service: s.Service, Missed: s.silence.missed, Rest: s.silence.rest})
-	}
-	e.settle(now, s)
-}
-
 // reported takes the word of another instance in.
 func (e *Engine) reported(now clock.Millis, v SilenceReported) []Action {
 	s := e.directory.byID[v.Endpoint]
-	// What was answered here since tells more than what wasn't elsewhere.
-	if s == nil || s.Born != v.Born || s.silence.over() || now-s.silence.progress < silentAfter {
+	if s == nil || s.Born != v.Born || s.silence.over() {
+		return nil
+	}
+	// What was answered here lately tells more than what was found elsewhere.
+	if v.Failing {
+		if now-s.judgement.usual >= toldAfter {
+			e.convict(now, s, whyTold)
+		}
+		return e.TakeNotes()
+	}
+	if now-s.silence.progress < silentAfter {
 		return nil
 	}
 	if v.Refused {
@@ -259,8 +276,7 @@
 		if w.server != s || !w.established || w.closing || w.asked != 0 && !e.repeatable(k.route) {
 			continue
 		}
-		e.notes = append(e.notes, ResetFlow{Consumer: k.consumer, Route: k.route, Ack: w.ack, Endpoint: s.ID})
-		e.flows.remove(k, w)
+		e.end(k, w)
 		reset++
 	}
 	e.notes = append(e.notes, EndpointLost{Endpoint: s.ID, Service: s.Service, Why: why, Reset: reset})
