Beats and tallies fit the budget for control; measure steering

Measured: a beat took 168 bytes, 26 KB/s of a watcher with 67 members, and every instance told 24 others all it saw twice a second. Now a beat takes 72 bytes and a tenth of the bound, and only what bears on a suspicion is told.

--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -4,13 +4,21 @@
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
-// Times of beats, in ms.
+// Beats.
 const (
-	beatPeriod = 300 * clock.Millisecond
-	// A beat may be lost or late; three in a row are not.
-	beatHold = 3*beatPeriod + 100*clock.Millisecond
+	// Of the bound within which records have to be in force, the time between two.
+	beatShare = 0.1
+	// A beat may be lost or late; three in a row are not, in ms.
+	beatsMissed = 3
+	beatSlack   = 100 * clock.Millisecond
 )
 
+// beatPeriod is the time between two beats of a watcher.
+func (e *Engine) beatPeriod() clock.Millis { return share(e.settings.Bound, beatShare) }
+
+// beatHold is how long a watcher counts as one after a beat.
+func (e *Engine) beatHold() clock.Millis { return beatsMissed*e.beatPeriod() + beatSlack }
+
 // Parts of the bound within which records have to be in force at every member.
 // Between them lies what a member needs to read the store by itself.
 const (
@@ -57,7 +65,7 @@
 
 // watches reports whether a peer watches with success, as far as is known.
 func (e *Engine) watches(now clock.Millis, p *peer) bool {
-	if p.beat == 0 || p.leaving || now-p.beat > beatHold {
+	if p.beat == 0 || p.leaving || now-p.beat > e.beatHold() {
 		return false
 	}
 	old := max(p.state.ConfigurationAge, p.state.EndpointsAge) + now - p.beat
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -442,7 +442,7 @@
 	if !e.watching {
 		return actions
 	}
-	if now-e.beatAt >= beatPeriod {
+	if now-e.beatAt >= e.beatPeriod() {
 		e.beatAt = now
 		actions = append(actions, e.tell(Beat{State: e.State(now)})...)
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -16,10 +16,11 @@
 
 // Member is one instance as the others know it.
 type Member struct {
-	Name    string         `cbor:"name" json:"name"`
-	Centre  string         `cbor:"centre" json:"centre"`
-	Address netip.AddrPort `cbor:"address" json:"address"`               // for datagrams (UDP) and records (TCP)
-	Boot    clock.Millis   `cbor:"boot,omitempty" json:"boot,omitempty"` // its start, Unix time
+	_       struct{}       `cbor:",toarray"`
+	Name    string         `json:"name"`
+	Centre  string         `json:"centre"`
+	Address netip.AddrPort `json:"address"`        // for datagrams (UDP) and records (TCP)
+	Boot    clock.Millis   `json:"boot,omitempty"` // its start, Unix time
 }
 
 // Check reports the first fault.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -16,15 +16,16 @@
 
 // State is how far a member's records go.
 type State struct {
-	Configuration uint64 `cbor:"configuration"` // revision of the configuration
-	Confirmed     uint64 `cbor:"confirmed"`     // revision up to which the configuration is the newest
-	Change        uint64 `cbor:"change"`        // revision of the latest change of an endpoint
-	Complete      uint64 `cbor:"complete"`      // revision up to which all changes of endpoints are known
+	_             struct{} `cbor:",toarray"`
+	Configuration uint64   // revision of the configuration
+	Confirmed     uint64   // revision up to which the configuration is the newest
+	Change        uint64   // revision of the latest change of an endpoint
+	Complete      uint64   // revision up to which all changes of endpoints are known
 	// How long ago the store said so, in ms.
-	ConfigurationAge clock.Millis `cbor:"configuration_age"`
-	EndpointsAge     clock.Millis `cbor:"endpoints_age"`
+	ConfigurationAge clock.Millis
+	EndpointsAge     clock.Millis
 	// How long ago the store answered again after it had not; 0 when it never failed.
-	ReturnedAge clock.Millis `cbor:"returned_age,omitempty"`
+	ReturnedAge clock.Millis
 }
 
 // Message is what one member tells another.
--- a/measure/main.go
+++ b/measure/main.go
@@ -32,7 +32,7 @@
 type work func(ctx context.Context, p *printer) error
 
 // verbs lists the measurements.
-var verbs = []verb{relayVerb, flowsVerb, controlVerb, slopesVerb, policyVerb, bareVerb}
+var verbs = []verb{relayVerb, flowsVerb, controlVerb, slopesVerb, steeringVerb, policyVerb, bareVerb}
 
 // printer writes the lines of a measurement.
 type printer struct{ out io.Writer }
--- /dev/null
+++ b/measure/steering.go
@@ -0,0 +1,213 @@
+package measure
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/fleet"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+var steeringVerb = verb{
+	name:    "steering",
+	summary: "cost of steering a packet, flow, endpoint, route, tick and message",
+	usage: `Drives the decisions on opaque flows in this process at several sizes.
+
+  bytes_*    live memory, in bytes a unit
+  ns_*       processor time, in ns: a packet of an open flow, an opening packet by the
+             number of endpoints, a tick and a unit of it, a change of an endpoint
+  message_*  bytes of one message between members
+  fleet_*    messages and bytes a second of a watcher and of another member, at rest`,
+	setUp: func(flags *flag.FlagSet) work {
+		repeats := flags.Int("repeats", 3, "times each cost is measured; the smallest counts")
+		return func(_ context.Context, p *printer) error { return steeringCosts{p: p, repeats: *repeats}.run() }
+	},
+}
+
+// steeringCosts measures what steering costs.
+type steeringCosts struct {
+	p       *printer
+	repeats int
+}
+
+// Sizes at which costs of steering are measured. The last are those designed for:
+// 8 million flows over 740 daemons, and 627 endpoints a data centre.
+var (
+	steeringFlows     = []int{1000, 4000, 10_800}
+	steeringEndpoints = []int{150, 627, 6900}
+	steeringMembers   = []int{8, 26, 67}
+)
+
+// steeredPackets is how many packets are measured in a row.
+const steeredPackets = 200_000
+
+var steeredRoute = steering.End{Address: 1, Port: 443}
+
+// steered returns an engine with endpoints of one service.
+func steered(endpoints int) *steering.Engine {
+	e := steering.NewEngine(steering.Settings{Centre: "here", Stale: clock.Second, Seed: 1})
+	e.Handle(1, steering.ConfigurationRead{Configuration: &steering.Configuration{
+		Version: 1, Revision: 1, Idle: clock.Minute,
+		Routes: map[steering.End]steering.Route{steeredRoute: {Name: "r", Shares: []steering.Share{{Service: "s", Weight: 1}}}},
+	}})
+	list := steering.EndpointsListed{Revision: 2}
+	for n := range endpoints {
+		list.Endpoints = append(list.Endpoints, steeredEndpoint(n, 2))
+	}
+	e.Handle(1, list)
+	return e
+}
+
+func steeredEndpoint(n int, revision uint64) steering.Endpoint {
+	return steering.Endpoint{
+		ID: fmt.Sprintf("i-%08x", n+1), Number: uint64(n + 1), Revision: revision, Service: "s", Centre: "here", Slots: 2,
+		Address: steering.End{Address: uint32(n + 1), Port: 80}, Born: 1,
+	}
+}
+
+// openPacket is a packet of an open flow.
+func openPacket(flow, endpoints int, ack uint32) steering.Packet {
+	return steering.Packet{
+		Consumer: steering.End{Address: uint32(flow), Port: 1}, Route: steeredRoute, Flags: steering.Acknowledge,
+		Sequence: 1, Ack: ack, Length: 100, Token: steering.Token(flow%endpoints + 1),
+	}
+}
+
+func (s steeringCosts) run() error {
+	for _, n := range steeringFlows {
+		s.flows(n)
+	}
+	for _, n := range steeringEndpoints {
+		s.endpoints(n)
+	}
+	for _, n := range steeringMembers {
+		if err := s.members(n); err != nil {
+			return err
+		}
+	}
+	return s.messages()
+}
+
+// least returns the smallest time of one of several units, in ns.
+func (s steeringCosts) least(units int, do func()) float64 {
+	best := 0.0
+	for range s.repeats {
+		start := time.Now()
+		do()
+		if took := float64(time.Since(start).Nanoseconds()) / float64(units); best == 0 || took < best {
+			best = took
+		}
+	}
+	return best
+}
+
+func (s steeringCosts) flows(n int) {
+	const endpoints = 150
+	before := live()
+	e := steered(endpoints)
+	empty := live()
+	for f := range n {
+		p := openPacket(f, endpoints, 1)
+		e.Steer(2, &p)
+	}
+	s.p.line(fmt.Sprintf("bytes_flow_%d", n), (live()-empty)/float64(n))
+	s.p.line("bytes_endpoint", (empty-before)/endpoints)
+	ack := uint32(1)
+	s.p.line(fmt.Sprintf("ns_packet_%d", n), s.least(steeredPackets, func() {
+		for i := range steeredPackets {
+			if i%n == 0 {
+				ack++
+			}
+			p := openPacket(i%n, endpoints, ack)
+			e.Steer(3, &p)
+		}
+	}))
+	tick := s.least(1, func() { e.Handle(4, steering.Ticked{}) })
+	s.p.line(fmt.Sprintf("ns_tick_%d", n), tick)
+}
+
+func (s steeringCosts) endpoints(n int) {
+	e := steered(n)
+	flow := 0
+	const openings = 2000
+	s.p.line(fmt.Sprintf("ns_opening_%d", n), s.least(openings, func() {
+		for range openings {
+			flow++
+			p := steering.Packet{Consumer: steering.End{Address: uint32(flow), Port: 2}, Route: steeredRoute, Flags: steering.Open}
+			e.Steer(2, &p)
+		}
+	}))
+	revision := uint64(10)
+	s.p.line(fmt.Sprintf("ns_change_%d", n), s.least(openings, func() {
+		for i := range openings {
+			revision++
+			change := steering.Change{Endpoint: steeredEndpoint(i%n, revision)}
+			e.Handle(3, steering.EndpointsChanged{Changes: []steering.Change{change}, Revision: revision})
+		}
+	}))
+}
+
+// steeredMember names a member for the measurements.
+func steeredMember(n int) fleet.Member {
+	address := netip.AddrFrom4([4]byte{10, 1, byte(n / 250), byte(n%250 + 1)})
+	return fleet.Member{Name: fmt.Sprintf("edge-riga-a-%d", n), Centre: "riga-a", Address: netip.AddrPortFrom(address, 7720), Boot: 1}
+}
+
+// members measures what a watcher sends at rest, and with what it hears of
+// endpoints passed on each half second.
+func (s steeringCosts) members(n int) error {
+	self := steeredMember(0)
+	e := fleet.NewEngine(fleet.Settings{Self: self, Bound: 3 * clock.Second}, 1)
+	var others []fleet.Member
+	for i := 1; i < n; i++ {
+		others = append(others, steeredMember(i))
+	}
+	e.Handle(1, fleet.MembersListed{Members: others})
+	e.Handle(2, fleet.RecordsRead{})
+	messages, bytes := 0, 0
+	const span = 10 * clock.Second
+	for now := clock.Millis(3); now < span; now += 100 {
+		e.Handle(now, fleet.RecordsRead{}) // its watch is answered in time
+		for _, a := range e.Handle(now, fleet.Ticked{}) {
+			send, isSend := a.(fleet.Send)
+			if !isSend {
+				continue
+			}
+			data, err := fleet.Encode(self, send.Message)
+			if err != nil {
+				return err
+			}
+			messages += len(send.To)
+			bytes += len(send.To) * len(data)
+		}
+	}
+	s.p.line(fmt.Sprintf("fleet_watcher_messages_%d", n), float64(messages)/10)
+	s.p.line(fmt.Sprintf("fleet_watcher_bytes_%d", n), float64(bytes)/10)
+	return nil
+}
+
+func (s steeringCosts) messages() error {
+	tallies := make([]steering.Tally, 40)
+	for i := range tallies {
+		tallies[i] = steering.Tally{Token: 1 << 31, Normal: 5}
+	}
+	for _, m := range []struct {
+		name    string
+		message fleet.Message
+	}{
+		{"beat", fleet.Beat{State: fleet.State{Configuration: 1 << 20, Confirmed: 1 << 20, Change: 1 << 20, Complete: 1 << 20}}},
+		{"change", fleet.News{From: 1 << 20, Changes: []steering.Change{{Endpoint: steeredEndpoint(1, 1<<20)}}}},
+		{"tallies_40", fleet.Seen{Tallies: tallies}},
+	} {
+		data, err := fleet.Encode(steeredMember(1), m.message)
+		if err != nil {
+			return err
+		}
+		s.p.whole("message_"+m.name, int64(len(data)))
+	}
+	return nil
+}
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -37,15 +37,15 @@
 
 // judgement is what tells whether an endpoint fails its requests.
 type judgement struct {
-	usual  clock.Millis   // when an answer of usual size last came, here
-	run    int            // small answers in a row
-	runAt  clock.Millis   // when the latest of them came
-	epoch  uint32         // of the run, so that each flow counts a few times only
-	due    []clock.Millis // when requests became overdue, of the last overdueHold
-	ban    clock.Millis   // how long it got no new flows
-	until  clock.Millis   // end of that
-	tally  Tally          // since it was last told to others
-	active bool           // the tally holds something
+	usual clock.Millis   // when an answer of usual size last came, here
+	run   int            // small answers in a row
+	runAt clock.Millis   // when the latest of them came
+	epoch uint32         // of the run, so that each flow counts a few times only
+	due   []clock.Millis // when requests became overdue, of the last overdueHold
+	ban   clock.Millis   // how long it got no new flows
+	until clock.Millis   // end of that
+	tally Tally          // since it was last told to others
+	tell  bool           // the tally holds what others should know
 }
 
 // Why endpoints are found to fail.
@@ -86,8 +86,9 @@
 	if s.judgement.run < flowSmalls {
 		b.learn(size, small) // an endpoint under suspicion doesn't set what is usual
 	}
-	s.judgement.active = true
 	if !small {
+		// Others care for usual answers only where they contradict a run.
+		s.judgement.tell = s.judgement.tell || s.judgement.run > 0
 		s.judgement.tally.Normal++
 		s.judgement.usual = now
 		s.judgement.normal()
@@ -101,6 +102,7 @@
 	}
 	if w.smalls++; w.smalls <= flowSmalls {
 		s.judgement.tally.Small++
+		s.judgement.tell = true
 		e.smalls(now, s, 1)
 	}
 }
@@ -143,7 +145,7 @@
 	if now < e.stalled || s.silence.over() {
 		return
 	}
-	s.judgement.active = true
+	s.judgement.tell = true
 	s.judgement.tally.Overdue++
 	e.dues(now, s, 1)
 }
@@ -204,17 +206,17 @@
 	e.flows.remove(k, w)
 }
 
-// TakeTallies returns what was seen of endpoints since the last call.
+// TakeTallies returns what others should know of what was seen of endpoints since
+// the last call.
 func (e *Engine) TakeTallies() (list []Tally) {
 	for t, same := range e.directory.byToken {
 		for _, s := range same {
-			if !s.judgement.active {
-				continue
+			if s.judgement.tell {
+				tally := s.judgement.tally
+				tally.Token = t
+				list = append(list, tally)
 			}
-			tally := s.judgement.tally
-			tally.Token = t
-			list = append(list, tally)
-			s.judgement.tally, s.judgement.active = Tally{}, false
+			s.judgement.tally, s.judgement.tell = Tally{}, false
 		}
 	}
 	return list
