--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI. See README.md.
 GO ?= go
 
-.PHONY: build test format lint ci demo faults measure fuzz generate clean runs
+.PHONY: build test format lint ci demo faults measure fuzz generate clean runs soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -33,6 +33,8 @@
 	$(FUZZ) -fuzz '^FuzzDecode$$' ./packet
 	$(FUZZ) -fuzz '^FuzzDecodeEnvelope$$' ./packet
 	$(FUZZ) -fuzz '^FuzzDecodeObject$$' ./record
+	$(FUZZ) -fuzz '^FuzzDecodePacket$$' ./platform
+	$(FUZZ) -fuzz '^FuzzDecode$$' ./fleet
 	$(FUZZ) -fuzz '^FuzzOpen$$' ./token
 
 # Plays every fault at every step with a fake clock, one line a cell, and then
@@ -48,6 +50,13 @@
 runs:
 	@scripts/runs.sh $(FAULTS)
 
+# Runs forwarders as processes and breaks things around them, for SEEDS seeds from
+# SEED on. Logs of failed seeds are kept.
+SEEDS ?= 5
+
+soak: build
+	bin/tanagerdock-soak -seed $(SEED) -seeds $(SEEDS)
+
 # Rewrites the generated code in control/; needs protoc and its two plugins.
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative control/control.proto
