--- a/steering/judge.go
+++ b/steering/judge.go
@@ -97,6 +97,7 @@
 	if b.smalls > commonSmalls {
 		return
 	}
+	s.load.shed = now
 	if w.epoch != s.judgement.epoch {
 		w.epoch, w.smalls = s.judgement.epoch, 0
 	}
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -43,6 +43,7 @@
 	Ended  bool         `yaml:"ended"` // resets what comes and refuses connections
 	Errors bool         `yaml:"errors"`
 	Mute   float64      `yaml:"mute"` // share of requests that it never answers
+	Room   int          `yaml:"room"` // requests that may wait; more are turned away; 0 for any number
 	Slow   float64      `yaml:"slow"` // how many times longer its work takes
 
 	busy   int
@@ -331,6 +332,10 @@
 
 // work lets an endpoint work on a request when a slot is free.
 func (l *loadPlay) work(e *loadEndpoint, f *userFlow, r *userRequest) {
+	if e.Room > 0 && len(e.queue) >= e.Room && e.busy >= e.Slots {
+		l.after(loadTrip, func() { l.turnedAway(f, r) })
+		return
+	}
 	if e.busy >= e.Slots {
 		e.queue = append(e.queue, func() { l.work(e, f, r) })
 		return
@@ -360,6 +365,23 @@
 	})
 }
 
+// turnedAway brings the answer of an endpoint without room. Nothing has run, so the
+// user tries again elsewhere.
+func (l *loadPlay) turnedAway(f *userFlow, r *userRequest) {
+	if r.done || f.over {
+		return
+	}
+	f.sequence += 100
+	f.ack += errorSize
+	l.packet(f, 0)
+	l.leave(f)
+	if r.tries >= loadTries {
+		l.finish(r, nil)
+		return
+	}
+	l.open(r)
+}
+
 // answer brings an answer to its user, whose next packet acknowledges it.
 func (l *loadPlay) answer(f *userFlow, r *userRequest, size int, isError bool) {
 	if r.done || f.over {
--- a/steering/place.go
+++ b/steering/place.go
@@ -15,12 +15,26 @@
 	// What an endpoint of another data centre has to be better by: the platform
 	// charges bytes between data centres, and a cut breaks the flows that cross it.
 	awayFactor = 30.0
+	// The same while the own endpoints are congested: then a caller is served better
+	// there, at the price of the way.
+	spillFactor = 1.5
 	// An endpoint that has just started takes 1.6 times as long on the platform.
 	coldFactor = 1.6
 	// A silent endpoint is chosen only when there is no other.
 	silentFactor = 1e6
 )
 
+// When the endpoints of the own data centre count as congested. It answers a data
+// centre that gets others' consumers, or has lost most of its endpoints, while those
+// of the others have room.
+const (
+	// An endpoint without room answers so at once, in a few bytes. Nobody sees what
+	// an answer says, but many such answers at many endpoints are no coincidence.
+	shedHold       = 500 * clock.Millisecond
+	waitingMost    = 2.0 // requests under way a slot that one instance sees
+	congestedShare = 0.5 // of the endpoints
+)
+
 // Bounds and pace of what is learnt of an endpoint's speed.
 const (
 	slownessPace  = 0.08 // weight of one answer; a dozen answers outweigh the guess
@@ -34,6 +48,30 @@
 	waiting int // requests under way
 	// Times answers took, in ms, smoothed; 0 before the first.
 	pace float64
+	shed clock.Millis // when a small answer last came
+}
+
+// congested reports whether an endpoint has no room, as far as this daemon sees.
+func (s *server) congested(now clock.Millis) bool {
+	return s.load.shed != 0 && now-s.load.shed < shedHold || float64(s.load.waiting) > waitingMost*float64(s.Slots)
+}
+
+// away is how much worse an endpoint of another data centre is for a service.
+func (e *Engine) away(now clock.Millis, list []*server) float64 {
+	own, congested := 0, 0
+	for _, s := range list {
+		if s.Centre != e.settings.Centre || s.silence.avoided(now) {
+			continue
+		}
+		own++
+		if s.congested(now) {
+			congested++
+		}
+	}
+	if own > 0 && float64(congested) >= congestedShare*float64(own) {
+		return spillFactor
+	}
+	return awayFactor
 }
 
 // learn takes the time of an answer in.
@@ -53,6 +91,7 @@
 		return nil
 	}
 	mean := meanPace(list)
+	away := e.away(now, list)
 	var best *server
 	least := math.Inf(1)
 	// Each daemon starts elsewhere, so that those that know as little don't all
@@ -63,7 +102,7 @@
 		if s == tried {
 			continue
 		}
-		if cost := e.cost(now, s, mean); cost < least {
+		if cost := e.cost(now, s, mean, away); cost < least {
 			best, least = s, cost
 		}
 	}
@@ -74,14 +113,14 @@
 }
 
 // cost is what a new flow would meet at an endpoint.
-func (e *Engine) cost(now clock.Millis, s *server, mean float64) float64 {
+func (e *Engine) cost(now clock.Millis, s *server, mean, away float64) float64 {
 	cost := (1 + float64(s.load.flows) + waitingWeight*float64(s.load.waiting)) / float64(s.Slots)
 	cost *= s.slowness(mean)
 	if now < s.warm {
 		cost *= coldFactor
 	}
 	if s.Centre != e.settings.Centre {
-		cost *= awayFactor
+		cost *= away
 	}
 	if s.silence.avoided(now) || s.judgement.failing(now) {
 		cost *= silentFactor
