--- a/steering/silence.go
+++ b/steering/silence.go
@@ -226,6 +226,9 @@
 	case ProbeAnswered:
 		s.silence.hung, s.silence.votes, s.silence.limbo = 0, nil, false
 	case ProbeRefused:
+		if s.Draining {
+			break // it takes no connections, and may still answer its last requests
+		}
 		s.silence.refused = true
 		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Refused: true})
 		e.giveUp(s, "refused")
