--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -24,7 +24,7 @@
 const (
 	// Of the bound, how long a watch waits. With the pauses around it, a watcher's
 	// records are not older than staleShare while all is well.
-	watchShare = 0.35
+	watchShare = 0.25
 	// Of the bound, how old records may get before a member reads the store itself.
 	staleShare = 0.55
 	// Of the bound, by how much the last in rank is slower to do so than the first.
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -30,9 +30,9 @@
 
 // Periods of the daemon, in ms.
 const (
-	// Openings that nobody answered are found within a tick, and consumers give
-	// one up after 1.4 s.
-	tickPeriod = 100 * clock.Millisecond
+	// Openings that an endpoint reset are found within a tick, and consumers use up
+	// their tries within some 20 ms.
+	tickPeriod = 50 * clock.Millisecond
 	// A settings file may change without a signal; nothing in it is urgent.
 	filePeriod = 2 * clock.Second
 	// What was seen of endpoints is shared at this pace; one that fails answers ten
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -56,6 +56,7 @@
 	"version":  (*site).version,  // NUMBER: until it is in force everywhere
 	"watchers": (*site).watchers, // COUNT: until so many instances watch the store
 	"reported": (*site).reported, // CENTRE: until its watcher has reported to operators
+	"listed":   (*site).listed,   // ID: until all instances may give it new flows
 	"avoided":  (*site).avoided,  // ID: until no instance gives it new flows
 }
 
@@ -354,21 +355,31 @@
 }
 
 func (s *site) avoided(words []string) {
-	id := s.endpoints[words[0]].ID()
-	s.eventually(func() bool {
-		for _, r := range s.daemons {
-			r.daemon.mu.Lock()
-			usable := false
-			for _, p := range r.daemon.engine.Endpoints() {
-				usable = usable || p.ID == id && !p.Draining
-			}
-			r.daemon.mu.Unlock()
-			if usable && !r.over {
-				return false
-			}
+	s.eventually(func() bool { return s.usableAt(words[0]) == 0 })
+}
+
+func (s *site) listed(words []string) {
+	live := 0
+	for _, r := range s.daemons {
+		if !r.over {
+			live++
 		}
-		return true
-	})
+	}
+	s.eventually(func() bool { return s.usableAt(words[0]) == live })
+}
+
+// usableAt counts the instances that may give an endpoint new flows.
+func (s *site) usableAt(name string) int {
+	id, n := s.endpoints[name].ID(), 0
+	for _, r := range s.daemons {
+		r.daemon.mu.Lock()
+		usable := slices.ContainsFunc(r.daemon.engine.Endpoints(), func(p steering.Endpoint) bool { return p.ID == id && !p.Draining })
+		r.daemon.mu.Unlock()
+		if usable && !r.over {
+			n++
+		}
+	}
+	return n
 }
 
 // check reports what ends of flows got that they should not have.
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -204,22 +204,28 @@
 		}
 		return e.TakeNotes()
 	}
-	if now-s.silence.progress < silentAfter {
-		return nil
-	}
 	if v.Refused {
+		// An own probe tells within a few ms; until then others are the better choice.
+		s.silence.limbo = true
 		e.ask(now, s)
-	} else {
-		s.silence.vote(now, v.By)
-		e.settle(now, s)
+		return e.TakeNotes()
 	}
+	if now-s.silence.progress < silentAfter {
+		return nil
+	}
+	s.silence.vote(now, v.By)
+	e.settle(now, s)
 	return e.TakeNotes()
 }
 
 // probed takes the end of a probe in.
 func (e *Engine) probed(now clock.Millis, v Probed) []Action {
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Born != v.Born || s.silence.probed <= s.silence.progress || s.silence.over() {
+	if s == nil || s.Born != v.Born || s.silence.over() {
+		return nil
+	}
+	if s.silence.probed <= s.silence.progress {
+		s.silence.limbo = false
 		return nil // it has answered since
 	}
 	switch v.End {
