--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -53,9 +53,10 @@
 	inner   net.Listener // records and metrics
 	metrics net.Listener // metrics; nil when there is no port of its own
 
-	mu     sync.Mutex // guards engine, fleet and fed
+	mu     sync.Mutex // guards engine, fleet, held and fed
 	engine *steering.Engine
 	fleet  *fleet.Engine
+	held   held // packets that wait for the first records
 	fed    bool // records came from a peer, so there is no need to list them
 
 	self     fleet.Member
--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -15,6 +15,62 @@
 // second of packets at the highest rate that the smallest instance can forward.
 const socketBuffer = 1 << 20
 
+// Packets that come before the first records are held back for a moment: after all
+// instances lost power, consumers repeat theirs only every 0.8 to 1.6 s.
+const (
+	heldPackets = 512              // 0.6 MB at most; some tenths of a second at the highest rate
+	heldTime    = 1 * clock.Second // consumers have repeated an older packet by then
+)
+
+// held are packets that wait for the first records.
+type held struct {
+	packets [][]byte
+	since   []clock.Millis
+	over    bool // the records are there
+}
+
+// hold keeps a packet if records may still come in time. It reports whether it did.
+func (h *held) hold(now clock.Millis, data []byte) bool {
+	if h.over || len(h.packets) >= heldPackets {
+		return false
+	}
+	h.packets = append(h.packets, append([]byte(nil), data...))
+	h.since = append(h.since, now)
+	return true
+}
+
+// release returns the packets that are still of use, once.
+func (h *held) release(now clock.Millis) (packets [][]byte) {
+	for i, p := range h.packets {
+		if now-h.since[i] <= heldTime {
+			packets = append(packets, p)
+		}
+	}
+	*h = held{over: true}
+	return packets
+}
+
+// releaseHeld forwards the packets that waited for records.
+func (d *Daemon) releaseHeld() {
+	d.mu.Lock()
+	if !d.engine.Ready() || d.held.over {
+		d.mu.Unlock()
+		return
+	}
+	packets := d.held.release(clock.Now())
+	d.mu.Unlock()
+	var p steering.Packet
+	var reset [platform.HeaderSize]byte
+	for _, data := range packets {
+		if platform.DecodePacket(data[platform.PrefixSize:], &p) == nil { // it was decoded before
+			d.forward(&p, data, &reset)
+		}
+	}
+	if len(packets) > 0 {
+		d.journal.say("held packets forwarded", "count", len(packets))
+	}
+}
+
 // receive forwards packets until the socket is closed.
 func (d *Daemon) receive() error {
 	// The prefix goes in front of the packet without a copy.
@@ -46,7 +102,11 @@
 	d.arrived.Store(int64(now))
 	d.mu.Lock()
 	v := d.engine.Steer(now, p)
+	kept := v.Reason == steering.ReasonNoRecords && d.held.hold(now, data)
 	d.mu.Unlock()
+	if kept {
+		return
+	}
 	d.counts.decided(&v)
 	var err error
 	switch v.Verdict {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -247,6 +247,7 @@
 	d.fed = true
 	d.mu.Unlock()
 	d.perform(actions)
+	d.releaseHeld()
 }
 
 // Pauses between lists of members, in ms. Instances that start together see each
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -126,6 +126,7 @@
 	d.mu.Unlock()
 	d.perform(actions)
 	d.performFleet(tasks)
+	d.releaseHeld()
 }
 
 // watchWait is how long a watch may wait.
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -46,6 +46,8 @@
 	"refused":  (*site).refused,  // ROUTE: a flow to it doesn't open
 	"ask":      (*site).ask,      // FLOW SERVICE [BYTES]: a request gets its whole answer
 	"reset":    (*site).reset,    // FLOW: until it was reset
+	"knock":    (*site).knock,    // ROUTE NAME: one opening packet, straight to an instance
+	"knocked":  (*site).knocked,  // ID: until an opening packet reached it
 	"cut":      (*site).cut,      // FLOW: a request ends with an instance's reset
 	"drain":    (*site).drain,    // ID
 	"mute":     (*site).mute,     // ID
@@ -286,6 +288,15 @@
 	s.eventually(f.Over)
 }
 
+func (s *site) knock(words []string) {
+	require.NoError(s.t, s.caller.Knock(s.addresses[words[0]], s.daemons[words[1]].daemon.settings.Load().Packets))
+}
+
+func (s *site) knocked(words []string) {
+	e := s.endpoints[words[0]]
+	s.eventually(func() bool { return e.Flows() > 0 })
+}
+
 func (s *site) cut(words []string) {
 	f := s.flows[words[0]]
 	err := f.Request(words[0]+"-cut", nil, patience, "none")
@@ -393,6 +404,23 @@
 	}
 }
 
+// Packets that come before the first records wait for them, up to a bound.
+func TestHeldPackets(t *testing.T) {
+	var h held
+	require.True(t, h.hold(1000, []byte("old")))
+	data := []byte("new")
+	for range heldPackets - 1 {
+		require.True(t, h.hold(1000+heldTime, data))
+	}
+	require.False(t, h.hold(1000+heldTime, data), "the bound")
+	data[0] = 'x'
+	packets := h.release(1001 + heldTime)
+	require.Len(t, packets, heldPackets-1)
+	require.Equal(t, "new", string(packets[0]))
+	require.False(t, h.hold(1001+heldTime, data), "records are there")
+	require.Empty(t, h.release(1001+heldTime))
+}
+
 // A log that nobody reads holds no packet up, and what it drops is counted.
 func TestUnreadLogBlocksNobody(t *testing.T) {
 	stuck := make(chan struct{})
--- a/standin/flowcaller.go
+++ b/standin/flowcaller.go
@@ -207,6 +207,13 @@
 	}
 }
 
+// Knock sends one opening packet to an instance and doesn't wait for an answer.
+func (c *FlowCaller) Knock(route, instance netip.AddrPort) error {
+	p := flowPacket{from: netip.AddrPortFrom(c.address, 1), to: route, flags: flowOpen, seq: 1}
+	_, err := c.conn.WriteToUDPAddrPort(p.encode(), instance)
+	return errors.WithStack(err)
+}
+
 // CallerFlow is one flow of a consumer, for one request at a time.
 type CallerFlow struct {
 	caller *FlowCaller
