--- a/entry/command.go
+++ b/entry/command.go
@@ -8,12 +8,12 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
 
 	"github.com/pkg/errors"
 
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 )
 
@@ -85,7 +85,7 @@
 	case err != nil:
 		return exitUsage
 	case c.version:
-		fmt.Fprintln(stdout, program, version())
+		fmt.Fprintln(stdout, program, daemon.Version())
 		return exitDone
 	}
 	verb := "run"
@@ -99,14 +99,6 @@
 	return exitDone
 }
 
-func version() string {
-	info, found := debug.ReadBuildInfo()
-	if !found {
-		return "(unknown)"
-	}
-	return info.Main.Version
-}
-
 func (c command) do(stdout, stderr io.Writer, connect Connect) error {
 	s, err := ReadSettings(c.settings)
 	if err != nil {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
@@ -81,7 +82,7 @@
 	runner        *runner
 	peers         *peerCaller
 	objects       *objectStore
-	watching      *gate // open while the engine wants the platform's records watched
+	watching      *daemon.Gate // open while the engine wants the platform's records watched
 	counts        *counts
 	notes         *notes
 	statuses      *mailbox[record.Status]
@@ -108,7 +109,7 @@
 		done:     make(chan struct{}),
 		runner:   newRunner(),
 		objects:  newObjectStore(),
-		watching: newGate(),
+		watching: daemon.NewGate(true),
 		counts:   newCounts(),
 		cancels:  map[uint64]context.CancelFunc{},
 		replies:  map[uint64]chan<- instance.Result{},
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"fmt"
 	"io"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 
@@ -12,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/packet"
 )
 
@@ -200,26 +198,4 @@
 }
 
 // write prints every metric as a line name=value, sorted by name.
-func (c *counts) write(w io.Writer) error {
-	lines := map[string]int64{}
-	c.registry.Each(func(name string, metric any) {
-		switch m := metric.(type) {
-		case metrics.Counter:
-			lines[name] = m.Count()
-		case metrics.Gauge:
-			lines[name] = m.Snapshot().Value()
-		case metrics.Histogram:
-			s := m.Snapshot()
-			lines[name+".count"] = s.Count()
-			lines[name+".p50"] = int64(s.Percentile(0.5))
-			lines[name+".p99"] = int64(s.Percentile(0.99))
-			lines[name+".max"] = s.Max()
-		}
-	})
-	for _, name := range slices.Sorted(maps.Keys(lines)) {
-		if _, err := fmt.Fprintf(w, "%s=%d\n", name, lines[name]); err != nil {
-			return errors.Wrap(err, "write metrics")
-		}
-	}
-	return nil
-}
+func (c *counts) write(w io.Writer) error { return daemon.WriteMetrics(w, c.registry) }
--- a/entry/pass_test.go
+++ b/entry/pass_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
@@ -62,17 +63,17 @@
 }
 
 func TestGate(t *testing.T) {
-	g := newGate()
-	require.True(t, g.wait(context.Background()))
-	g.set(true)
-	g.set(false)
-	g.set(false)
-	require.False(t, g.isOpen())
+	g := daemon.NewGate(true)
+	require.True(t, g.Wait(context.Background()))
+	g.Set(true)
+	g.Set(false)
+	g.Set(false)
+	require.False(t, g.IsOpen())
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	require.False(t, g.wait(ended))
-	g.set(true)
-	require.True(t, g.wait(ended) || g.isOpen())
+	require.False(t, g.Wait(ended))
+	g.Set(true)
+	require.True(t, g.Wait(ended) || g.IsOpen())
 }
 
 // A daemon whose engine wants no watch still watches once after a list, and
@@ -90,7 +91,7 @@
 		},
 	}
 	r := start(t, "entry-1", p, s)
-	require.Eventually(t, func() bool { return !r.watching.isOpen() }, patience, 1)
+	require.Eventually(t, func() bool { return !r.watching.IsOpen() }, patience, 1)
 	data, err := packet.Encode(packet.Packet{Kind: packet.KindProbe})
 	require.NoError(t, err)
 	send(t, dial(t, r.Self().Packets), data)
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -38,7 +38,7 @@
 	case instance.Observe:
 		d.counts.observe(a)
 	case instance.WatchPlatform:
-		d.watching.set(a.On)
+		d.watching.Set(a.On)
 	case instance.UseRouter:
 		d.router.Store(a.Router)
 	case instance.Stopped:
--- a/entry/platform_test.go
+++ b/entry/platform_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
 )
@@ -93,7 +94,7 @@
 	require.Equal(t, joiningPeriod, r.listPeriod(nil))
 	require.Equal(t, joiningPeriod, r.listPeriod([]record.Instance{older}), "an earlier process of that name")
 	require.Equal(t, watcherPeriod, r.listPeriod([]record.Instance{older, r.Self()}))
-	r.watching.set(false)
+	r.watching.Set(false)
 	require.Equal(t, instancePeriod, r.listPeriod([]record.Instance{older, r.Self()}))
 }
 
@@ -160,16 +161,16 @@
 }
 
 func TestBackoffGrowsToItsLimit(t *testing.T) {
-	var b backoff
+	b := newBackoff()
 	limit := firstPause
 	for range 20 {
-		got := b.next()
+		got := b.Next()
 		require.GreaterOrEqual(t, got, limit/2)
 		require.LessOrEqual(t, got, limit)
 		limit = min(2*limit, lastPause)
 	}
-	b.reset()
-	require.LessOrEqual(t, b.next(), firstPause)
+	b.Reset()
+	require.LessOrEqual(t, b.Next(), firstPause)
 }
 
 func TestObjectStore(t *testing.T) {
@@ -209,7 +210,7 @@
 
 func TestJitterStaysWithinHalf(t *testing.T) {
 	for range 1000 {
-		got := jitter(10 * clock.Millisecond)
+		got := daemon.Jitter(10 * clock.Millisecond)
 		require.GreaterOrEqual(t, got, 5*clock.Millisecond)
 		require.LessOrEqual(t, got, 10*clock.Millisecond)
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"slices"
-	"sync"
 
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
 )
@@ -63,21 +63,21 @@
 // feedObjects lists the operator records and then watches them. It lists again
 // when the platform no longer has, or not yet has, the watch's position.
 func (d *Daemon) feedObjects(ctx context.Context) {
-	var b backoff
+	b := newBackoff()
 	for ctx.Err() == nil {
 		revision, err := d.listObjects(ctx)
 		if err == nil {
 			d.followObjects(ctx, revision, &b)
 		}
-		pause(ctx, b.next())
+		daemon.Pause(ctx, b.Next())
 	}
 }
 
 // followObjects watches from a revision until the platform does not have that
 // position or ctx ends.
-func (d *Daemon) followObjects(ctx context.Context, since uint64, b *backoff) {
+func (d *Daemon) followObjects(ctx context.Context, since uint64, b *daemon.Backoff) {
 	for first := true; ctx.Err() == nil; first = false {
-		if !first && !d.watching.wait(ctx) {
+		if !first && !d.watching.Wait(ctx) {
 			return
 		}
 		start := clock.Now()
@@ -87,64 +87,11 @@
 		}
 		early := next == since && clock.Now()-start < earlyWatch
 		if err != nil || early {
-			pause(ctx, b.next())
+			daemon.Pause(ctx, b.Next())
 			continue
 		}
 		since = next
-		b.reset()
-	}
-}
-
-// gate lets a goroutine through while it is open.
-type gate struct {
-	mu   sync.Mutex
-	open chan struct{} // closed while the gate is open
-}
-
-func newGate() *gate {
-	g := &gate{open: make(chan struct{})}
-	close(g.open)
-	return g
-}
-
-// set opens or shuts the gate.
-func (g *gate) set(open bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-g.open:
-		if !open {
-			g.open = make(chan struct{})
-		}
-	default:
-		if open {
-			close(g.open)
-		}
-	}
-}
-
-// wait waits until the gate is open, and reports false when ctx ends first.
-func (g *gate) wait(ctx context.Context) bool {
-	g.mu.Lock()
-	open := g.open
-	g.mu.Unlock()
-	select {
-	case <-open:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// isOpen reports whether the gate is open.
-func (g *gate) isOpen() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-g.open:
-		return true
-	default:
-		return false
+		b.Reset()
 	}
 }
 
@@ -192,7 +139,7 @@
 
 // feedInstances brings the lagging list of the data centre's instances.
 func (d *Daemon) feedInstances(ctx context.Context) {
-	var b backoff
+	b := newBackoff()
 	for ctx.Err() == nil {
 		var list []record.Instance
 		err := d.called(ctx, callTimeout, func(ctx context.Context) (err error) {
@@ -200,12 +147,12 @@
 			return err
 		})
 		if err != nil {
-			pause(ctx, max(jitter(instancePeriod), b.next()))
+			daemon.Pause(ctx, max(daemon.Jitter(instancePeriod), b.Next()))
 			continue
 		}
-		b.reset()
+		b.Reset()
 		d.send(input{event: instance.InstancesListed{Instances: list}})
-		pause(ctx, jitter(d.listPeriod(list)))
+		daemon.Pause(ctx, daemon.Jitter(d.listPeriod(list)))
 	}
 }
 
@@ -218,7 +165,7 @@
 	switch {
 	case !listed:
 		return joiningPeriod
-	case d.watching.isOpen():
+	case d.watching.IsOpen():
 		return watcherPeriod
 	}
 	return instancePeriod
--- a/entry/writes.go
+++ b/entry/writes.go
@@ -43,13 +43,13 @@
 // work hands each value to write, one at a time. A failed write is repeated
 // after a pause, with the newest value, until the mailbox is closed.
 func (m *mailbox[T]) work(ctx context.Context, write func(ctx context.Context, v T) error) {
-	var b backoff
+	b := newBackoff()
 	for v := range m.slot {
 		open := true
 		for open && write(ctx, v) != nil {
-			v, open = m.newest(ctx, v, b.next())
+			v, open = m.newest(ctx, v, b.Next())
 		}
-		b.reset()
+		b.Reset()
 	}
 }
 
--- a/forwarder/command.go
+++ b/forwarder/command.go
@@ -8,11 +8,11 @@
 	"math"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
 
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 )
 
@@ -83,7 +83,7 @@
 	case err != nil:
 		return exitUsage
 	case c.version:
-		fmt.Fprintln(stdout, program, version())
+		fmt.Fprintln(stdout, program, daemon.Version())
 		return exitDone
 	}
 	verb := "run"
@@ -97,14 +97,6 @@
 	return exitDone
 }
 
-func version() string {
-	info, found := debug.ReadBuildInfo()
-	if !found {
-		return "(unknown)"
-	}
-	return info.Main.Version
-}
-
 func (c command) do(stdout io.Writer) error {
 	s, err := platform.ReadSettings(c.settings)
 	if err != nil {
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/fleet"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
@@ -62,7 +63,7 @@
 	self     fleet.Member
 	store    atomic.Pointer[platform.Store]
 	touched  touch
-	watching *gate
+	watching *daemon.Gate
 	fetches  chan fleet.Fetch // at most one waits
 	arrived  atomic.Int64     // clock.Millis of the latest packet
 	halting  atomic.Bool
@@ -79,7 +80,7 @@
 		journal:  newJournal(o.Log),
 		halt:     make(chan struct{}),
 		reload:   make(chan struct{}, 1),
-		watching: newGate(),
+		watching: daemon.NewGate(false),
 		fetches:  make(chan fleet.Fetch, 1),
 	}
 	d.counts = newCounts(d)
@@ -138,7 +139,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := d.settings.Load()
-	d.journal.say("start", "instance", s.Instance, "centre", s.Centre, "packets", s.Packets, "store", s.Store, "version", version())
+	d.journal.say("start", "instance", s.Instance, "centre", s.Centre, "packets", s.Packets, "store", s.Store, "version", daemon.Version())
 	server := &http.Server{Handler: d.readyHandler(), ReadHeaderTimeout: requestTimeout.Duration()}
 	inner := &http.Server{Handler: d.innerHandler(), ReadHeaderTimeout: requestTimeout.Duration()}
 	d.work.Go(func() { d.journal.run(ctx) })
@@ -198,7 +199,7 @@
 	d.handleFleet(fleet.Stopping{})
 	start := clock.Now()
 	latest := start + max(d.settings.Load().Grace-leaveMargin, leaveTime)
-	for pause(ctx, quietTime/2) {
+	for daemon.Pause(ctx, quietTime/2) {
 		now := clock.Now()
 		quiet := now-clock.Millis(d.arrived.Load()) >= quietTime
 		if now >= latest || now-start >= leaveTime && quiet {
@@ -314,18 +315,6 @@
 	}
 }
 
-// pause waits for span and reports false when ctx ended first.
-func pause(ctx context.Context, span clock.Millis) bool {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func text(err error) string {
 	if err == nil {
 		return ""
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -3,13 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 	"sync"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
@@ -92,30 +90,5 @@
 	h.Update(int64(a.Took))
 }
 
-// write prints every metric that isn't 0 as a line name=value, sorted by name.
-func (c *counts) write(w io.Writer) error {
-	lines := map[string]int64{}
-	c.registry.Each(func(name string, metric any) {
-		switch m := metric.(type) {
-		case metrics.Counter:
-			lines[name] = m.Count()
-		case metrics.Gauge:
-			lines[name] = m.Snapshot().Value()
-		case metrics.Histogram:
-			s := m.Snapshot()
-			lines[name+".count"] = s.Count()
-			lines[name+".p50"] = int64(s.Percentile(0.5))
-			lines[name+".p99"] = int64(s.Percentile(0.99))
-			lines[name+".max"] = s.Max()
-		}
-	})
-	for _, name := range slices.Sorted(maps.Keys(lines)) {
-		if lines[name] == 0 {
-			continue
-		}
-		if _, err := fmt.Fprintf(w, "%s=%d\n", name, lines[name]); err != nil {
-			return errors.Wrap(err, "write metrics")
-		}
-	}
-	return nil
-}
+// write prints every metric as a line name=value, sorted by name.
+func (c *counts) write(w io.Writer) error { return daemon.WriteMetrics(w, c.registry) }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/fleet"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
@@ -125,7 +126,7 @@
 			d.sendMessage(v)
 		case fleet.Watch:
 			d.journal.say("watch", "on", v.On)
-			d.watching.set(v.On)
+			d.watching.Set(v.On)
 		case fleet.Fetch:
 			select {
 			case d.fetches <- v:
@@ -264,7 +265,7 @@
 	if d.peers == nil {
 		return
 	}
-	var b backoff
+	b := newBackoff()
 	announced := false
 	for round := 0; ctx.Err() == nil; {
 		list, err := d.store.Load().Members(ctx)
@@ -276,7 +277,7 @@
 		if err != nil {
 			d.touched.failed(d, "members", err)
 			d.askSeeds()
-			pause(ctx, b.next())
+			daemon.Pause(ctx, b.Next())
 			continue
 		}
 		announced = true
@@ -286,7 +287,7 @@
 			wait = memberPauses[round]
 		}
 		round++
-		pause(ctx, wait)
+		daemon.Pause(ctx, wait)
 	}
 }
 
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/fleet"
+	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
@@ -137,16 +137,16 @@
 // follow lists a kind of records once, and watches it while this instance has the
 // duty. It lists again when the store's history doesn't reach back.
 func (d *Daemon) follow(ctx context.Context, s source) {
-	var b backoff
+	b := newBackoff()
 	known := false
 	for ctx.Err() == nil {
 		call := s.list
 		inner, cancel := ctx, context.CancelFunc(func() {})
 		if known {
-			if !d.watching.wait(ctx) {
+			if !d.watching.Wait(ctx) {
 				return
 			}
-			inner, cancel = d.watching.within(ctx)
+			inner, cancel = d.watching.Within(ctx)
 			since := s.since(d.state())
 			call = func(ctx context.Context) error { return s.watch(ctx, since) }
 		} else if d.isFed() {
@@ -163,8 +163,8 @@
 		switch {
 		case err == nil:
 			known = true
-			b.reset()
-			pause(ctx, watchPause)
+			b.Reset()
+			daemon.Pause(ctx, watchPause)
 		case errors.Is(err, platform.ErrHistory):
 			known = false
 			d.journal.limited("history lost", "records", s.name, "error", err.Error())
@@ -173,20 +173,13 @@
 			d.mu.Unlock()
 		default:
 			d.touched.failed(d, s.name, err)
-			pause(ctx, b.next())
+			daemon.Pause(ctx, b.Next())
 		}
 	}
 }
 
-// backoff gives growing pauses between failed calls. The zero value is ready.
-type backoff struct{ last clock.Millis }
-
-func (b *backoff) next() clock.Millis {
-	b.last = min(max(b.last*2, firstPause), lastPause)
-	return b.last/2 + rand.N(b.last/2+1)
-}
-
-func (b *backoff) reset() { b.last = 0 }
+// newBackoff returns the pauses between failed calls to the store.
+func newBackoff() daemon.Backoff { return daemon.Backoff{First: firstPause, Last: lastPause} }
 
 // state returns how far the own records go.
 func (d *Daemon) state() fleet.State {
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -180,21 +182,11 @@
 
 func (s *site) publish([]string) {
 	s.published += 2
-	var routes []map[string]any
+	var routes []standin.Route
 	for name, services := range s.routes {
-		at := s.addresses[name]
-		var split []map[string]any
-		for _, service := range services {
-			split = append(split, map[string]any{"service": service, "weight": 1})
-		}
-		routes = append(routes, map[string]any{
-			"name": name, "hostname": at.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", at.Port()),
-			"type": "safe", "timeout_ms": 1500, "goal_ms": 100, "priority": 1, "traffic_split": split,
-		})
+		routes = append(routes, standin.Route{Name: name, At: s.addresses[name], Services: services})
 	}
-	s.store.Put("config", "main", map[string]any{
-		"version": s.published, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
-	})
+	s.store.PutConfiguration(s.published, routes)
 }
 
 func (s *site) endpoint(words []string) {
@@ -214,7 +206,7 @@
 	port := func(p uint16) netip.AddrPort { return netip.AddrPortFrom(at, p) }
 	log := &logBuffer{}
 	d, err := Open(Options{Log: log, Settings: platform.Settings{
-		Instance: words[0], Centre: words[1], Packets: port(standin.FlowPort), Ready: port(8167),
+		Instance: words[0], Centre: words[1], Packets: port(standin.FlowPort), Ready: port(standin.ReadyPort),
 		Inner: []uint16{7720, 7735}, Store: s.url, Grace: 6000, Drain: 3000, Apply: 3000,
 	}})
 	require.NoError(s.t, err)
@@ -222,7 +214,7 @@
 	r := &running{daemon: d, log: log, cancel: cancel, ended: make(chan error, 1)}
 	go func() { r.ended <- d.Run(ctx) }()
 	s.daemons[words[0]] = r
-	s.routers.Add(port(standin.FlowPort), port(8167).String())
+	s.routers.Add(port(standin.FlowPort), port(standin.ReadyPort).String())
 }
 
 func (s *site) stop(words []string) {
@@ -489,3 +481,31 @@
 	p.Route, _ = steering.EndOf(route)
 	return p
 }
+
+// A settings file that changes is put in force; one that can't be used is told and
+// leaves the last good settings as they are.
+func TestReload(t *testing.T) {
+	s := newSite(t, 98)
+	file := filepath.Join(t.TempDir(), "node.toml")
+	write := func(store string) {
+		settings := standin.InstanceSettings{Name: "f1", Centre: "here", Address: s.host(), Store: store, Grace: 6000, Bound: 3000}
+		require.NoError(t, os.WriteFile(file, []byte(settings.TOML()), 0o600))
+	}
+	write("127.0.0.1:1")
+	first, err := platform.ReadSettings(file)
+	require.NoError(t, err)
+	log := &logBuffer{}
+	d, err := Open(Options{Settings: first, File: file, Log: log})
+	require.NoError(t, err)
+	defer d.closeSockets()
+	write("127.0.0.1:2")
+	d.readSettings("test")
+	require.Equal(t, "http://127.0.0.1:2", d.settings.Load().Store)
+	require.Equal(t, first.Packets, d.settings.Load().Packets, "addresses stay")
+	write("nowhere")
+	d.readSettings("test")
+	require.Equal(t, "http://127.0.0.1:2", d.settings.Load().Store)
+	d.journal.flush()
+	require.Contains(t, log.String(), `"settings kept"`)
+	require.Contains(t, log.String(), `platform.address`)
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -85,7 +85,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
-	if name == "extra" && !l.extra && l.calm(asked) && asked > l.changedAt+applyBound {
+	if name == extraRoute && !l.extra && l.calm(asked) && asked > l.changedAt+applyBound {
 		l.wrong = append(l.wrong, fmt.Sprintf("a flow to a route removed %d ms ago opened", now-l.changedAt))
 	}
 	if e != nil && e.drained != 0 && l.calm(asked) && asked > e.drained+drainBound {
@@ -97,7 +97,7 @@
 func (l *ledger) ended(e *endpoint, name, by string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if by != "instance" || e == nil || name == "extra" && !l.extra {
+	if by != "instance" || e == nil || name == extraRoute && !l.extra {
 		return
 	}
 	if e.ended || e.draining || e.harmed != 0 && clock.Now() < e.until+stableTime {
--- a/soak/process.go
+++ b/soak/process.go
@@ -17,14 +17,6 @@
 	"github.com/tanagerdock/tanagerdock/standin"
 )
 
-// Ports of every instance, on an address of its own.
-const (
-	readyPort   = 8167
-	controlPort = 8166
-	firstInner  = 7720
-	lastInner   = 7735
-)
-
 // graceTime is the time between SIGTERM and SIGKILL, in ms, as the users' platform
 // gives it.
 const graceTime = 6 * clock.Second
@@ -48,28 +40,12 @@
 func (i *instance) at(port uint16) netip.AddrPort { return netip.AddrPortFrom(i.address, port) }
 
 // writeSettings writes the platform's settings file.
-func (i *instance) writeSettings(seeds string) error {
-	text := fmt.Sprintf(`node = %q
-zone = %q
-internal_ports = [%d, %d]
-seeds = [%s]
-routing_mode = "echo"
-[listen]
-datagram_addr = %q
-ready = %q
-control = %q
-[limits]
-cpu_share = 1.0
-memory_mb = 256
-[bounds]
-drain_ms = 3000
-grace_s = %d
-config_apply_ms = 3000
-[platform]
-address = %q
-`, i.name, i.centre, firstInner, lastInner, seeds, i.at(standin.FlowPort), i.at(readyPort), i.at(controlPort),
-		graceTime/clock.Second, i.proxy.address())
-	return errors.WithStack(os.WriteFile(i.settingsFile(), []byte(text), 0o600))
+func (i *instance) writeSettings(seeds []netip.Addr) error {
+	settings := standin.InstanceSettings{
+		Name: i.name, Centre: i.centre, Address: i.address, Store: i.proxy.address(), Seeds: seeds,
+		Grace: graceTime, Bound: min(drainBound, applyBound),
+	}
+	return errors.WithStack(os.WriteFile(i.settingsFile(), []byte(settings.TOML()), 0o600))
 }
 
 func (i *instance) settingsFile() string { return filepath.Join(i.folder, i.name+".toml") }
--- a/soak/run.go
+++ b/soak/run.go
@@ -133,7 +133,7 @@
 func (w *world) user(centre, number int, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(w.settings.Seed, uint64(100+centre*1000+number)))
 	for flow := 0; ; flow++ {
-		name := []string{"desk", "gallery", "extra"}[random.IntN(3)]
+		name := []string{"desk", "gallery", extraRoute}[random.IntN(3)]
 		requests := 1 + random.IntN(20)
 		if !w.flow(centre, name, fmt.Sprintf("u%d-%d-%d", centre, number, flow), requests, random, stop) {
 			return
@@ -144,7 +144,7 @@
 // flow opens one flow and uses it. It returns false when told to stop.
 func (w *world) flow(centre int, name, id string, requests int, random *rand.Rand, stop <-chan struct{}) bool {
 	service := name
-	if name == "extra" {
+	if name == extraRoute {
 		service = services[0]
 	}
 	asked := clock.Now()
@@ -153,7 +153,7 @@
 		w.ledger.mu.Lock()
 		there := w.ledger.extra
 		w.ledger.mu.Unlock()
-		if name != "extra" || there {
+		if name != extraRoute || there {
 			w.ledger.served(err)
 		}
 		return think(random, stop)
--- a/soak/world.go
+++ b/soak/world.go
@@ -28,9 +28,15 @@
 	Timed     bool   // also check bounds of time, which a busy machine breaks
 }
 
+// extraRoute comes and goes.
+const extraRoute = "extra"
+
 // services are those of every run; the route of each is named after it.
 var services = []string{"desk", "gallery"}
 
+// mostSeeds is how many seeds the platform's settings name.
+const mostSeeds = 3
+
 // world is one deployment on loopback.
 type world struct {
 	settings Settings
@@ -63,7 +69,7 @@
 
 // route returns the address of a route.
 func route(name string) netip.AddrPort {
-	port := map[string]uint16{"desk": 443, "gallery": 80, "extra": 8443}[name]
+	port := map[string]uint16{"desk": 443, "gallery": 80, extraRoute: 8443}[name]
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, 1}), port)
 }
 
@@ -80,12 +86,12 @@
 			return nil, err
 		}
 	}
-	var seeds []string
-	for _, i := range w.all[:min(len(w.all), 3)] {
-		seeds = append(seeds, fmt.Sprintf("%q", i.at(controlPort).String()))
+	var seeds []netip.Addr
+	for _, i := range w.all[:min(len(w.all), mostSeeds)] {
+		seeds = append(seeds, i.address)
 	}
 	for _, i := range w.all {
-		if err := i.writeSettings(strings.Join(seeds, ", ")); err != nil {
+		if err := i.writeSettings(seeds); err != nil {
 			w.close()
 			return nil, err
 		}
@@ -112,7 +118,7 @@
 			folder: w.settings.Folder, program: w.settings.Program,
 		}
 		w.all = append(w.all, i)
-		r.Add(i.at(standin.FlowPort), i.at(readyPort).String())
+		r.Add(i.at(standin.FlowPort), i.at(standin.ReadyPort).String())
 	}
 	for _, service := range services {
 		for range w.settings.Endpoints {
@@ -156,26 +162,14 @@
 // publish writes the configuration. It needs the lock once the world is built.
 func (w *world) publish() {
 	w.version += 1 + int64(w.random.IntN(3))
-	names := append([]string(nil), services...)
+	var routes []standin.Route
+	for _, service := range services {
+		routes = append(routes, standin.Route{Name: service, At: route(service), Services: []string{service}})
+	}
 	if w.extra {
-		names = append(names, "extra")
-	}
-	var routes []map[string]any
-	for _, name := range names {
-		at := route(name)
-		service := name
-		kind := "safe"
-		if name == "extra" {
-			service, kind = services[0], "unsafe"
-		}
-		routes = append(routes, map[string]any{
-			"name": name, "hostname": at.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", at.Port()),
-			"type": kind, "timeout_ms": 2000, "goal_ms": 100, "priority": 1, "service": service,
-		})
+		routes = append(routes, standin.Route{Name: extraRoute, At: route(extraRoute), Services: services[:1], Once: true})
 	}
-	w.store.Put("config", "main", map[string]any{
-		"version": w.version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
-	})
+	w.store.PutConfiguration(w.version, routes)
 	w.ledger.published(w.extra)
 }
 
