--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -15,7 +15,10 @@
 //	member.go   members and their ranks
 //	message.go  what members tell each other
 //	duty.go     who watches the store
-//	engine.go   events, actions and the engine
+//	event.go    events and actions
+//	engine.go   what comes of events
+//	tell.go     changes, tallies and signs of life, to whom and how
+//	report.go   what operators are told
 //
 // # Usage
 //
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/steering"
@@ -14,94 +13,6 @@
 	Bound clock.Millis // within which a change of records has to be in force
 }
 
-// Event is something that happened.
-type Event interface{ event() }
-
-// MembersListed brings the members that the store knows.
-type MembersListed struct{ Members []Member }
-
-// Received brings a message of another member.
-type Received struct {
-	From    Member
-	Message Message
-}
-
-// RecordsRead tells that the store was read, and how far the own records go now.
-type RecordsRead struct {
-	Configuration bool // the configuration was read, else the endpoints
-	State         State
-	From          uint64            // revision before
-	Changes       []steering.Change // of endpoints, since From; Whole when they don't tell all
-	Whole         bool
-	Delta         *steering.Delta // of the configuration
-	Returned      bool            // the store had not answered before
-}
-
-// RecordsFetched tells that records were fetched from a peer.
-type RecordsFetched struct {
-	Peer  string
-	OK    bool
-	State State // of the peer when it answered
-}
-
-// SilenceSeen tells that an endpoint did not answer a probe, or one of what follows.
-type SilenceSeen struct {
-	Endpoint string
-	Born     clock.Millis
-	Refused  bool // its address refuses connections
-	Failing  bool // it answers, but with errors by their size
-}
-
-// EndpointsSeen brings what this instance saw of endpoints.
-type EndpointsSeen struct{ Tallies []steering.Tally }
-
-// Stopping tells that the process is going to end.
-type Stopping struct{}
-
-// Ticked tells that time has passed.
-type Ticked struct{}
-
-func (MembersListed) event()  {}
-func (Received) event()       {}
-func (RecordsRead) event()    {}
-func (RecordsFetched) event() {}
-func (SilenceSeen) event()    {}
-func (EndpointsSeen) event()  {}
-func (Stopping) event()       {}
-func (Ticked) event()         {}
-
-// Action is something for the daemon to do.
-type Action interface{ action() }
-
-// Send sends a message.
-type Send struct {
-	To      []netip.AddrPort
-	Message Message
-}
-
-// Watch starts or ends watching the store.
-type Watch struct{ On bool }
-
-// Fetch reads records from the store, or from a peer when that fails. Many members
-// may lack the same at once, and the peer's link is small.
-type Fetch struct {
-	Peer          Member
-	Configuration bool // it is the configuration that is old
-	Endpoints     bool // it is the endpoints that are old
-}
-
-// Apply brings changes to steering.
-type Apply struct{ Event steering.Event }
-
-// Forget removes a member that is no more from the store.
-type Forget struct{ Name string }
-
-func (Send) action()   {}
-func (Watch) action()  {}
-func (Fetch) action()  {}
-func (Apply) action()  {}
-func (Forget) action() {}
-
 // Times of members, in ms.
 const (
 	// Losing a message costs a fetch, so a fetch is not asked for more often than
@@ -199,32 +110,6 @@
 	return []Action{Send{To: to, Message: m}}
 }
 
-// How tallies are shared.
-const (
-	// A member tells the next ones in rank, so that each hears from as many however
-	// large the data centre is: 24 see enough of an endpoint with others' eyes.
-	sharedWith = 24
-	// Tallies in a message; each has up to 12 bytes.
-	talliesPerMessage = 80
-)
-
-// share tells some other members what this instance saw of endpoints.
-func (e *Engine) share(tallies []steering.Tally) (actions []Action) {
-	n := len(e.members.list)
-	if n == 0 {
-		return nil
-	}
-	first := e.members.before(e.settings.Self.Name)
-	to := make([]netip.AddrPort, min(n, sharedWith))
-	for i := range to {
-		to[i] = e.members.list[(first+i)%n].Address
-	}
-	for part := range slices.Chunk(tallies, talliesPerMessage) {
-		actions = append(actions, Send{To: to, Message: Seen{Tallies: part}})
-	}
-	return actions
-}
-
 // known reports whether a member is worth keeping: another one of this data centre.
 func (e *Engine) known(m *Member) bool {
 	return m.Name != e.settings.Self.Name && m.Centre == e.settings.Self.Centre && m.Check() == nil
@@ -383,26 +268,6 @@
 	return actions
 }
 
-// changesPerNews is how many changes fit into a message for sure.
-const changesPerNews = 4
-
-// tellChanges sends changes in as many messages as it takes. Each goes on from the
-// revision where the one before ended.
-func (e *Engine) tellChanges(now clock.Millis, from uint64, changes []steering.Change) (actions []Action) {
-	whole := e.State(now)
-	for len(changes) > 0 {
-		n := min(changesPerNews, len(changes))
-		s := whole
-		if n < len(changes) {
-			s.Complete = changes[n-1].Endpoint.Revision
-			s.Change = s.Complete
-		}
-		actions = append(actions, e.tell(News{From: from, Changes: changes[:n], State: s})...)
-		from, changes = s.Complete, changes[n:]
-	}
-	return actions
-}
-
 func (e *Engine) fetched(now clock.Millis, v RecordsFetched) {
 	if !v.OK {
 		return
@@ -452,31 +317,3 @@
 	}
 	return actions
 }
-
-// askSigns asks the members that weren't heard for a sign of life, and forgets
-// those that gave none for long.
-func (e *Engine) askSigns(now clock.Millis) (actions []Action) {
-	var silent []netip.AddrPort
-	var ended []string
-	for _, p := range e.members.list {
-		if now-p.heard < signPeriod {
-			continue
-		}
-		if p.asked == 0 {
-			p.asked = now
-		}
-		if now-p.asked >= forgetPeriod {
-			ended = append(ended, p.Name)
-			continue
-		}
-		silent = append(silent, p.Address)
-	}
-	for _, name := range ended {
-		e.members.remove(name)
-		actions = append(actions, Forget{Name: name})
-	}
-	if len(silent) > 0 {
-		actions = append(actions, Send{To: silent, Message: Hello{Answer: true}})
-	}
-	return actions
-}
--- /dev/null
+++ b/fleet/tell.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// changesPerNews is how many changes fit into a message for sure.
+const changesPerNews = 4
+
+// tellChanges sends changes in as many messages as it takes. Each goes on from the
+// revision where the one before ended.
+func (e *Engine) tellChanges(now clock.Millis, from uint64, changes []steering.Change) (actions []Action) {
+	whole := e.State(now)
+	for len(changes) > 0 {
+		n := min(changesPerNews, len(changes))
+		s := whole
+		if n < len(changes) {
+			s.Complete = changes[n-1].Endpoint.Revision
+			s.Change = s.Complete
+		}
+		actions = append(actions, e.tell(News{From: from, Changes: changes[:n], State: s})...)
+		from, changes = s.Complete, changes[n:]
+	}
+	return actions
+}
+
+// How tallies are shared.
+const (
+	// A member tells the next ones in rank, so that each hears from as many however
+	// large the data centre is: 24 see enough of an endpoint with others' eyes.
+	sharedWith = 24
+	// Tallies in a message; each has up to 12 bytes.
+	talliesPerMessage = 80
+)
+
+// share tells some other members what this instance saw of endpoints.
+func (e *Engine) share(tallies []steering.Tally) (actions []Action) {
+	n := len(e.members.list)
+	if n == 0 {
+		return nil
+	}
+	first := e.members.before(e.settings.Self.Name)
+	to := make([]netip.AddrPort, min(n, sharedWith))
+	for i := range to {
+		to[i] = e.members.list[(first+i)%n].Address
+	}
+	for part := range slices.Chunk(tallies, talliesPerMessage) {
+		actions = append(actions, Send{To: to, Message: Seen{Tallies: part}})
+	}
+	return actions
+}
+
+// askSigns asks the members that weren't heard for a sign of life, and forgets
+// those that gave none for long.
+func (e *Engine) askSigns(now clock.Millis) (actions []Action) {
+	var silent []netip.AddrPort
+	var ended []string
+	for _, p := range e.members.list {
+		if now-p.heard < signPeriod {
+			continue
+		}
+		if p.asked == 0 {
+			p.asked = now
+		}
+		if now-p.asked >= forgetPeriod {
+			ended = append(ended, p.Name)
+			continue
+		}
+		silent = append(silent, p.Address)
+	}
+	for _, name := range ended {
+		e.members.remove(name)
+		actions = append(actions, Forget{Name: name})
+	}
+	if len(silent) > 0 {
+		actions = append(actions, Send{To: silent, Message: Hello{Answer: true}})
+	}
+	return actions
+}
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -19,7 +19,9 @@
 //	established.go    decisions on all other packets
 //	place.go          the choice among endpoints
 //	silence.go        endpoints that fall silent, and how they come back
-//	event.go          events, actions and the engine
+//	judge.go          endpoints that answer and fail their requests
+//	event.go          events and actions
+//	engine.go         what comes of events
 //
 // # Usage
 //
