A member that missed news reads what changed; pages of lists have time

Ruled out: the watcher's own messages (182 B a change).

A fetch now is a watch that doesn't wait, and a list only when the history is gone; a page has 3 s more; an instance without records asks a member, since its own first list is under way; changes have numbered fields and fill a message.

--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -348,9 +348,12 @@
 		Configuration: 1 << 40, Confirmed: 1 << 40, Change: 1 << 40, Complete: 1 << 40,
 		ConfigurationAge: 100_000, EndpointsAge: 100_000, ReturnedAge: 1 << 40,
 	}}
-	for range changesPerNews {
+	for range 40 {
 		m.Changes = append(m.Changes, change)
 	}
+	n := fitting(m.Changes)
+	require.Greater(t, n, 4, "changes in a message")
+	m.Changes = m.Changes[:n]
 	_, err := Encode(Member{
 		Name: strings.Repeat("n", 40), Centre: strings.Repeat("c", 24), Address: netip.MustParseAddrPort("255.255.255.255:65535"), Boot: 1 << 41,
 	}, m)
--- a/fleet/tell.go
+++ b/fleet/tell.go
@@ -8,15 +8,32 @@
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
-// changesPerNews is how many changes fit into a message for sure.
-const changesPerNews = 4
+// Sizes in a message, in bytes: all besides changes, and all of a change besides its
+// names. The numbers in them are the longest that the encoding has.
+const (
+	newsOverhead   = 400
+	changeOverhead = 70
+)
+
+// fitting returns how many of the changes fit into one message, at least one.
+func fitting(changes []steering.Change) int {
+	size := newsOverhead
+	for i := range changes {
+		p := &changes[i].Endpoint
+		size += changeOverhead + len(p.ID) + len(p.Service) + len(p.Centre)
+		if size > MaxMessage && i > 0 {
+			return i
+		}
+	}
+	return len(changes)
+}
 
 // tellChanges sends changes in as many messages as it takes. Each goes on from the
 // revision where the one before ended.
 func (e *Engine) tellChanges(now clock.Millis, from uint64, changes []steering.Change) (actions []Action) {
 	whole := e.State(now)
 	for len(changes) > 0 {
-		n := min(changesPerNews, len(changes))
+		n := fitting(changes)
 		s := whole
 		if n < len(changes) {
 			s.Complete = changes[n-1].Endpoint.Revision
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -151,8 +151,8 @@
 		d.work.Go(func() { _ = inner.Serve(d.inner) })
 		d.work.Go(d.receivePeers)
 	}
-	d.work.Go(func() { d.followConfiguration(ctx) })
-	d.work.Go(func() { d.followEndpoints(ctx) })
+	d.work.Go(func() { d.follow(ctx, d.configurationSource()) })
+	d.work.Go(func() { d.follow(ctx, d.endpointSource()) })
 	d.work.Go(func() { d.join(ctx) })
 	d.work.Go(func() { d.feed(ctx) })
 	d.work.Go(func() { d.fetch(ctx) })
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -21,7 +21,8 @@
 
 // Limits of what members tell each other.
 const (
-	fetchTimeout = 500 * clock.Millisecond // within a data centre; the store is the other way
+	dialTimeout  = 500 * clock.Millisecond // within a data centre; a member that is no more doesn't answer
+	fetchTimeout = 3 * clock.Second        // for some MB of records on a link that many share
 	maxRecords   = 16 << 20                // bytes; ten times the largest value of the store, for endpoints on top
 	// While an instance knows nothing and the store is away, it asks others at this
 	// pace, in ms.
@@ -169,18 +170,27 @@
 	d.journal.say("member forgotten", "member", name, "error", text(err))
 }
 
+// errNoRecords keeps an instance that lists the records for the first time from
+// asking for them twice.
+var errNoRecords = errors.New("the first list of records is under way")
+
 // fetch reads records when the fleet's engine finds them old: from the store, and
 // from a peer when the store doesn't answer.
 func (d *Daemon) fetch(ctx context.Context) {
-	client := &http.Client{Timeout: fetchTimeout.Duration(), Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: fetchTimeout.Duration(), Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext,
+	}}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case v := <-d.fetches:
 			start := clock.Now()
-			source := "store"
-			err := d.fetchStore(ctx, v)
+			source, err := "store", errNoRecords
+			if d.isReady() {
+				err = d.fetchStore(ctx, v)
+			}
 			if err != nil && ctx.Err() == nil {
 				source = v.Peer.Name
 				err = d.fetchFrom(ctx, client, v.Peer)
@@ -194,13 +204,18 @@
 func (d *Daemon) fetchStore(ctx context.Context, v fleet.Fetch) error {
 	for _, k := range []struct {
 		wanted bool
-		list   func(context.Context) error
-	}{{v.Configuration, d.listConfiguration}, {v.Endpoints, d.listEndpoints}} {
+		source source
+	}{{v.Configuration, d.configurationSource()}, {v.Endpoints, d.endpointSource()}} {
 		if !k.wanted {
 			continue
 		}
-		err := k.list(ctx)
+		// What changed since is far less than a whole list.
+		err := k.source.watch(ctx, k.source.since(d.state()), 0)
 		d.counts.called(err)
+		if errors.Is(err, platform.ErrHistory) {
+			err = k.source.list(ctx)
+			d.counts.called(err)
+		}
 		if err != nil {
 			d.touched.failed(d, "fetch", err)
 			return err
@@ -321,13 +336,12 @@
 			return
 		case <-ticker.C:
 		}
+		if d.isReady() {
+			return
+		}
 		d.mu.Lock()
-		ready := d.engine.Ready()
 		p, found := d.fleet.Helper()
 		d.mu.Unlock()
-		if ready {
-			return
-		}
 		if found {
 			d.performFleet([]fleet.Action{fleet.Fetch{Peer: p, Configuration: true, Endpoints: true}})
 		}
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -28,22 +28,22 @@
 	name  string
 	since func(fleet.State) uint64 // revision that the own records go up to
 	list  func(context.Context) error
-	watch func(context.Context, uint64) error
+	watch func(ctx context.Context, since uint64, wait clock.Millis) error
 }
 
-func (d *Daemon) followConfiguration(ctx context.Context) {
-	d.follow(ctx, source{
+func (d *Daemon) configurationSource() source {
+	return source{
 		name:  "configuration",
 		since: func(s fleet.State) uint64 { return s.Confirmed },
 		list:  d.listConfiguration,
-		watch: func(ctx context.Context, since uint64) error {
-			c, revision, err := d.store.Load().WatchConfiguration(ctx, since, d.watchWait())
+		watch: func(ctx context.Context, since uint64, wait clock.Millis) error {
+			c, revision, err := d.store.Load().WatchConfiguration(ctx, since, wait)
 			if err == nil {
 				d.tookConfiguration(c, revision)
 			}
 			return err
 		},
-	})
+	}
 }
 
 func (d *Daemon) listConfiguration(ctx context.Context) error {
@@ -74,19 +74,19 @@
 	})
 }
 
-func (d *Daemon) followEndpoints(ctx context.Context) {
-	d.follow(ctx, source{
+func (d *Daemon) endpointSource() source {
+	return source{
 		name:  "endpoints",
 		since: func(s fleet.State) uint64 { return s.Complete },
 		list:  d.listEndpoints,
-		watch: func(ctx context.Context, since uint64) error {
-			c, err := d.store.Load().WatchEndpoints(ctx, since, d.watchWait())
+		watch: func(ctx context.Context, since uint64, wait clock.Millis) error {
+			c, err := d.store.Load().WatchEndpoints(ctx, since, wait)
 			if err == nil {
 				d.tookChanges(since, c)
 			}
 			return err
 		},
-	})
+	}
 }
 
 func (d *Daemon) listEndpoints(ctx context.Context) error {
@@ -148,7 +148,7 @@
 			}
 			inner, cancel = d.watching.Within(ctx)
 			since := s.since(d.state())
-			call = func(ctx context.Context) error { return s.watch(ctx, since) }
+			call = func(ctx context.Context) error { return s.watch(ctx, since, d.watchWait()) }
 		} else if d.isFed() {
 			known = true // a peer was faster
 			continue
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/fleet"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/standin"
@@ -413,6 +414,29 @@
 	require.Empty(t, h.release(1001+heldTime))
 }
 
+// An instance that missed news asks the store for what changed since, not for
+// everything, unless the store's history is gone.
+func TestFetchReadsWhatChanged(t *testing.T) {
+	s := newSite(t, 97)
+	s.route([]string{"desk", "desk"})
+	s.publish(nil)
+	s.endpoint([]string{"a1", "desk", "here"})
+	s.start([]string{"f1", "here"})
+	s.rotation([]string{"1"})
+	d := s.daemons["f1"].daemon
+	lists := func() int64 { return s.store.Counts()["GET servers"] + s.store.Counts()["GET config"] }
+	before := lists()
+	s.endpoint([]string{"a2", "desk", "here"})
+	wanted := fleet.Fetch{Configuration: true, Endpoints: true}
+	require.NoError(t, d.fetchStore(t.Context(), wanted))
+	require.Equal(t, 1, s.usableAt("a2"))
+	require.Equal(t, before, lists(), "lists")
+	s.endpoint([]string{"a3", "desk", "here"})
+	s.store.Compact()
+	require.NoError(t, d.fetchStore(t.Context(), wanted))
+	require.Equal(t, 1, s.usableAt("a3"))
+}
+
 // A log that nobody reads holds no packet up, and what it drops is counted.
 func TestUnreadLogBlocksNobody(t *testing.T) {
 	stuck := make(chan struct{})
--- a/steering/event.go
+++ b/steering/event.go
@@ -32,9 +32,9 @@
 
 // Change is a new entry of an endpoint, or the end of one.
 type Change struct {
-	Endpoint   Endpoint `cbor:"endpoint"` // with just ID and Revision when Removed or Unreadable
-	Removed    bool     `cbor:"removed,omitempty"`
-	Unreadable bool     `cbor:"unreadable,omitempty"` // another writer wrote what names no endpoint
+	Endpoint   Endpoint `cbor:"1,keyasint"` // with just ID and Revision when Removed or Unreadable
+	Removed    bool     `cbor:"2,keyasint,omitempty"`
+	Unreadable bool     `cbor:"3,keyasint,omitempty"` // another writer wrote what names no endpoint
 }
 
 // SilenceReported tells what another instance found of an endpoint: that it did not
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -9,8 +9,8 @@
 
 // End is one end of a flow: an IPv4 address and a port.
 type End struct {
-	Address uint32 `cbor:"address"`
-	Port    uint16 `cbor:"port"`
+	Address uint32 `cbor:"1,keyasint"`
+	Port    uint16 `cbor:"2,keyasint"`
 }
 
 // String returns address:port.
