--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -360,6 +360,34 @@
 	require.NoError(t, err)
 }
 
+// A watcher tells a few changes to many members, and leaves many for them to read, so
+// that its link stays free for beats.
+func TestManyChangesAreNotPushed(t *testing.T) {
+	for _, c := range []struct{ members, changes, messages int }{{20, 1, 1}, {20, 40, 4}, {100, 10, 1}, {100, 40, 0}} {
+		e := NewEngine(Settings{Self: Member{Name: "edge-0", Centre: "here", Address: netip.MustParseAddrPort("10.0.0.1:1")}, Bound: 3000}, 1000)
+		var list []Member
+		for i := range c.members {
+			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 1)
+			list = append(list, Member{Name: fmt.Sprintf("edge-%d", i+1), Centre: "here", Address: at})
+		}
+		e.Handle(1000, MembersListed{Members: list})
+		var changes []steering.Change
+		for i := range c.changes {
+			id := fmt.Sprintf("i-%010x", i)
+			changes = append(changes, steering.Change{Endpoint: steering.Endpoint{ID: id, Service: "order-desk", Centre: "here", Revision: uint64(i + 1)}})
+		}
+		messages, told := 0, 0
+		for _, a := range e.tellChanges(1000, 0, changes) {
+			messages++
+			told += len(a.(Send).Message.(News).Changes)
+		}
+		require.Equal(t, c.messages, messages, "%+v", c)
+		if messages > 0 {
+			require.Equal(t, c.changes, told, "%+v", c)
+		}
+	}
+}
+
 // As many tallies as go into a message fit.
 func TestTalliesFit(t *testing.T) {
 	m := Seen{}
--- a/fleet/tell.go
+++ b/fleet/tell.go
@@ -15,12 +15,31 @@
 	changeOverhead = 70
 )
 
+// pushMost is how much a watcher tells at once, to all members together, in bytes.
+// The smallest links of the platform carry 10 Mbit/s: on those it takes 0.1 s, a
+// quarter of the time between two answers of a watch. More than that delays beats,
+// others take the duty over, and tell the same.
+const pushMost = 128 << 10
+
+// pushes reports whether changes are few enough to be told. Otherwise members see
+// from the next beat that they lack them, and read them.
+func (e *Engine) pushes(changes []steering.Change) bool {
+	size := 0
+	for i := range changes {
+		size += changeSize(&changes[i].Endpoint)
+	}
+	return size*len(e.members.list) <= pushMost
+}
+
+func changeSize(p *steering.Endpoint) int {
+	return changeOverhead + len(p.ID) + len(p.Service) + len(p.Centre)
+}
+
 // fitting returns how many of the changes fit into one message, at least one.
 func fitting(changes []steering.Change) int {
 	size := newsOverhead
 	for i := range changes {
-		p := &changes[i].Endpoint
-		size += changeOverhead + len(p.ID) + len(p.Service) + len(p.Centre)
+		size += changeSize(&changes[i].Endpoint)
 		if size > MaxMessage && i > 0 {
 			return i
 		}
@@ -31,6 +50,9 @@
 // tellChanges sends changes in as many messages as it takes. Each goes on from the
 // revision where the one before ended.
 func (e *Engine) tellChanges(now clock.Millis, from uint64, changes []steering.Change) (actions []Action) {
+	if !e.pushes(changes) {
+		return nil
+	}
 	whole := e.State(now)
 	for len(changes) > 0 {
 		n := fitting(changes)
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -166,6 +166,17 @@
 	return s
 }
 
+// newDesk returns a site of one instance before one endpoint, once they are ready.
+func newDesk(t *testing.T, n byte) (*site, *Daemon) {
+	s := newSite(t, n)
+	s.route([]string{"desk", "desk"})
+	s.publish(nil)
+	s.endpoint([]string{"a1", "desk", "here"})
+	s.start([]string{"f1", "here"})
+	s.rotation([]string{"1"})
+	return s, s.daemons["f1"].daemon
+}
+
 // host returns an address that nobody has yet.
 func (s *site) host() netip.Addr {
 	s.hosts++
@@ -417,13 +428,7 @@
 // An instance that missed news asks the store for what changed since, not for
 // everything, unless the store's history is gone.
 func TestFetchReadsWhatChanged(t *testing.T) {
-	s := newSite(t, 97)
-	s.route([]string{"desk", "desk"})
-	s.publish(nil)
-	s.endpoint([]string{"a1", "desk", "here"})
-	s.start([]string{"f1", "here"})
-	s.rotation([]string{"1"})
-	d := s.daemons["f1"].daemon
+	s, d := newDesk(t, 97)
 	lists := func() int64 { return s.store.Counts()["GET servers"] + s.store.Counts()["GET config"] }
 	before := lists()
 	s.endpoint([]string{"a2", "desk", "here"})
@@ -480,13 +485,7 @@
 
 // Steering a packet of an open flow allocates nothing.
 func TestSteeringAllocatesNothing(t *testing.T) {
-	s := newSite(t, 99)
-	s.route([]string{"desk", "desk"})
-	s.publish(nil)
-	s.endpoint([]string{"a1", "desk", "here"})
-	s.start([]string{"f1", "here"})
-	s.rotation([]string{"1"})
-	d := s.daemons["f1"].daemon
+	s, d := newDesk(t, 99)
 	p := steeringPacket(s.addresses["desk"])
 	d.mu.Lock()
 	defer d.mu.Unlock()
