A leaving instance reads changes from the store; ports stay at a reload

Found when reading the change again. Both have tests that failed first.

An instance that leaves counts as not ready, so since it fetched all records from a member where it had read what changed from the store. Whether it has records is asked apart from whether it takes packets, in fetchStore itself.

A settings file that loses its inner ports while the daemon runs left it without the port it asks seeds at, and asking them ended the process. Inner ports stay as they were, like all that is listened on, and the line that says so is logged.

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -222,13 +222,16 @@
 	return d.engine.Flows()
 }
 
-// isReady reports whether the instance should get packets.
-func (d *Daemon) isReady() bool {
+// hasRecords reports whether the instance knows what it takes to serve.
+func (d *Daemon) hasRecords() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.engine.Ready() && !d.halting.Load()
+	return d.engine.Ready()
 }
 
+// isReady reports whether the instance should get packets.
+func (d *Daemon) isReady() bool { return d.hasRecords() && !d.halting.Load() }
+
 // perform carries out actions and logs them.
 func (d *Daemon) perform(actions []steering.Action) {
 	for _, a := range actions {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -170,10 +170,6 @@
 	d.journal.say("member forgotten", "member", name, "error", text(err))
 }
 
-// errNoRecords keeps an instance that lists the records for the first time from
-// asking for them twice.
-var errNoRecords = errors.New("the first list of records is under way")
-
 // fetch reads records when the fleet's engine finds them old: from the store, and
 // from a peer when the store doesn't answer.
 func (d *Daemon) fetch(ctx context.Context) {
@@ -187,10 +183,8 @@
 			return
 		case v := <-d.fetches:
 			start := clock.Now()
-			source, err := "store", errNoRecords
-			if d.isReady() {
-				err = d.fetchStore(ctx, v)
-			}
+			source := "store"
+			err := d.fetchStore(ctx, v)
 			if err != nil && ctx.Err() == nil {
 				source = v.Peer.Name
 				err = d.fetchFrom(ctx, client, v.Peer)
@@ -201,7 +195,14 @@
 	}
 }
 
+// errNoRecords reports that there is nothing yet to read changes since.
+var errNoRecords = errors.New("the first list of records is under way")
+
+// fetchStore reads what changed since the own records.
 func (d *Daemon) fetchStore(ctx context.Context, v fleet.Fetch) error {
+	if !d.hasRecords() {
+		return errNoRecords // a second list would be no faster
+	}
 	for _, k := range []struct {
 		wanted bool
 		source source
@@ -209,7 +210,6 @@
 		if !k.wanted {
 			continue
 		}
-		// What changed since is far less than a whole list.
 		err := k.source.watch(ctx, k.source.since(d.state()), 0)
 		d.counts.called(err)
 		if errors.Is(err, platform.ErrHistory) {
@@ -336,7 +336,7 @@
 			return
 		case <-ticker.C:
 		}
-		if d.isReady() {
+		if d.hasRecords() {
 			return
 		}
 		d.mu.Lock()
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,10 +31,10 @@
 		return
 	}
 	old := d.settings.Load()
-	if s.Packets != old.Packets || s.Ready != old.Ready || s.Centre != old.Centre {
-		d.journal.say("settings need a restart", "packets", s.Packets, "ready", s.Ready, "centre", s.Centre)
+	if s.Packets != old.Packets || s.Ready != old.Ready || s.Centre != old.Centre || !slices.Equal(s.Inner, old.Inner) {
+		d.journal.say("settings need a restart", "packets", s.Packets, "ready", s.Ready, "centre", s.Centre, "inner", s.Inner)
 	}
-	s.Packets, s.Ready, s.Control, s.Centre = old.Packets, old.Ready, old.Control, old.Centre
+	s.Packets, s.Ready, s.Control, s.Inner, s.Centre = old.Packets, old.Ready, old.Control, old.Inner, old.Centre
 	d.use(s)
 	d.journal.say("reload", "why", why, "store", s.Store, "changed", s.Store != old.Store)
 }
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -442,6 +442,16 @@
 	require.Equal(t, 1, s.usableAt("a3"))
 }
 
+// An instance that leaves still reads what it missed from the store, not all records
+// from a member.
+func TestLeavingInstanceFetchesFromStore(t *testing.T) {
+	s, d := newDesk(t, 96)
+	d.halting.Store(true)
+	d.fetches <- fleet.Fetch{Endpoints: true}
+	s.eventually(func() bool { return strings.Contains(s.daemons["f1"].log.String(), `"records fetched"`) })
+	require.Contains(t, s.daemons["f1"].log.String(), `"source":"store"`)
+}
+
 // A log that nobody reads holds no packet up, and what it drops is counted.
 func TestUnreadLogBlocksNobody(t *testing.T) {
 	stuck := make(chan struct{})
@@ -514,6 +524,12 @@
 		settings := standin.InstanceSettings{Name: "f1", Centre: "here", Address: s.host(), Store: store, Grace: 6000, Bound: 3000}
 		require.NoError(t, os.WriteFile(file, []byte(settings.TOML()), 0o600))
 	}
+	writeWithout := func(field string) {
+		data, err := os.ReadFile(file)
+		require.NoError(t, err)
+		lines := slices.DeleteFunc(strings.Split(string(data), "\n"), func(l string) bool { return strings.HasPrefix(l, field) })
+		require.NoError(t, os.WriteFile(file, []byte(strings.Join(lines, "\n")), 0o600))
+	}
 	write("127.0.0.1:1")
 	first, err := platform.ReadSettings(file)
 	require.NoError(t, err)
@@ -525,6 +541,10 @@
 	d.readSettings("test")
 	require.Equal(t, "http://127.0.0.1:2", d.settings.Load().Store)
 	require.Equal(t, first.Packets, d.settings.Load().Packets, "addresses stay")
+	writeWithout("internal_ports")
+	d.readSettings("test")
+	require.Equal(t, first.Inner, d.settings.Load().Inner, "ports stay")
+	d.askSeeds()
 	write("nowhere")
 	d.readSettings("test")
 	require.Equal(t, "http://127.0.0.1:2", d.settings.Load().Store)
