What nobody reads is gone

steering.Answered was an action that no engine returned, and Woke, fleet's RecordsFetched and the soak's faults and processes had fields that nothing read. The soak's faults of the store say that they are by a field instead of by their names. Behaviour is as it was.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -269,9 +269,6 @@
 }
 
 func (e *Engine) fetched(now clock.Millis, v RecordsFetched) {
-	if !v.OK {
-		return
-	}
 	if v.State.Configuration >= e.state.Configuration {
 		e.state.Configuration = v.State.Configuration
 		e.configurationAt = max(e.configurationAt, now-v.State.ConfigurationAge)
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -32,8 +32,6 @@
 
 // RecordsFetched tells that records were fetched from a peer.
 type RecordsFetched struct {
-	Peer  string
-	OK    bool
 	State State // of the peer when it answered
 }
 
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -182,7 +182,7 @@
 func (w *world) fetchFrom(n *node, from Member) {
 	for _, p := range w.nodes {
 		if p.Name == from.Name && p.live && !p.frozen {
-			w.perform(n, n.engine.Handle(w.now, RecordsFetched{Peer: p.Name, OK: true, State: p.engine.State(w.now)}))
+			w.perform(n, n.engine.Handle(w.now, RecordsFetched{State: p.engine.State(w.now)}))
 		}
 	}
 }
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -238,8 +238,6 @@
 		switch v := a.(type) {
 		case steering.Probe:
 			d.work.Go(func() { d.probe(v) })
-		case steering.Answered:
-			d.counts.answered(v)
 		case steering.ConfigurationAccepted:
 			d.counts.version.Update(v.Version)
 			d.journal.say("configuration accepted", "version", v.Version, "revision", v.Revision, "routes", v.Routes, "removed", v.Removed)
@@ -282,7 +280,7 @@
 		}
 		if slept := sleep.check(); slept > 0 {
 			d.journal.say("woke", "slept_ms", slept)
-			d.handle(steering.Woke{Slept: slept})
+			d.handle(steering.Woke{})
 		}
 		now := clock.Now()
 		d.handle(steering.Ticked{Late: now - due})
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -248,17 +248,17 @@
 	if r.Configuration == nil {
 		return errors.New("records have no configuration")
 	}
-	d.tookRecords(p, &r)
+	d.tookRecords(&r)
 	return nil
 }
 
 // tookRecords takes in the records of a peer.
-func (d *Daemon) tookRecords(p fleet.Member, r *records) {
+func (d *Daemon) tookRecords(r *records) {
 	d.mu.Lock()
 	now := clock.Now()
 	actions := d.engine.Handle(now, steering.ConfigurationRead{Configuration: r.Configuration})
 	actions = append(actions, d.engine.Handle(now, steering.EndpointsListed{Endpoints: r.Endpoints, Revision: r.State.Complete})...)
-	d.fleet.Handle(now, fleet.RecordsFetched{Peer: p.Name, OK: true, State: r.State})
+	d.fleet.Handle(now, fleet.RecordsFetched{State: r.State})
 	d.engine.Handle(now, d.fleet.Confirmation())
 	d.fed = true
 	d.mu.Unlock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -100,7 +100,7 @@
 	if by != "instance" || e == nil || name == extraRoute && !l.extra {
 		return
 	}
-	if e.ended || e.draining || e.harmed != 0 && clock.Now() < e.until+stableTime {
+	if e.ended || e.draining || clock.Now() < e.until+stableTime {
 		return
 	}
 	l.wrong = append(l.wrong, fmt.Sprintf("an instance reset an open flow of endpoint %s, to which nothing was done", e.ID()))
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -26,27 +26,27 @@
 // did, and a function that ends it, or nothing when it doesn't fit now.
 type fault func(w *world, span clock.Millis) (done string, end func())
 
-// faults are all that can be done, by name. Planned work comes among them.
+// faults are all that can be done, planned work among them. Those of the store, of
+// which there is one at a time, say so.
 var faults = []struct {
-	name    string
-	planned bool
-	do      fault
+	store bool
+	do    fault
 }{
-	{"stop", true, stopInstance},
-	{"kill", false, killInstance},
-	{"pause", false, pauseInstance},
-	{"reload", true, reloadInstance},
-	{"connections", false, harmConnections},
-	{"refuse", false, refuseCalls},
-	{"lose", false, loseWrites},
-	{"forget", false, forgetHistory},
-	{"packets", false, losePackets},
-	{"drain", true, drainEndpoint},
-	{"crash", false, crashEndpoint},
-	{"mute", false, muteEndpoint},
-	{"unlist", false, unlistEndpoint},
-	{"add", true, addEndpoint},
-	{"route", true, changeRoute},
+	{do: stopInstance},
+	{do: killInstance},
+	{do: pauseInstance},
+	{do: reloadInstance},
+	{do: harmConnections},
+	{store: true, do: refuseCalls},
+	{store: true, do: loseWrites},
+	{store: true, do: forgetHistory},
+	{do: losePackets},
+	{do: drainEndpoint},
+	{do: crashEndpoint},
+	{do: muteEndpoint},
+	{do: unlistEndpoint},
+	{do: addEndpoint},
+	{do: changeRoute},
 }
 
 func (w *world) someInstance() *instance { return w.all[w.random.IntN(len(w.all))] }
@@ -155,15 +155,15 @@
 	e.drained = clock.Now()
 	w.mu.Unlock()
 	go func() { // it leaves when its time is over
-		time.Sleep((drainBound + time500).Duration())
+		time.Sleep((drainBound + lingerTime).Duration())
 		w.end(e)
 		w.store.Remove("servers", e.ID())
 	}()
 	return "drain " + e.ID(), func() {}
 }
 
-// time500 is how much longer than it must an endpoint serves on, in ms.
-const time500 = 500 * clock.Millisecond
+// lingerTime is how much longer than it must an endpoint serves on, in ms.
+const lingerTime = 500 * clock.Millisecond
 
 func (w *world) end(e *endpoint) {
 	w.mu.Lock()
@@ -189,8 +189,7 @@
 func (w *world) harm(e *endpoint, span clock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e.harmed = clock.Now()
-	e.until = e.harmed + span + lapseTime
+	e.until = clock.Now() + span + lapseTime
 }
 
 func muteEndpoint(w *world, span clock.Millis) (string, func()) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -32,8 +32,7 @@
 	mu      sync.Mutex
 	command *exec.Cmd // nil while it is down
 	ended   chan struct{}
-	asked   bool // the end was asked for
-	paused  bool
+	asked   bool     // the end was asked for
 	wrong   []string // ends of its own
 }
 
@@ -68,7 +67,7 @@
 	if err := c.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", i.name)
 	}
-	i.command, i.asked, i.paused = c, false, false
+	i.command, i.asked = c, false
 	i.ended = make(chan struct{})
 	go i.wait(c, i.ended)
 	return nil
@@ -93,7 +92,6 @@
 		return false
 	}
 	i.asked = i.asked || ends
-	i.paused = s == syscall.SIGSTOP || i.paused && s != syscall.SIGCONT
 	return i.command.Process.Signal(s) == nil
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,10 +70,9 @@
 	for clock.Now()-start < w.settings.Span {
 		f := faults[w.random.IntN(len(faults))]
 		span := leastFault + clock.Millis(w.random.Int64N(int64(mostFault-leastFault)))
-		ofStore := f.name == "refuse" || f.name == "lose" || f.name == "forget"
-		if !ofStore || clock.Now() >= storeBusy {
+		if !f.store || clock.Now() >= storeBusy {
 			if done, end := f.do(w, span); end != nil {
-				if ofStore {
+				if f.store {
 					storeBusy = clock.Now() + span + leastPause
 				}
 				r.Faults = append(r.Faults, fmt.Sprintf("%6d ms: %s for %d ms", clock.Now()-start, done, span))
--- a/soak/world.go
+++ b/soak/world.go
@@ -62,8 +62,7 @@
 	centre, service string
 	number          uint64
 	draining, ended bool
-	harmed          clock.Millis // when something was last done to it; it counts until then and a while after
-	until           clock.Millis // end of the harm
+	until           clock.Millis // end of what was last done to it
 	drained         clock.Millis // when its draining was written
 }
 
@@ -208,7 +207,7 @@
 
 // harmedNow reports whether something is being done to an endpoint.
 func (e *endpoint) harmedNow() bool {
-	return e.draining || e.ended || e.harmed != 0 && clock.Now() < e.until
+	return e.draining || e.ended || clock.Now() < e.until
 }
 
 // close ends everything that the world started.
--- a/steering/event.go
+++ b/steering/event.go
@@ -51,7 +51,7 @@
 type TalliesReported struct{ Tallies []Tally }
 
 // Woke tells that the process stood still for a while.
-type Woke struct{ Slept clock.Millis }
+type Woke struct{}
 
 // Probed is the end of a Probe.
 type Probed struct {
@@ -171,7 +171,6 @@
 }
 
 func (Probe) action()                 {}
-func (Answered) action()              {}
 func (ConfigurationAccepted) action() {}
 func (EndpointChanged) action()       {}
 func (EndpointSilent) action()        {}
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -124,7 +124,7 @@
 		words := strings.Fields(s.Report)
 		return SilenceReported{Endpoint: "i-" + words[0], By: words[1], Born: 1, Refused: words[2] == "refused"}
 	})
-	add(s.Woke, func() Event { return Woke{Slept: 5000} })
+	add(s.Woke, func() Event { return Woke{} })
 	add(s.Tick || s.Late > 0, func() Event { return Ticked{Late: s.Late} })
 	return events
 }
