One type for what an instance found of an endpoint

The same four fields stood in steering's report and telling, and in fleet's event and message, and were copied one by one. steering.Finding is all four.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -87,7 +87,7 @@
 	case RecordsFetched:
 		e.fetched(now, v)
 	case SilenceSeen:
-		return e.tell(Silent(v))
+		return e.tell(Silent{v.Finding})
 	case EndpointsSeen:
 		return e.share(v.Tallies)
 	case Stopping:
@@ -152,9 +152,7 @@
 	case Seen:
 		return []Action{Apply{Event: steering.TalliesReported{Tallies: m.Tallies}}}
 	case Silent:
-		return []Action{Apply{Event: steering.SilenceReported{
-			By: v.From.Name, Endpoint: m.Endpoint, Born: m.Born, Refused: m.Refused, Failing: m.Failing,
-		}}}
+		return []Action{Apply{Event: steering.SilenceReported{By: v.From.Name, Finding: m.Finding}}}
 	}
 	return nil
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 
-	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
@@ -35,13 +34,8 @@
 	State State // of the peer when it answered
 }
 
-// SilenceSeen tells that an endpoint did not answer a probe, or one of what follows.
-type SilenceSeen struct {
-	Endpoint string
-	Born     clock.Millis
-	Refused  bool // its address refuses connections
-	Failing  bool // it answers, but with errors by their size
-}
+// SilenceSeen brings what this instance found of an endpoint.
+type SilenceSeen struct{ Finding steering.Finding }
 
 // EndpointsSeen brings what this instance saw of endpoints.
 type EndpointsSeen struct{ Tallies []steering.Tally }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -56,13 +56,8 @@
 	State State          `cbor:"state"`
 }
 
-// Silent tells that an endpoint did not answer a probe, or one of what follows.
-type Silent struct {
-	Endpoint string       `cbor:"endpoint"`
-	Born     clock.Millis `cbor:"born"`
-	Refused  bool         `cbor:"refused,omitempty"` // its address refuses connections
-	Failing  bool         `cbor:"failing,omitempty"` // it answers, but with errors by their size
-}
+// Silent tells what the sender found of an endpoint.
+type Silent struct{ steering.Finding }
 
 // Seen brings what the sender saw of endpoints in a while.
 type Seen struct {
--- a/fleet/script_test.go
+++ b/fleet/script_test.go
@@ -312,7 +312,7 @@
 			Set: []steering.Placed{{At: steering.End{Address: 3, Port: 4}, Route: steering.Route{Name: "r", Shares: []steering.Share{{Service: "s", Weight: 1}}}}},
 		}},
 		Seen{Tallies: []steering.Tally{{Token: 1 << 31, Normal: 2, Small: 3, Overdue: 4}}},
-		Silent{Endpoint: "i-1", Born: 9, Refused: true},
+		Silent{steering.Finding{Endpoint: "i-1", Born: 9, Refused: true}},
 	} {
 		data, err := Encode(from, m)
 		require.NoError(t, err)
@@ -321,7 +321,7 @@
 		require.Equal(t, from, sender)
 		require.Equal(t, m, got)
 	}
-	_, err := Encode(from, Silent{Endpoint: strings.Repeat("x", MaxMessage)})
+	_, err := Encode(from, Silent{steering.Finding{Endpoint: strings.Repeat("x", MaxMessage)}})
 	require.ErrorIs(t, err, ErrMessage)
 	for _, data := range [][]byte{nil, {0xff}, []byte("text")} {
 		_, _, err := Decode(data)
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -247,7 +247,7 @@
 			d.counts.silent.Inc(1)
 			d.journal.say("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.Missed, "rest_ms", int64(v.Rest))
 		case steering.SilenceSeen:
-			d.handleFleet(fleet.SilenceSeen(v))
+			d.handleFleet(fleet.SilenceSeen{Finding: v.Finding})
 		case steering.ResetFlow:
 			d.resetFlow(v)
 		case steering.EndpointFailing:
--- a/steering/event.go
+++ b/steering/event.go
@@ -37,14 +37,19 @@
 	Unreadable bool     `cbor:"3,keyasint,omitempty"` // another writer wrote what names no endpoint
 }
 
-// SilenceReported tells what another instance found of an endpoint: that it did not
-// answer a probe, or one of what follows.
+// Finding is what an instance found of an endpoint: that it did not answer a probe,
+// or one of what follows.
+type Finding struct {
+	Endpoint string       `cbor:"endpoint"`
+	Born     clock.Millis `cbor:"born"`
+	Refused  bool         `cbor:"refused,omitempty"` // its address refuses connections
+	Failing  bool         `cbor:"failing,omitempty"` // it answers, but with errors by their size
+}
+
+// SilenceReported tells what another instance found.
 type SilenceReported struct {
-	By       string // name of the other instance
-	Endpoint string
-	Born     clock.Millis
-	Refused  bool // its address refuses connections
-	Failing  bool // it answers, but with errors by their size
+	By string // name of the other instance
+	Finding
 }
 
 // TalliesReported brings what another instance saw of endpoints.
@@ -136,14 +141,8 @@
 	Rest     clock.Millis
 }
 
-// SilenceSeen tells what the other instances should know of an endpoint: that it did
-// not answer a probe, or one of what follows.
-type SilenceSeen struct {
-	Endpoint string
-	Born     clock.Millis
-	Refused  bool // its address refuses connections
-	Failing  bool // it answers, but with errors by their size
-}
+// SilenceSeen tells what the other instances should know of an endpoint.
+type SilenceSeen struct{ Finding }
 
 // ResetFlow tells a consumer that its flow is over.
 type ResetFlow struct {
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -204,7 +204,7 @@
 		}
 	}
 	if why == whySmall {
-		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Failing: true})
+		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born, Failing: true}})
 	}
 	e.notes = append(e.notes, EndpointFailing{Endpoint: s.ID, Service: s.Service, Why: why, Ban: j.ban, Reset: reset})
 }
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -122,7 +122,7 @@
 	})
 	add(s.Report != "", func() Event {
 		words := strings.Fields(s.Report)
-		return SilenceReported{Endpoint: "i-" + words[0], By: words[1], Born: 1, Refused: words[2] == "refused"}
+		return SilenceReported{By: words[1], Finding: Finding{Endpoint: "i-" + words[0], Born: 1, Refused: words[2] == "refused"}}
 	})
 	add(s.Woke, func() Event { return Woke{} })
 	add(s.Tick || s.Late > 0, func() Event { return Ticked{Late: s.Late} })
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -40,7 +40,7 @@
 type silence struct {
 	progress clock.Millis // when an answer last came
 	missed   int          // flows of this instance that got no answer since
-	limbo    bool         // one of them is an opening
+	limbo    bool         // one of them is an opening, or another instance found that it refuses connections
 	rest     clock.Millis // how long it gets no new flows; 0 when it isn't silent
 	until    clock.Millis // end of the rest
 	probed   clock.Millis // when a probe was last asked for
@@ -236,14 +236,14 @@
 			break // it takes no connections, and may still answer its last requests
 		}
 		s.silence.refused = true
-		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born, Refused: true})
+		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born, Refused: true}})
 		e.giveUp(s, "refused")
 	case ProbeHung:
 		if now < e.stalled {
 			break
 		}
 		s.silence.hung = now
-		e.notes = append(e.notes, SilenceSeen{Endpoint: s.ID, Born: s.Born})
+		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born}})
 		e.settle(now, s)
 	}
 	return e.TakeNotes()
