--- a/steering/established.go
+++ b/steering/established.go
@@ -105,7 +105,7 @@
 // left notes that a consumer is done with a flow. One that leaves while its request
 // has waited very long has given it up.
 func (e *Engine) left(now clock.Millis, p *Packet, w *flow, s *server) {
-	if waited := now - w.asked; w.asked != 0 && waited >= e.overdueAfter(s.Service) && waited <= overdueMostAge {
+	if waited := now - w.asked; w.asked != 0 && waited <= overdueMostAge && e.waitsTooLong(s.Service, waited) {
 		e.overdue(now, s)
 	}
 	if p.Flags.Has(Abort) {
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -252,8 +252,11 @@
 	return e.TakeNotes()
 }
 
-// overdueAfter is how long a request of a service may wait.
-func (e *Engine) overdueAfter(service string) clock.Millis {
-	mean := meanPace(e.directory.byService[service])
-	return max(overdueLeast, clock.Millis(overdueTimes*mean))
+// waitsTooLong reports whether a request of a service that has waited for some time
+// is overdue.
+func (e *Engine) waitsTooLong(service string, waited clock.Millis) bool {
+	if waited < overdueLeast {
+		return false // most are; the mean takes a look at every endpoint
+	}
+	return waited >= clock.Millis(overdueTimes*meanPace(e.directory.byService[service]))
 }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -143,7 +143,7 @@
 // endpoint reset it, or the consumer left, no packet ever tells.
 func (e *Engine) waits(now clock.Millis, k key, w *flow) {
 	s := w.server
-	if w.established && now-w.asked >= e.overdueAfter(s.Service) {
+	if w.established && e.waitsTooLong(s.Service, now-w.asked) {
 		w.late = true
 		if s.judgement.failing(now) && e.repeatable(k.route) {
 			e.end(k, w)
