--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -210,7 +210,7 @@
 	})
 	require.NoError(s.t, err)
 	s.endpoints[words[0]] = e
-	s.store.Put("servers", e.ID(), e.Entry())
+	s.store.List(e)
 }
 
 func (s *site) start(words []string) {
@@ -311,13 +311,13 @@
 func (s *site) drain(words []string) {
 	e := s.endpoints[words[0]]
 	e.Drain()
-	s.store.Put("servers", e.ID(), e.Entry())
+	s.store.List(e)
 }
 
 func (s *site) mute(words []string)  { s.endpoints[words[0]].Mute(true) }
 func (s *site) crash(words []string) { s.endpoints[words[0]].Close() }
 
-func (s *site) remove(words []string) { s.store.Remove("servers", s.endpoints[words[0]].ID()) }
+func (s *site) remove(words []string) { s.store.Unlist(s.endpoints[words[0]]) }
 
 func (s *site) fault(words []string) {
 	f := standin.MetastoreFaults{}
@@ -429,13 +429,12 @@
 // everything, unless the store's history is gone.
 func TestFetchReadsWhatChanged(t *testing.T) {
 	s, d := newDesk(t, 97)
-	lists := func() int64 { return s.store.Counts()["GET servers"] + s.store.Counts()["GET config"] }
-	before := lists()
+	before := s.store.Lists()
 	s.endpoint([]string{"a2", "desk", "here"})
 	wanted := fleet.Fetch{Configuration: true, Endpoints: true}
 	require.NoError(t, d.fetchStore(t.Context(), wanted))
 	require.Equal(t, 1, s.usableAt("a2"))
-	require.Equal(t, before, lists(), "lists")
+	require.Equal(t, before, s.store.Lists(), "lists")
 	s.endpoint([]string{"a3", "desk", "here"})
 	s.store.Compact()
 	require.NoError(t, d.fetchStore(t.Context(), wanted))
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -150,14 +150,14 @@
 	e.draining = true
 	w.mu.Unlock()
 	e.Drain()
-	w.store.Put("servers", e.ID(), e.Entry())
+	w.store.List(e.FlowEndpoint)
 	w.mu.Lock()
 	e.drained = clock.Now()
 	w.mu.Unlock()
 	go func() { // it leaves when its time is over
 		time.Sleep((drainBound + lingerTime).Duration())
 		w.end(e)
-		w.store.Remove("servers", e.ID())
+		w.store.Unlist(e.FlowEndpoint)
 	}()
 	return "drain " + e.ID(), func() {}
 }
@@ -180,7 +180,7 @@
 	w.end(e)
 	go func() { // its entry lapses after some reports are missing
 		time.Sleep((3 * clock.Second).Duration())
-		w.store.Remove("servers", e.ID())
+		w.store.Unlist(e.FlowEndpoint)
 	}()
 	return "crash " + e.ID(), func() {}
 }
@@ -208,8 +208,8 @@
 		return "", nil
 	}
 	w.harm(e, span)
-	w.store.Remove("servers", e.ID())
-	return "unlist " + e.ID(), func() { w.store.Put("servers", e.ID(), e.Entry()) }
+	w.store.Unlist(e.FlowEndpoint)
+	return "unlist " + e.ID(), func() { w.store.List(e.FlowEndpoint) }
 }
 
 func addEndpoint(w *world, _ clock.Millis) (string, func()) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -154,7 +154,7 @@
 	}
 	e := &endpoint{FlowEndpoint: f, centre: centre, service: service, number: n}
 	w.endpoints = append(w.endpoints, e)
-	w.store.Put("servers", e.ID(), e.Entry())
+	w.store.List(f)
 	return e, nil
 }
 
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -19,6 +19,9 @@
 // idleTime is after how long a flow may be discarded, in ms, as on the platform.
 const idleTime = 15 * clock.Second
 
+// configurationKind is where operators write the configuration.
+const configurationKind = "config"
+
 // PutConfiguration writes a configuration as operators do.
 func (s *Metastore) PutConfiguration(version int64, routes []Route) {
 	list := []map[string]any{}
@@ -36,7 +39,7 @@
 			"type": kind, "timeout_ms": 2000, "goal_ms": 100, "priority": 1, "traffic_split": split,
 		})
 	}
-	s.Put("config", "main", map[string]any{
+	s.Put(configurationKind, "main", map[string]any{
 		"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": int64(idleTime)},
 	})
 }
--- a/standin/flowendpoint.go
+++ b/standin/flowendpoint.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// List puts the entry of an endpoint in the store, as the endpoint itself does.
+func (s *Metastore) List(e *FlowEndpoint) { s.Put(endpointKind, e.ID(), e.Entry()) }
+
+// Unlist removes the entry of an endpoint.
+func (s *Metastore) Unlist(e *FlowEndpoint) { s.Remove(endpointKind, e.ID()) }
+
+// endpointKind is where endpoints have their entries.
+const endpointKind = "servers"
+
 // Drain lets the endpoint close each flow after its next answer.
 func (e *FlowEndpoint) Drain() {
 	e.mu.Lock()
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -130,6 +130,12 @@
 // Counts returns the number of calls by operation.
 func (s *Metastore) Counts() map[string]int64 { return Counts(s.counts) }
 
+// Lists returns how often endpoints and configurations were listed.
+func (s *Metastore) Lists() int64 {
+	c := s.Counts()
+	return c["GET "+endpointKind] + c["GET "+configurationKind]
+}
+
 // Put writes an object as the operator or an endpoint does, and returns the
 // store's revision.
 func (s *Metastore) Put(kind, name string, spec any) uint64 {
