--- a/entry/command.go
+++ b/entry/command.go
@@ -13,19 +13,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/tanagerdock/tanagerdock/internal/daemon"
+	"github.com/tanagerdock/tanagerdock/internal/program"
 	"github.com/tanagerdock/tanagerdock/platform"
+	"github.com/tanagerdock/tanagerdock/token"
 )
 
-// Exit codes of the command.
-const (
-	exitDone  = 0
-	exitError = 1
-	exitUsage = 2
-)
-
-const program = "tanagerdock-entry"
-
 const usage = `Usage: tanagerdock-entry -settings FILE [-check] [-profile FILE]
        tanagerdock-entry -version
 
@@ -38,79 +30,34 @@
 // Connect returns the platform at a URL.
 type Connect func(url string) platform.Platform
 
-// command is a parsed command line.
-type command struct {
-	settings string
-	check    bool
-	version  bool
-	profile  string // file for a CPU profile, or empty
-}
-
-func parseCommand(args []string, stderr io.Writer) (command, error) {
-	var c command
-	flags := flag.NewFlagSet(program, flag.ContinueOnError)
-	flags.SetOutput(stderr)
-	flags.Usage = func() {
-		fmt.Fprint(stderr, usage)
-		flags.PrintDefaults()
-	}
-	flags.StringVar(&c.settings, "settings", "", "read settings from `FILE`")
-	flags.BoolVar(&c.check, "check", false, "print the settings in force as YAML and exit")
-	flags.BoolVar(&c.version, "version", false, "print the version and exit")
-	flags.StringVar(&c.profile, "profile", "", "write a CPU profile of the whole run to `FILE`")
-	if err := flags.Parse(args); err != nil {
-		return c, err
-	}
-	if flags.NArg() > 0 {
-		return c, refuse(stderr, "argument %q is not expected", flags.Arg(0))
-	}
-	if c.settings == "" && !c.version {
-		return c, refuse(stderr, "flag -settings is missing")
-	}
-	return c, nil
-}
-
-func refuse(stderr io.Writer, format string, args ...any) error {
-	err := errors.Errorf(format, args...)
-	fmt.Fprintf(stderr, "%s: parse: %v\n%s", program, err, usage)
-	return err
-}
-
 // Main runs the command tanagerdock-entry and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer, connect Connect) int {
-	c, err := parseCommand(args, stderr)
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		return exitDone
-	case err != nil:
-		return exitUsage
-	case c.version:
-		fmt.Fprintln(stdout, program, daemon.Version())
-		return exitDone
-	}
-	verb := "run"
-	if c.check {
-		verb = "check"
-	}
-	if err := c.do(stdout, stderr, connect); err != nil {
-		fmt.Fprintf(stderr, "%s: %s: %v\n", program, verb, err)
-		return exitError
-	}
-	return exitDone
+	var profile string
+	line := program.Line{
+		Name: "tanagerdock-entry", Usage: usage, Check: "print the settings in force as YAML and exit",
+		Declare: func(flags *flag.FlagSet) {
+			flags.StringVar(&profile, "profile", "", "write a CPU profile of the whole run to `FILE`")
+		},
+		Do: func(settings string, check bool) error {
+			s, err := ReadSettings(settings)
+			if err != nil {
+				return err
+			}
+			keys, err := ReadKeys(s.Keyfile)
+			if err != nil {
+				return err
+			}
+			if check {
+				return printSettings(stdout, s)
+			}
+			return run(s, keys, profile, stdout, stderr, connect)
+		},
+	}
+	return line.Main(args, stdout, stderr)
 }
 
-func (c command) do(stdout, stderr io.Writer, connect Connect) error {
-	s, err := ReadSettings(c.settings)
-	if err != nil {
-		return err
-	}
-	keys, err := ReadKeys(s.Keyfile)
-	if err != nil {
-		return err
-	}
-	if c.check {
-		return printSettings(stdout, s)
-	}
+// run runs an instance until it is told to stop.
+func run(s Settings, keys *token.Keys, profile string, stdout, stderr io.Writer, connect Connect) error {
 	d, err := Open(Options{
 		Settings: s, Keys: keys, Platform: connect(s.Platform),
 		Log: newLogger(stderr, s.Log).With("instance", s.Name),
@@ -118,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	stopProfile, err := startProfile(c.profile)
+	stopProfile, err := startProfile(profile)
 	if err != nil {
 		return err
 	}
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/instance"
+	"github.com/tanagerdock/tanagerdock/internal/program"
 	"github.com/tanagerdock/tanagerdock/packet"
 	"github.com/tanagerdock/tanagerdock/platform"
 	"github.com/tanagerdock/tanagerdock/record"
@@ -358,6 +359,6 @@
 		for _, s := range signals {
 			require.NoError(t, syscall.Kill(syscall.Getpid(), s))
 		}
-		require.Equal(t, exitError, <-code)
+		require.Equal(t, program.Failed, <-code)
 	}
 }
--- a/measure/fit_test.go
+++ b/measure/fit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/internal/program"
 )
 
 func TestFitFindsTheLine(t *testing.T) {
@@ -30,14 +32,14 @@
 		code int
 		text string
 	}{
-		{nil, exitUsage, "Usage:"},
-		{[]string{"help"}, exitDone, "relay"},
-		{[]string{"nothing"}, exitUsage, `verb "nothing" does not exist`},
-		{[]string{"relay", "-nothing"}, exitUsage, "flag provided but not defined"},
-		{[]string{"relay", "more"}, exitUsage, `argument "more" is not a flag`},
-		{[]string{"flows", "-help"}, exitDone, "flow_bytes"},
-		{[]string{"bare", "-to", "nowhere"}, exitFailed, `value "nowhere"`},
-		{[]string{"relay", "-bin", "/does/not/exist"}, exitFailed, "tanagerdock-standin"},
+		{nil, program.Usage, "Usage:"},
+		{[]string{"help"}, program.Done, "relay"},
+		{[]string{"nothing"}, program.Usage, `verb "nothing" does not exist`},
+		{[]string{"relay", "-nothing"}, program.Usage, "flag provided but not defined"},
+		{[]string{"relay", "more"}, program.Usage, `argument "more" is not a flag`},
+		{[]string{"flows", "-help"}, program.Done, "flow_bytes"},
+		{[]string{"bare", "-to", "nowhere"}, program.Failed, `value "nowhere"`},
+		{[]string{"relay", "-bin", "/does/not/exist"}, program.Failed, "tanagerdock-standin"},
 	}
 	for _, c := range cases {
 		var out bytes.Buffer
--- a/measure/main.go
+++ b/measure/main.go
@@ -7,17 +7,12 @@
 	"io"
 
 	"github.com/pkg/errors"
-)
 
-// Exit codes of Main.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/tanagerdock/tanagerdock/internal/program"
 )
 
-// program is the name of the command in its messages.
-const program = "tanagerdock-measure"
+// programName is the name of the command in its messages.
+const programName = "tanagerdock-measure"
 
 // verb is one measurement.
 type verb struct {
@@ -57,53 +52,34 @@
 
 // Main runs the measurement named by args and returns the exit code.
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	if len(args) == 0 {
-		printUsage(stderr)
-		return exitUsage
-	}
-	switch args[0] {
-	case "help", "-h", "-help", "--help":
-		printUsage(stdout)
-		return exitDone
-	}
-	for _, v := range verbs {
-		if v.name == args[0] {
-			return v.run(ctx, args[1:], stdout, stderr)
-		}
-	}
-	fmt.Fprintf(stderr, "%s: verb %q does not exist; see %s help\n", program, args[0], program)
-	return exitUsage
-}
-
-func printUsage(w io.Writer) {
-	fmt.Fprintf(w, "Usage: %s VERB [FLAGS]\n\nMeasures and prints lines name=value.\n\nVerbs:\n", program)
+	t := program.Verbs{Name: programName, Purpose: "Measures and prints lines name=value.", Width: 8}
 	for _, v := range verbs {
-		fmt.Fprintf(w, "  %-8s %s\n", v.name, v.summary)
+		t.List = append(t.List, program.Verb{Name: v.name, Summary: v.summary, Run: v.run})
 	}
-	fmt.Fprintf(w, "\n%s VERB -help describes a verb.\n", program)
+	return t.Main(ctx, args, stdout, stderr)
 }
 
 func (v *verb) run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet(v.name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.Usage = func() {
-		fmt.Fprintf(stderr, "Usage: %s %s [FLAGS]\n\n%s\n\nFlags:\n", program, v.name, v.usage)
+		fmt.Fprintf(stderr, "Usage: %s %s [FLAGS]\n\n%s\n\nFlags:\n", programName, v.name, v.usage)
 		flags.PrintDefaults()
 	}
 	do := v.setUp(flags)
 	err := flags.Parse(args)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
-		return exitDone
+		return program.Done
 	case err != nil:
-		return exitUsage
+		return program.Usage
 	case flags.NArg() > 0:
-		fmt.Fprintf(stderr, "%s %s: argument %q is not a flag\n", program, v.name, flags.Arg(0))
-		return exitUsage
+		fmt.Fprintf(stderr, "%s %s: argument %q is not a flag\n", programName, v.name, flags.Arg(0))
+		return program.Usage
 	}
 	if err := do(ctx, &printer{out: stdout}); err != nil {
-		fmt.Fprintf(stderr, "%s %s: %v\n", program, v.name, err)
-		return exitFailed
+		fmt.Fprintf(stderr, "%s %s: %v\n", programName, v.name, err)
+		return program.Failed
 	}
-	return exitDone
+	return program.Done
 }
--- a/soak/command.go
+++ b/soak/command.go
@@ -10,21 +10,15 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/internal/program"
 )
 
-// Exit codes of the command.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-const program = "tanagerdock-soak"
+const programName = "tanagerdock-soak"
 
 // Main runs the command tanagerdock-soak and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	s := Settings{}
-	flags := flag.NewFlagSet(program, flag.ContinueOnError)
+	flags := flag.NewFlagSet(programName, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	flags.StringVar(&s.Program, "program", "bin/tanagerdock-forwarder", "`FILE` of the forwarder")
 	seed := flags.Uint64("seed", 1, "first seed")
@@ -37,7 +31,7 @@
 	flags.BoolVar(&s.Timed, "timed", true, "also check bounds of time")
 	keep := flags.String("keep", "", "keep settings and logs in `FOLDER`")
 	if err := flags.Parse(args); err != nil {
-		return exitUsage
+		return program.Usage
 	}
 	s.Span = clock.Millis(*span)
 	failed := 0
@@ -45,16 +39,16 @@
 		s.Seed = *seed + n
 		wrong, err := one(s, *keep, stdout)
 		if err != nil {
-			fmt.Fprintf(stderr, "%s: run: %v\n", program, err)
-			return exitFailed
+			fmt.Fprintf(stderr, "%s: run: %v\n", programName, err)
+			return program.Failed
 		}
 		failed += min(wrong, 1)
 	}
 	fmt.Fprintf(stdout, "%d of %d seeds passed\n", int(*seeds)-failed, *seeds)
 	if failed > 0 {
-		return exitFailed
+		return program.Failed
 	}
-	return exitDone
+	return program.Done
 }
 
 // one plays one seed, prints what came of it, and returns how much was wrong. The
--- a/standin/main.go
+++ b/standin/main.go
@@ -10,17 +10,12 @@
 	"os"
 
 	"github.com/pkg/errors"
-)
 
-// Exit codes of Main.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"github.com/tanagerdock/tanagerdock/internal/program"
 )
 
-// program is the name of the command in its messages.
-const program = "tanagerdock-standin"
+// programName is the name of the command in its messages.
+const programName = "tanagerdock-standin"
 
 // verb is one stand-in as a program.
 type verb struct {
@@ -49,29 +44,11 @@
 //
 //	ready listen=IP:PORT control=IP:PORT
 func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	if len(args) == 0 {
-		printUsage(stderr)
-		return exitUsage
-	}
-	if args[0] == "help" || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
-		printUsage(stdout)
-		return exitDone
-	}
-	for _, v := range verbs {
-		if v.name == args[0] {
-			return v.run(ctx, args[1:], stdout, stderr)
-		}
-	}
-	fmt.Fprintf(stderr, "%s: verb %q does not exist; see %s help\n", program, args[0], program)
-	return exitUsage
-}
-
-func printUsage(w io.Writer) {
-	fmt.Fprintf(w, "Usage: %s VERB [FLAGS]\n\nRuns a stand-in for tests until it gets SIGTERM or SIGINT.\n\nVerbs:\n", program)
+	t := program.Verbs{Name: programName, Purpose: "Runs a stand-in for tests until it gets SIGTERM or SIGINT.", Width: 10}
 	for _, v := range verbs {
-		fmt.Fprintf(w, "  %-10s %s\n", v.name, v.summary)
+		t.List = append(t.List, program.Verb{Name: v.name, Summary: v.summary, Run: v.run})
 	}
-	fmt.Fprintf(w, "\n%s VERB -help describes a verb.\n", program)
+	return t.Main(ctx, args, stdout, stderr)
 }
 
 func (v *verb) run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
@@ -81,22 +58,22 @@
 	switch {
 	case errors.Is(err, flag.ErrHelp):
 		v.printUsage(flags, stdout)
-		return exitDone
+		return program.Done
 	case errors.Is(err, errUsage):
-		fmt.Fprintf(stderr, "%s %s: %v; see %s %s -help\n", program, v.name, err, program, v.name)
-		return exitUsage
+		fmt.Fprintf(stderr, "%s %s: %v; see %s %s -help\n", programName, v.name, err, programName, v.name)
+		return program.Usage
 	case err != nil:
-		fmt.Fprintf(stderr, "%s %s: %v\n", program, v.name, err)
-		return exitFailed
+		fmt.Fprintf(stderr, "%s %s: %v\n", programName, v.name, err)
+		return program.Failed
 	}
 	defer r.close()
 	fmt.Fprintf(stdout, "ready listen=%s control=%s\n", r.listen, r.control)
 	<-ctx.Done()
-	return exitDone
+	return program.Done
 }
 
 func (v *verb) printUsage(flags *flag.FlagSet, w io.Writer) {
-	fmt.Fprintf(w, "Usage: %s %s [FLAGS]\n\n%s\n\nFlags:\n", program, v.name, v.usage)
+	fmt.Fprintf(w, "Usage: %s %s [FLAGS]\n\n%s\n\nFlags:\n", programName, v.name, v.usage)
 	flags.SetOutput(w)
 	flags.PrintDefaults()
 }
@@ -139,7 +116,7 @@
 	server := &http.Server{Handler: handler}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			fmt.Fprintf(os.Stderr, "%s: serve %s: %v\n", program, l.Addr(), err)
+			fmt.Fprintf(os.Stderr, "%s: serve %s: %v\n", programName, l.Addr(), err)
 		}
 	}()
 	return l.Addr().String(), server, nil
--- a/standin/main_test.go
+++ b/standin/main_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/tanagerdock/tanagerdock/internal/program"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
@@ -57,7 +58,7 @@
 			response.Body.Close()
 			require.Equal(t, http.StatusOK, response.StatusCode)
 			cancel()
-			require.Equal(t, exitDone, <-code)
+			require.Equal(t, program.Done, <-code)
 			require.Empty(t, stderr.String())
 			_, err = http.Get("http://" + control + "/fault")
 			require.Error(t, err)
