--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -214,8 +214,13 @@
 	return true
 }
 
-// failed notes that the store did not answer.
+// failed notes that a call failed. A write that another instance was ahead of got its
+// answer, so the store isn't lost.
 func (t *touch) failed(d *Daemon, name string, err error) {
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrAbsent) {
+		d.journal.limited("store write overtaken", "records", name, "error", err.Error())
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.away {
