Requests that wait much too long are asked for at the other instances

Cause: endpoints that swallow part of their requests were found only when consumers gave up after 2 s, since an instance can't tell an unanswered request from one whose flow the routers dealt to another instance. Now an instance asks the others of its data centre for flows whose requests wait 18 times their usual time, 600 ms at least. All that are up answer; a flow that nobody saw go on counts against its endpoint. Where an instance that might have seen it has ended meanwhile, such requests count once for each 300 ms, and four are needed.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -28,8 +28,9 @@
 
 // Engine decides for one member. It is not safe for concurrent use.
 type Engine struct {
-	settings Settings
-	members  members
+	settings  Settings
+	members   members
+	startedAt clock.Millis
 
 	state           State
 	configurationAt clock.Millis // when the store last confirmed the configuration
@@ -43,12 +44,13 @@
 	fetchAt  clock.Millis // of the latest fetch
 	helper   *Member      // the latest one that was heard, of any data centre
 	reports  reports
+	round    round
 	signsAt  clock.Millis // when signs of life were last asked for
 }
 
 // NewEngine returns an engine that knows no other member.
 func NewEngine(s Settings, now clock.Millis) *Engine {
-	return &Engine{settings: s, configurationAt: now, endpointsAt: now, readAt: now, signsAt: now}
+	return &Engine{settings: s, startedAt: now, configurationAt: now, endpointsAt: now, readAt: now, signsAt: now}
 }
 
 // Watching reports whether this member watches the store.
@@ -90,6 +92,10 @@
 		return e.tell(Silent{v.Finding})
 	case EndpointsSeen:
 		return e.share(v.Tallies)
+	case FlowsDoubted:
+		return e.ask(now, v.Doubts)
+	case FlowsFound:
+		return e.answer(now, v)
 	case Stopping:
 		return e.stop(now)
 	case Ticked:
@@ -138,7 +144,7 @@
 	}
 	if e.known(&v.From) {
 		p, _ = e.members.put(v.From)
-		p.heard, p.asked = now, 0
+		p.heard, p.asked, p.absent = now, 0, 0
 	}
 	switch m := v.Message.(type) {
 	case Hello:
@@ -153,6 +159,10 @@
 		return []Action{Apply{Event: steering.TalliesReported{Tallies: m.Tallies}}}
 	case Silent:
 		return []Action{Apply{Event: steering.SilenceReported{By: v.From.Name, Finding: m.Finding}}}
+	case Doubted:
+		return []Action{Apply{Event: steering.FlowsAsked{By: v.From.Name, Round: m.Round, Sights: m.Sights}}}
+	case Found:
+		return e.answered(now, p, m)
 	}
 	return nil
 }
@@ -298,7 +308,7 @@
 }
 
 func (e *Engine) tick(now clock.Millis) []Action {
-	actions := e.watch(now)
+	actions := append(e.watch(now), e.expire(now)...)
 	if !e.watching {
 		return actions
 	}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -40,6 +40,16 @@
 // EndpointsSeen brings what this instance saw of endpoints.
 type EndpointsSeen struct{ Tallies []steering.Tally }
 
+// FlowsDoubted brings flows that may have gone on at other members.
+type FlowsDoubted struct{ Doubts []steering.Doubt }
+
+// FlowsFound brings flows of another member's question that went on here.
+type FlowsFound struct {
+	Of     string // name of that member
+	Round  uint32
+	Sights []steering.Sight
+}
+
 // Stopping tells that the process is going to end.
 type Stopping struct{}
 
@@ -52,6 +62,8 @@
 func (RecordsFetched) event() {}
 func (SilenceSeen) event()    {}
 func (EndpointsSeen) event()  {}
+func (FlowsDoubted) event()   {}
+func (FlowsFound) event()     {}
 func (Stopping) event()       {}
 func (Ticked) event()         {}
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -64,7 +64,22 @@
 	Tallies []steering.Tally `cbor:"tallies"`
 }
 
+// Doubted asks which of these flows went on at the receiver.
+type Doubted struct {
+	Round  uint32           `cbor:"round"` // of the sender, to know the answer by
+	Sights []steering.Sight `cbor:"sights"`
+}
+
+// Found answers that: which ones did.
+type Found struct {
+	Round  uint32           `cbor:"round"`
+	Up     clock.Millis     `cbor:"up"` // how long the sender has been running
+	Sights []steering.Sight `cbor:"sights,omitempty"`
+}
+
 func (Seen) message()    {}
+func (Doubted) message() {}
+func (Found) message()   {}
 func (Hello) message()   {}
 func (Beat) message()    {}
 func (News) message()    {}
@@ -80,6 +95,8 @@
 	Revised *Revised `cbor:"revised,omitempty"`
 	Silent  *Silent  `cbor:"silent,omitempty"`
 	Seen    *Seen    `cbor:"seen,omitempty"`
+	Doubted *Doubted `cbor:"doubted,omitempty"`
+	Found   *Found   `cbor:"found,omitempty"`
 }
 
 // Encode returns a message as a datagram. A message that is too large is
@@ -99,6 +116,10 @@
 		e.Silent = &v
 	case Seen:
 		e.Seen = &v
+	case Doubted:
+		e.Doubted = &v
+	case Found:
+		e.Found = &v
 	}
 	data, err := cbor.Marshal(e)
 	if err != nil {
@@ -132,6 +153,10 @@
 		return e.From, *e.Silent, nil
 	case e.Seen != nil:
 		return e.From, *e.Seen, nil
+	case e.Doubted != nil:
+		return e.From, *e.Doubted, nil
+	case e.Found != nil:
+		return e.From, *e.Found, nil
 	}
 	return Member{}, nil, errors.Wrapf(ErrMessage, "from %q: it says nothing", e.From.Name)
 }
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -248,6 +248,11 @@
 			d.journal.say("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.Missed, "rest_ms", int64(v.Rest))
 		case steering.SilenceSeen:
 			d.handleFleet(fleet.SilenceSeen{Finding: v.Finding})
+		case steering.AskFlows:
+			d.journal.limited("flows doubted", "count", len(v.Doubts), "first", v.Doubts[0].ID())
+			d.handleFleet(fleet.FlowsDoubted{Doubts: v.Doubts})
+		case steering.TellFlows:
+			d.handleFleet(fleet.FlowsFound{Of: v.To, Round: v.Round, Sights: v.Sights})
 		case steering.ResetFlow:
 			d.resetFlow(v)
 		case steering.EndpointFailing:
@@ -309,7 +314,7 @@
 // shareTallies tells other instances what this one saw of endpoints.
 func (d *Daemon) shareTallies() {
 	d.mu.Lock()
-	tallies := d.engine.TakeTallies()
+	tallies := d.engine.TakeTallies(clock.Now())
 	d.mu.Unlock()
 	if len(tallies) > 0 {
 		d.handleFleet(fleet.EndpointsSeen{Tallies: tallies})
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -20,6 +20,7 @@
 //	place.go          the choice among endpoints
 //	silence.go        endpoints that fall silent, and how they come back
 //	judge.go          endpoints that answer and fail their requests
+//	doubt.go          requests whose answer another instance may have seen
 //	event.go          events and actions
 //	engine.go         what comes of events
 //
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -28,6 +28,8 @@
 	flows         flows
 	baselines     map[End]*baseline
 	stalled       clock.Millis // until when this process judges nobody
+	doubts        []Doubt      // flows to ask the other instances for
+	doubtAt       clock.Millis // when they were last asked
 
 	notes   []Action // of packets, until the daemon takes them
 	answers []Answered
@@ -96,6 +98,12 @@
 		e.directory.confirm(v.Endpoints, e.settings.Stale)
 	case TalliesReported:
 		return e.seen(now, v.Tallies)
+	case FlowsAsked:
+		return e.asked(v)
+	case FlowsSeen:
+		e.seenElsewhere(v.Sights)
+	case FlowsUnseen:
+		return e.unseen(now, v)
 	case SilenceReported:
 		return e.reported(now, v)
 	case EndpointsListed:
@@ -285,5 +293,5 @@
 			e.giveUp(s, "gone")
 		}
 	}
-	return append(actions, e.TakeNotes()...)
+	return e.askOthers(now, append(actions, e.TakeNotes()...))
 }
--- a/steering/established.go
+++ b/steering/established.go
@@ -71,8 +71,8 @@
 	w := e.flows.byKey[k]
 	opened := false
 	if w == nil {
-		if p.Flags.Has(Abort) || p.Flags.Has(Finish) {
-			return false
+		if p.Flags.Has(Abort) && !p.Flags.Has(Acknowledge) {
+			return false // it doesn't tell how far the flow went
 		}
 		// Another daemon placed it, or this one before it was restarted.
 		if w = e.flows.add(k); w == nil {
@@ -105,13 +105,10 @@
 // left notes that a consumer is done with a flow. One that leaves while its request
 // has waited very long has given it up.
 func (e *Engine) left(now clock.Millis, p *Packet, w *flow, s *server) {
-	if waited := now - w.asked; w.asked != 0 && waited <= overdueMostAge && e.waitsTooLong(s.Service, waited) {
+	if waited := now - w.asked; w.asked != 0 && !w.late && waited <= overdueMostAge && e.waitsTooLong(now, s, waited) {
 		e.overdue(now, s)
 	}
-	if p.Flags.Has(Abort) {
-		e.flows.remove(p.key(), w)
-		return
-	}
+	// It is remembered for a while, since others may ask whether it got its answer.
 	if !w.closing {
 		w.closing = true
 		w.leave()
--- a/steering/event.go
+++ b/steering/event.go
@@ -55,6 +55,22 @@
 // TalliesReported brings what another instance saw of endpoints.
 type TalliesReported struct{ Tallies []Tally }
 
+// FlowsAsked brings another instance's question: which of these flows went on here?
+type FlowsAsked struct {
+	By     string // name of the other instance
+	Round  uint32 // by which it knows the answer
+	Sights []Sight
+}
+
+// FlowsSeen tells that flows went on at other instances.
+type FlowsSeen struct{ Sights []Sight }
+
+// FlowsUnseen tells that flows went on at no other instance that is up.
+type FlowsUnseen struct {
+	Sights  []Sight
+	Certain bool // nor at one that has ended meanwhile
+}
+
 // Woke tells that the process stood still for a while.
 type Woke struct{}
 
@@ -93,6 +109,9 @@
 func (Confirmed) event()            {}
 func (SilenceReported) event()      {}
 func (TalliesReported) event()      {}
+func (FlowsAsked) event()           {}
+func (FlowsSeen) event()            {}
+func (FlowsUnseen) event()          {}
 func (Woke) event()                 {}
 func (Probed) event()               {}
 func (Ticked) event()               {}
@@ -144,6 +163,16 @@
 // SilenceSeen tells what the other instances should know of an endpoint.
 type SilenceSeen struct{ Finding }
 
+// AskFlows asks the other instances whether flows went on there.
+type AskFlows struct{ Doubts []Doubt }
+
+// TellFlows tells another instance which of its flows went on here, if any.
+type TellFlows struct {
+	To     string // name of the other instance
+	Round  uint32
+	Sights []Sight
+}
+
 // ResetFlow tells a consumer that its flow is over.
 type ResetFlow struct {
 	Consumer, Route End
@@ -174,6 +203,8 @@
 func (EndpointChanged) action()       {}
 func (EndpointSilent) action()        {}
 func (SilenceSeen) action()           {}
+func (AskFlows) action()              {}
+func (TellFlows) action()             {}
 func (ResetFlow) action()             {}
 func (EndpointFailing) action()       {}
 func (EndpointLost) action()          {}
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -17,7 +17,8 @@
 	copies      uint32 // of the opening packet
 	repeats     uint32 // packets with data that was sent before, since asked
 	waited      bool   // that it waits has been handed on
-	late        bool   // it waits much too long
+	doubted     bool   // the other instances were asked for its answer
+	late        bool   // they haven't seen it either
 	from        uint32 // ack when it was asked
 	epoch       uint32 // of the endpoint's run of small answers that smalls belongs to
 	smalls      uint8
@@ -130,7 +131,7 @@
 func (w *flow) ask(now clock.Millis) {
 	if w.asked == 0 {
 		w.asked = now
-		w.repeats, w.waited, w.late = 0, false, false
+		w.repeats, w.waited, w.doubted, w.late = 0, false, false, false
 		w.from = w.ack
 		w.server.load.waiting++
 	}
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"slices"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -22,17 +24,23 @@
 	// answers others. Instances that see those say so twice a second.
 	runLeast   = 700 * clock.Millisecond
 	flowSmalls = 3 // of them, how many may come from one flow
-	// A request is overdue when its consumer gave it up after so many times the mean
-	// of its service, and at least overdueLeast. That a request has no answer yet says
-	// nothing: when the routers deal flows anew, the answer is acknowledged elsewhere.
-	// The longest work of the platform's endpoints is 11 times its mean, on the
-	// slowest ones 18 times.
+	// A request is overdue when it waits, or its consumer gave it up, after so many times
+	// the mean of its service and of its endpoint, and at least overdueLeast. The longest
+	// work of the platform's endpoints is 11 times its mean, on the slowest ones 18 times.
 	overdueTimes = 18
 	overdueLeast = 600 * clock.Millisecond
+	// Work that an endpoint took on while it was slow after its start may end later.
+	overdueWarm = 1 * clock.Second
 	// What was asked longer ago says too little of the endpoint as it is now.
 	overdueMostAge = 2500 * clock.Millisecond
-	failingDue     = 3                       // overdue requests within overdueHold, at all instances together
-	overdueHold    = 3 * clock.Second        // for which an overdue request counts
+	failingDue     = 3                // overdue requests within overdueHold, at all instances together
+	overdueHold    = 3 * clock.Second // for which an overdue request counts
+	// A request that an instance which has ended may have seen answered counts less.
+	// That takes flows dealt anew while the request waits, to an instance that ends
+	// before it is asked, so such requests come together, a few to an endpoint. Of
+	// those within perhapsGap, one counts.
+	perhapsGap     = 300 * clock.Millisecond
+	failingPerhaps = 4
 	overdueMost    = 0.25                    // share of a service's endpoints with overdue requests; above, it is the load
 	toldAfter      = 500 * clock.Millisecond // without a usual answer, to believe another instance
 	firstBan       = 3 * clock.Second        // without new flows, doubled each time
@@ -47,16 +55,19 @@
 	runAt clock.Millis   // when the latest of them came
 	epoch uint32         // of the run, so that each flow counts a few times only
 	due   []clock.Millis // when requests became overdue, of the last overdueHold
-	ban   clock.Millis   // how long it got no new flows
-	until clock.Millis   // end of that
-	tally Tally          // since it was last told to others
-	tell  bool           // the tally holds what others should know
+	// When requests were asked that are perhaps overdue, of the last overdueHold.
+	perhaps []clock.Millis
+	ban     clock.Millis // how long it got no new flows
+	until   clock.Millis // end of that
+	tally   Tally        // since it was last told to others
+	tell    bool         // the tally holds what others should know
 }
 
 // Why endpoints are found to fail.
 const (
 	whySmall   = "small answers"
 	whyOverdue = "overdue requests"
+	whyPerhaps = "requests perhaps overdue"
 	whyTold    = "told by another instance"
 )
 
@@ -67,9 +78,10 @@
 type Tally struct {
 	_       struct{} `cbor:",toarray"`
 	Token   Token
-	Normal  int // answers of usual size
-	Small   int // small answers
-	Overdue int // requests that became overdue
+	Normal  int            // answers of usual size
+	Small   int            // small answers
+	Overdue int            // requests that became overdue
+	Perhaps []clock.Millis `cbor:",omitempty"` // how long ago requests were asked that perhaps are
 }
 
 // baseline is what is usual on a route.
@@ -173,12 +185,37 @@
 	}
 }
 
+// perhapsOverdue notes that a request asked at a time is overdue, unless an instance
+// that has ended saw its answer.
+func (e *Engine) perhapsOverdue(now clock.Millis, s *server, asked clock.Millis) {
+	if now < e.stalled || s.silence.over() {
+		return
+	}
+	s.judgement.tell = true
+	s.judgement.tally.Perhaps = append(s.judgement.tally.Perhaps, asked)
+	e.perhapsDue(now, s, asked)
+}
+
+// perhapsDue notes a request that is perhaps overdue.
+func (e *Engine) perhapsDue(now clock.Millis, s *server, asked clock.Millis) {
+	j := &s.judgement
+	j.perhaps = slices.DeleteFunc(j.perhaps, func(at clock.Millis) bool { return now-at > overdueHold+overdueLeast })
+	if slices.ContainsFunc(j.perhaps, func(at clock.Millis) bool { return max(at-asked, asked-at) < perhapsGap }) {
+		return
+	}
+	j.perhaps = append(j.perhaps, asked)
+	if len(j.perhaps) >= failingPerhaps && !e.overloaded(now, s) {
+		e.convict(now, s, whyPerhaps)
+	}
+}
+
 // overloaded reports whether many endpoints of a service have overdue requests.
 func (e *Engine) overloaded(now clock.Millis, s *server) bool {
 	all, due := 0, 0
 	for _, o := range e.directory.byService[s.Service] {
 		all++
-		if n := len(o.judgement.due); n > 0 && now-o.judgement.due[n-1] <= overdueHold {
+		n := len(o.judgement.due)
+		if n > 0 && now-o.judgement.due[n-1] <= overdueHold || len(o.judgement.perhaps) > failingPerhaps/2 {
 			due++
 		}
 	}
@@ -194,7 +231,7 @@
 	}
 	j.ban = min(max(2*j.ban, firstBan), lastBan)
 	j.until = now + j.ban
-	j.run, j.due = 0, nil
+	j.run, j.due, j.perhaps = 0, nil, nil
 	j.epoch++
 	reset := 0
 	for k, w := range e.flows.byKey {
@@ -217,12 +254,15 @@
 
 // TakeTallies returns what others should know of what was seen of endpoints since
 // the last call.
-func (e *Engine) TakeTallies() (list []Tally) {
+func (e *Engine) TakeTallies(now clock.Millis) (list []Tally) {
 	for t, same := range e.directory.byToken {
 		for _, s := range same {
 			if s.judgement.tell {
 				tally := s.judgement.tally
 				tally.Token = t
+				for i := range tally.Perhaps {
+					tally.Perhaps[i] = now - tally.Perhaps[i]
+				}
 				list = append(list, tally)
 			}
 			s.judgement.tally, s.judgement.tell = Tally{}, false
@@ -248,15 +288,19 @@
 		if t.Overdue > 0 {
 			e.dues(now, s, t.Overdue)
 		}
+		for _, ago := range t.Perhaps {
+			e.perhapsDue(now, s, now-ago)
+		}
 	}
 	return e.TakeNotes()
 }
 
-// waitsTooLong reports whether a request of a service that has waited for some time
+// waitsTooLong reports whether a request that has waited for some time at an endpoint
 // is overdue.
-func (e *Engine) waitsTooLong(service string, waited clock.Millis) bool {
-	if waited < overdueLeast {
+func (e *Engine) waitsTooLong(now clock.Millis, s *server, waited clock.Millis) bool {
+	if waited < overdueLeast || now < s.warm+overdueWarm {
 		return false // most are; the mean takes a look at every endpoint
 	}
-	return waited >= clock.Millis(overdueTimes*meanPace(e.directory.byService[service]))
+	pace := max(meanPace(e.directory.byService[s.Service]), s.load.pace)
+	return waited >= clock.Millis(overdueTimes*pace)
 }
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -74,6 +74,9 @@
 	errorSize    = 156
 )
 
+// alonePause is how long the other instances take to answer that they saw nothing.
+const alonePause = 10
+
 // event is something that happens at a time.
 type loadEvent struct {
 	at    clock.Millis
@@ -188,7 +191,7 @@
 func (l *loadPlay) tick() {
 	l.perform(l.engine.Handle(l.now, Confirmed{Configuration: l.now, Endpoints: l.now}))
 	l.perform(l.engine.Handle(l.now, Ticked{}))
-	l.engine.TakeTallies()
+	l.engine.TakeTallies(l.now)
 	l.after(tickEvery, l.tick)
 }
 
@@ -207,6 +210,13 @@
 				end = ProbeRefused
 			}
 			l.after(span, func() { l.perform(l.engine.Handle(l.now, Probed{Endpoint: v.Endpoint, Born: v.Born, End: end})) })
+		case AskFlows:
+			var unseen FlowsUnseen
+			for _, d := range v.Doubts {
+				unseen.Sights = append(unseen.Sights, d.Sight)
+			}
+			unseen.Certain = true
+			l.after(alonePause, func() { l.perform(l.engine.Handle(l.now, unseen)) })
 		case ResetFlow:
 			l.resets++
 			l.after(loadTrip/2, func() { l.reset(v.Consumer) })
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -71,10 +71,12 @@
 	consumer, route End
 }
 
+func (k key) String() string { return fmt.Sprintf("%s>%s", k.consumer, k.route) }
+
 func (p *Packet) key() key { return key{p.Consumer, p.Route} }
 
 // ID names the flow of a packet in logs.
-func (p *Packet) ID() string { return fmt.Sprintf("%s>%s", p.Consumer, p.Route) }
+func (p *Packet) ID() string { return p.key().String() }
 
 // Verdict is what happens to a packet.
 type Verdict uint8
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -33,8 +34,12 @@
 	Confirm       bool               `yaml:"confirm"`  // the store confirms all records now
 	Returned      bool               `yaml:"returned"` // and had not answered before
 	Packet        string             `yaml:"packet"`
-	Probe         string             `yaml:"probe"`  // "ID END": a probe ends
-	Report        string             `yaml:"report"` // "ID INSTANCE hung" or refused: another instance's word
+	Probe         string             `yaml:"probe"`   // "ID END": a probe ends
+	Report        string             `yaml:"report"`  // "ID INSTANCE hung" or refused: another instance's word
+	Asked         string             `yaml:"asked"`   // "INSTANCE CONSUMER ACK [ROUTE]": another instance asks for a flow
+	Seen          string             `yaml:"seen"`    // "CONSUMER ACK [ROUTE]": a flow went on at another instance
+	Unseen        []string           `yaml:"unseen"`  // flows that went on at no other instance
+	Perhaps       bool               `yaml:"perhaps"` // or at one that has ended
 	Woke          bool               `yaml:"woke"`
 	Late          clock.Millis       `yaml:"late"`
 	Tick          bool               `yaml:"tick"`
@@ -124,6 +129,18 @@
 		words := strings.Fields(s.Report)
 		return SilenceReported{By: words[1], Finding: Finding{Endpoint: "i-" + words[0], Born: 1, Refused: words[2] == "refused"}}
 	})
+	add(s.Asked != "", func() Event {
+		by, sight, _ := strings.Cut(s.Asked, " ")
+		return FlowsAsked{By: by, Sights: []Sight{parseSight(t, sight)}}
+	})
+	add(s.Seen != "", func() Event { return FlowsSeen{Sights: []Sight{parseSight(t, s.Seen)}} })
+	add(s.Unseen != nil, func() Event {
+		v := FlowsUnseen{Certain: !s.Perhaps}
+		for _, text := range s.Unseen {
+			v.Sights = append(v.Sights, parseSight(t, text))
+		}
+		return v
+	})
 	add(s.Woke, func() Event { return Woke{} })
 	add(s.Tick || s.Late > 0, func() Event { return Ticked{Late: s.Late} })
 	return events
@@ -229,6 +246,24 @@
 	return p
 }
 
+func parseSight(t *testing.T, text string) Sight {
+	words := append(strings.Fields(text), "")
+	v := Sight{Route: routeEnds[words[2]]}
+	_, err := fmt.Sscanf(text, "c%d %d", &v.Consumer.Address, &v.Ack)
+	require.NoError(t, err, "flow %q", text)
+	v.Consumer.Port = 1000
+	return v
+}
+
+func tellSights(sights []Sight) string {
+	var words []string
+	for _, s := range sights {
+		words = append(words, fmt.Sprintf(" c%d %d", s.Consumer.Address, s.Ack))
+	}
+	slices.Sort(words) // flows are looked at in any order
+	return strings.Join(words, "")
+}
+
 var packetFlags = map[string]Flags{
 	"open": Open, "data": Acknowledge, "ack": Acknowledge, "finish": Acknowledge | Finish, "abort": Abort,
 	"forged": Open | Acknowledge,
@@ -301,6 +336,16 @@
 			return "told others " + short(v.Endpoint) + " refused"
 		}
 		return "told others " + short(v.Endpoint) + " hung"
+	case AskFlows:
+		var sights []Sight
+		for _, d := range v.Doubts {
+			sights = append(sights, d.Sight)
+		}
+		return "ask for" + tellSights(sights)
+	case TellFlows:
+		return "tell " + v.To + tellSights(v.Sights)
+	case EndpointFailing:
+		return fmt.Sprintf("%s failing %s", short(v.Endpoint), v.Why)
 	case ResetFlow:
 		return fmt.Sprintf("reset c%d", v.Consumer.Address)
 	case EndpointLost:
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -143,14 +143,10 @@
 // endpoint reset it, or the consumer left, no packet ever tells.
 func (e *Engine) waits(now clock.Millis, k key, w *flow) {
 	s := w.server
-	if w.established && e.waitsTooLong(s.Service, now-w.asked) {
-		w.late = true
-		if s.judgement.failing(now) && e.repeatable(k.route) {
-			e.end(k, w)
-			return
-		}
+	if w.established && e.waitsTooLong(now, s, now-w.asked) {
+		e.doubt(now, k, w)
 	}
-	if w.waited || w.established && w.repeats > 0 {
+	if e.flows.byKey[k] != w || w.waited || w.established && w.repeats > 0 {
 		return
 	}
 	w.waited = true
