Endpoints that were found to fail come back on trial

Errors also come within 1 ms, which made their endpoint look like the fastest one. Now an endpoint that was banned gets a flow from each instance every 0.5 s, the first ones spread over 2 s, until it has given six usual answers in a row. One bad answer on trial bans it again and ends no flow. Bad answers don't teach the speed.

--- a/steering/established.go
+++ b/steering/established.go
@@ -122,9 +122,11 @@
 		s.silence.heard(now)
 		if w.asked != 0 && w.counted {
 			took := w.answer(now)
-			s.load.learn(took)
 			e.answers = append(e.answers, Answered{Service: s.Service, Took: took})
-			e.judge(now, p.Route, w, s, int(p.Ack-w.from))
+			// Errors come fast, and would make their endpoint look like the best one.
+			if e.judge(now, p.Route, w, s, int(p.Ack-w.from)) {
+				s.load.learn(took)
+			}
 		}
 	}
 	if p.Length == 0 {
--- a/steering/event.go
+++ b/steering/event.go
@@ -44,6 +44,7 @@
 	Born     clock.Millis `cbor:"born"`
 	Refused  bool         `cbor:"refused,omitempty"` // its address refuses connections
 	Failing  bool         `cbor:"failing,omitempty"` // it answers, but with errors by their size
+	Trial    bool         `cbor:"trial,omitempty"`   // found from one bad answer, after a ban
 }
 
 // SilenceReported tells what another instance found.
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -45,6 +45,12 @@
 	toldAfter      = 500 * clock.Millisecond // without a usual answer, to believe another instance
 	firstBan       = 3 * clock.Second        // without new flows, doubled each time
 	lastBan        = 12 * clock.Second       // at most
+	// After a ban an endpoint gets a flow from each instance once in a while, the first
+	// ones spread over trialSpread, until it has given as many usual answers in a row as
+	// say that it fails less than a third of its requests. One bad answer bans it again.
+	trialSpread  = 2 * clock.Second
+	trialPause   = 500 * clock.Millisecond
+	trialAnswers = 6
 )
 
 // judgement is what tells whether an endpoint fails its requests.
@@ -59,6 +65,8 @@
 	perhaps []clock.Millis
 	ban     clock.Millis // how long it got no new flows
 	until   clock.Millis // end of that
+	trial   clock.Millis // when this instance may try it next, after the ban
+	owed    int          // usual answers that it owes since, to be taken for well
 	tally   Tally        // since it was last told to others
 	tell    bool         // the tally holds what others should know
 }
@@ -74,6 +82,14 @@
 // failing reports whether an endpoint is found to fail now.
 func (j *judgement) failing(now clock.Millis) bool { return j.until != 0 && now < j.until }
 
+// onTrial reports whether an endpoint's ban is over and it isn't yet taken for well.
+func (j *judgement) onTrial(now clock.Millis) bool { return j.owed > 0 && now >= j.until }
+
+// refuses reports whether an endpoint gets no new flow for what was found of it.
+func (j *judgement) refuses(now clock.Millis) bool {
+	return j.failing(now) || j.onTrial(now) && now < j.trial
+}
+
 // Tally is what one instance saw of an endpoint in a while.
 type Tally struct {
 	_       struct{} `cbor:",toarray"`
@@ -91,8 +107,8 @@
 	smalls  float64 // share of small answers
 }
 
-// judge takes the size of an answer in.
-func (e *Engine) judge(now clock.Millis, at End, w *flow, s *server, size int) {
+// judge takes the size of an answer in, and reports whether it is a usual one.
+func (e *Engine) judge(now clock.Millis, at End, w *flow, s *server, size int) bool {
 	size = min(size, mostSize)
 	b := e.baselines[at]
 	if b == nil {
@@ -105,14 +121,14 @@
 	}
 	if !small {
 		// Others care for usual answers only where they contradict a run.
-		s.judgement.tell = s.judgement.tell || s.judgement.run > 0
+		s.judgement.tell = s.judgement.tell || s.judgement.run > 0 || s.judgement.onTrial(now)
 		s.judgement.tally.Normal++
 		s.judgement.usual = now
-		s.judgement.normal()
-		return
+		s.judgement.normal(now, 1)
+		return true
 	}
 	if b.smalls > commonSmalls {
-		return
+		return true
 	}
 	s.load.shed = now
 	if w.epoch != s.judgement.epoch {
@@ -123,6 +139,7 @@
 		s.judgement.tell = true
 		e.smalls(now, s, 1)
 	}
+	return false
 }
 
 func (b *baseline) learn(size int, small bool) {
@@ -136,8 +153,16 @@
 	b.smalls += sizePace * (share - b.smalls)
 }
 
-// normal notes an answer of usual size.
-func (j *judgement) normal() {
+// normal notes answers of usual size.
+func (j *judgement) normal(now clock.Millis, n int) {
+	if j.onTrial(now) {
+		j.owed = max(j.owed-n, 0)
+	}
+	j.endRun()
+}
+
+// endRun ends a run of small answers.
+func (j *judgement) endRun() {
 	if j.run > 0 {
 		j.run = 0
 		j.epoch++
@@ -149,14 +174,14 @@
 func (e *Engine) smalls(now clock.Millis, s *server, n int) {
 	j := &s.judgement
 	if now-j.runAt > runHold {
-		j.normal()
+		j.endRun()
 	}
 	if j.run == 0 {
 		j.since = now
 	}
 	j.run += n
 	j.runAt = now
-	if j.run >= failingSmalls && now-j.since >= runLeast {
+	if j.run >= failingSmalls && now-j.since >= runLeast || j.onTrial(now) {
 		e.convict(now, s, whySmall)
 	}
 }
@@ -180,7 +205,7 @@
 	for len(j.due) > 0 && now-j.due[0] > overdueHold {
 		j.due = j.due[1:]
 	}
-	if len(j.due) >= failingDue && !e.overloaded(now, s) {
+	if (len(j.due) >= failingDue || j.onTrial(now)) && !e.overloaded(now, s) {
 		e.convict(now, s, whyOverdue)
 	}
 }
@@ -204,7 +229,7 @@
 		return
 	}
 	j.perhaps = append(j.perhaps, asked)
-	if len(j.perhaps) >= failingPerhaps && !e.overloaded(now, s) {
+	if (len(j.perhaps) >= failingPerhaps || j.onTrial(now)) && !e.overloaded(now, s) {
 		e.convict(now, s, whyPerhaps)
 	}
 }
@@ -223,25 +248,29 @@
 }
 
 // convict gives an endpoint no new flows for a while and ends those that wait for
-// nothing. Requests under way are left to it, for some are answered.
+// nothing. Requests under way are left to it, for some are answered. On trial one bad
+// answer is enough for that, which says too little to end flows.
 func (e *Engine) convict(now clock.Millis, s *server, why string) {
 	j := &s.judgement
 	if j.failing(now) {
 		return
 	}
+	onTrial := j.onTrial(now)
 	j.ban = min(max(2*j.ban, firstBan), lastBan)
 	j.until = now + j.ban
+	j.trial = j.until + clock.Millis(e.random.Int64N(int64(trialSpread)))
+	j.owed = trialAnswers
 	j.run, j.due, j.perhaps = 0, nil, nil
 	j.epoch++
 	reset := 0
 	for k, w := range e.flows.byKey {
-		if w.server == s && w.established && !w.closing && (w.asked == 0 || w.late && e.repeatable(k.route)) {
+		if w.server == s && w.established && !w.closing && !onTrial && (w.asked == 0 || w.late && e.repeatable(k.route)) {
 			e.end(k, w)
 			reset++
 		}
 	}
-	if why == whySmall {
-		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born, Failing: true}})
+	if why != whyTold && (why == whySmall || onTrial) {
+		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born, Failing: true, Trial: onTrial}})
 	}
 	e.notes = append(e.notes, EndpointFailing{Endpoint: s.ID, Service: s.Service, Why: why, Ban: j.ban, Reset: reset})
 }
@@ -280,7 +309,7 @@
 		}
 		s := same[0]
 		if t.Normal > 0 {
-			s.judgement.normal()
+			s.judgement.normal(now, t.Normal)
 		}
 		if t.Small > 0 {
 			e.smalls(now, s, t.Small)
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -30,6 +30,7 @@
 	Least   []string     `yaml:"least"`   // endpoints that get fewer requests than any other
 	Resets  *int         `yaml:"resets"`  // flows reset by the instance, exactly; nil for any
 	Foreign float64      `yaml:"foreign"` // share of requests that leave the data centre, at most
+	Served  []int        `yaml:"served"`  // requests that each endpoint works on, at least; nil for any
 }
 
 // loadEndpoint is one endpoint and what goes wrong with it.
@@ -39,6 +40,7 @@
 	Slots  int          `yaml:"slots"`
 	Speed  float64      `yaml:"speed"` // default 1
 	From   clock.Millis `yaml:"from"`  // when the trouble starts
+	Until  clock.Millis `yaml:"until"` // when it ends; 0 for never
 	Dark   bool         `yaml:"dark"`  // answers nothing, not even connections
 	Ended  bool         `yaml:"ended"` // resets what comes and refuses connections
 	Errors bool         `yaml:"errors"`
@@ -195,7 +197,9 @@
 	l.after(tickEvery, l.tick)
 }
 
-func (l *loadPlay) troubled(e *loadEndpoint) bool { return l.now >= start+e.From }
+func (l *loadPlay) troubled(e *loadEndpoint) bool {
+	return l.now >= start+e.From && (e.Until == 0 || l.now < start+e.Until)
+}
 
 func (l *loadPlay) perform(actions []Action) {
 	for _, a := range actions {
@@ -406,6 +410,9 @@
 	} else if l.now-r.since > l.c.Late {
 		l.late++
 	}
+	if l.c.Fresh {
+		l.leave(f)
+	}
 	l.after(l.think(), func() { l.ask(r.user, f) })
 }
 
@@ -433,7 +440,7 @@
 func (l *loadPlay) check() {
 	c := l.c
 	require.Positive(l.t, l.asked)
-	l.t.Logf("%d asked, %d failed, %d late, %d reset, %d foreign", l.asked, l.failed, l.late, l.resets, l.foreign)
+	l.t.Logf("%d asked, %d failed, %d late, %d reset, %d foreign, %d served by %s", l.asked, l.failed, l.late, l.resets, l.foreign, c.Endpoints[0].served, c.Endpoints[0].ID)
 	require.LessOrEqual(l.t, l.failed, c.Failed, "failed")
 	require.LessOrEqual(l.t, float64(l.late)/float64(l.asked), c.Lates, "late")
 	require.LessOrEqual(l.t, float64(l.foreign)/float64(l.asked), c.Foreign, "foreign")
@@ -449,6 +456,9 @@
 		}
 		require.LessOrEqual(l.t, most*float64(len(c.Endpoints))/sum, c.Spread, "spread")
 	}
+	for i, least := range c.Served {
+		require.GreaterOrEqual(l.t, c.Endpoints[i].served, least, "served by %s", c.Endpoints[i].ID)
+	}
 	for _, id := range c.Least {
 		for i := range c.Endpoints {
 			if o := &c.Endpoints[i]; o.ID != id {
--- a/steering/place.go
+++ b/steering/place.go
@@ -107,8 +107,9 @@
 		}
 	}
 	if best == nil {
-		return list[0] // the one that has been tried
+		best = list[0] // the one that has been tried
 	}
+	best.judgement.trial = now + trialPause
 	return best
 }
 
@@ -122,7 +123,7 @@
 	if s.Centre != e.settings.Centre {
 		cost *= away
 	}
-	if s.silence.avoided(now) || s.judgement.failing(now) {
+	if s.silence.avoided(now) || s.judgement.refuses(now) {
 		cost *= silentFactor
 	}
 	return cost
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -35,7 +35,7 @@
 	Returned      bool               `yaml:"returned"` // and had not answered before
 	Packet        string             `yaml:"packet"`
 	Probe         string             `yaml:"probe"`   // "ID END": a probe ends
-	Report        string             `yaml:"report"`  // "ID INSTANCE hung" or refused: another instance's word
+	Report        string             `yaml:"report"`  // "ID INSTANCE hung", refused, failing or trial: another instance's word
 	Asked         string             `yaml:"asked"`   // "INSTANCE CONSUMER ACK [ROUTE]": another instance asks for a flow
 	Seen          string             `yaml:"seen"`    // "CONSUMER ACK [ROUTE]": a flow went on at another instance
 	Unseen        []string           `yaml:"unseen"`  // flows that went on at no other instance
@@ -127,7 +127,9 @@
 	})
 	add(s.Report != "", func() Event {
 		words := strings.Fields(s.Report)
-		return SilenceReported{By: words[1], Finding: Finding{Endpoint: "i-" + words[0], Born: 1, Refused: words[2] == "refused"}}
+		trial := words[2] == "trial"
+		f := Finding{Endpoint: "i-" + words[0], Born: 1, Refused: words[2] == "refused", Failing: trial || words[2] == "failing", Trial: trial}
+		return SilenceReported{By: words[1], Finding: f}
 	})
 	add(s.Asked != "", func() Event {
 		by, sight, _ := strings.Cut(s.Asked, " ")
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -195,7 +195,8 @@
 	}
 	// What was answered here lately tells more than what was found elsewhere.
 	if v.Failing {
-		if now-s.judgement.usual >= toldAfter {
+		known := !v.Trial || s.judgement.onTrial(now)
+		if known && now-s.judgement.usual >= toldAfter {
 			e.convict(now, s, whyTold)
 		}
 		return e.TakeNotes()
