Unanswered requests count by moments; steering takes in parts of a list

Traces: an instance that woke read packets of before its freeze, whose consumers had long left; and the only instance of a data centre came back, so that its consumers' flows left instances of another one, who can't ask it. So no set of members that answer makes it certain that nobody saw an answer. Now requests read within 1 s of standing still aren't judged by, and unanswered requests count by the moments at which they were asked, 200 ms apart: four of them, whoever answered. Requests are asked for after 15 times the usual time, 450 ms at least.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -17,7 +17,6 @@
 //	duty.go     who watches the store
 //	event.go    events and actions
 //	engine.go   what comes of events
-//	doubt.go    flows that may have gone on at other members
 //	tell.go     changes, tallies and signs of life, to whom and how
 //	report.go   what operators are told
 //
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -28,9 +28,8 @@
 
 // Engine decides for one member. It is not safe for concurrent use.
 type Engine struct {
-	settings  Settings
-	members   members
-	startedAt clock.Millis
+	settings Settings
+	members  members
 
 	state           State
 	configurationAt clock.Millis // when the store last confirmed the configuration
@@ -44,13 +43,12 @@
 	fetchAt  clock.Millis // of the latest fetch
 	helper   *Member      // the latest one that was heard, of any data centre
 	reports  reports
-	round    round
 	signsAt  clock.Millis // when signs of life were last asked for
 }
 
 // NewEngine returns an engine that knows no other member.
 func NewEngine(s Settings, now clock.Millis) *Engine {
-	return &Engine{settings: s, startedAt: now, configurationAt: now, endpointsAt: now, readAt: now, signsAt: now}
+	return &Engine{settings: s, configurationAt: now, endpointsAt: now, readAt: now, signsAt: now}
 }
 
 // Watching reports whether this member watches the store.
@@ -93,9 +91,11 @@
 	case EndpointsSeen:
 		return e.share(v.Tallies)
 	case FlowsDoubted:
-		return e.ask(now, v.Doubts)
+		return e.tell(Doubted{Sights: v.Sights})
 	case FlowsFound:
-		return e.answer(now, v)
+		if p := e.members.find(v.Of); p != nil {
+			return []Action{Send{To: []netip.AddrPort{p.Address}, Message: Found{Sights: v.Sights}}}
+		}
 	case Stopping:
 		return e.stop(now)
 	case Ticked:
@@ -144,7 +144,7 @@
 	}
 	if e.known(&v.From) {
 		p, _ = e.members.put(v.From)
-		p.heard, p.asked, p.absent = now, 0, 0
+		p.heard, p.asked = now, 0
 	}
 	switch m := v.Message.(type) {
 	case Hello:
@@ -160,9 +160,9 @@
 	case Silent:
 		return []Action{Apply{Event: steering.SilenceReported{By: v.From.Name, Finding: m.Finding}}}
 	case Doubted:
-		return []Action{Apply{Event: steering.FlowsAsked{By: v.From.Name, Round: m.Round, Sights: m.Sights}}}
+		return []Action{Apply{Event: steering.FlowsAsked{By: v.From.Name, Sights: m.Sights}}}
 	case Found:
-		return e.answered(now, p, m)
+		return []Action{Apply{Event: steering.FlowsSeen{Sights: m.Sights}}}
 	}
 	return nil
 }
@@ -308,7 +308,7 @@
 }
 
 func (e *Engine) tick(now clock.Millis) []Action {
-	actions := append(e.watch(now), e.expire(now)...)
+	actions := e.watch(now)
 	if !e.watching {
 		return actions
 	}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -41,12 +41,11 @@
 type EndpointsSeen struct{ Tallies []steering.Tally }
 
 // FlowsDoubted brings flows that may have gone on at other members.
-type FlowsDoubted struct{ Doubts []steering.Doubt }
+type FlowsDoubted struct{ Sights []steering.Sight }
 
-// FlowsFound brings flows of another member's question that went on here.
+// FlowsFound brings flows that another member asked for and that went on here.
 type FlowsFound struct {
 	Of     string // name of that member
-	Round  uint32
 	Sights []steering.Sight
 }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -44,7 +44,6 @@
 	beat    clock.Millis // its latest beat; 0 for none
 	state   State        // of that beat
 	asked   clock.Millis // since when it owes a sign of life; 0 when it doesn't
-	absent  clock.Millis // since when it is known not to answer questions; 0 when it may
 	leaving bool
 }
 
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -66,15 +66,12 @@
 
 // Doubted asks which of these flows went on at the receiver.
 type Doubted struct {
-	Round  uint32           `cbor:"round"` // of the sender, to know the answer by
 	Sights []steering.Sight `cbor:"sights"`
 }
 
-// Found answers that: which ones did.
+// Found answers that: these did.
 type Found struct {
-	Round  uint32           `cbor:"round"`
-	Up     clock.Millis     `cbor:"up"` // how long the sender has been running
-	Sights []steering.Sight `cbor:"sights,omitempty"`
+	Sights []steering.Sight `cbor:"sights"`
 }
 
 func (Seen) message()    {}
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -222,15 +222,19 @@
 	return d.engine.Flows()
 }
 
-// hasRecords reports whether the instance knows what it takes to serve.
+// hasRecords reports whether the instance knows all records.
 func (d *Daemon) hasRecords() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.engine.Ready()
+	return d.engine.Complete()
 }
 
 // isReady reports whether the instance should get packets.
-func (d *Daemon) isReady() bool { return d.hasRecords() && !d.halting.Load() }
+func (d *Daemon) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engine.Ready() && !d.halting.Load()
+}
 
 // perform carries out actions and logs them.
 func (d *Daemon) perform(actions []steering.Action) {
@@ -241,6 +245,8 @@
 		case steering.ConfigurationAccepted:
 			d.counts.version.Update(v.Version)
 			d.journal.say("configuration accepted", "version", v.Version, "revision", v.Revision, "routes", v.Routes, "removed", v.Removed)
+		case steering.EndpointsLearnt:
+			d.journal.say("endpoints listed", "count", v.Count, "revision", v.Revision)
 		case steering.EndpointChanged:
 			d.journal.say("endpoint "+v.State, "endpoint", v.Endpoint, "service", v.Service, "address", v.Address.String(), "revision", v.Revision)
 		case steering.EndpointSilent:
@@ -249,10 +255,10 @@
 		case steering.SilenceSeen:
 			d.handleFleet(fleet.SilenceSeen{Finding: v.Finding})
 		case steering.AskFlows:
-			d.journal.limited("flows doubted", "count", len(v.Doubts), "first", v.Doubts[0].ID())
-			d.handleFleet(fleet.FlowsDoubted{Doubts: v.Doubts})
+			d.journal.limited("flows doubted", "count", len(v.Sights), "first", v.Sights[0].ID())
+			d.handleFleet(fleet.FlowsDoubted{Sights: v.Sights})
 		case steering.TellFlows:
-			d.handleFleet(fleet.FlowsFound{Of: v.To, Round: v.Round, Sights: v.Sights})
+			d.handleFleet(fleet.FlowsFound{Of: v.To, Sights: v.Sights})
 		case steering.ResetFlow:
 			d.resetFlow(v)
 		case steering.EndpointFailing:
--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"slices"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -8,10 +10,24 @@
 // dealt its flow to another instance, where the consumer acknowledged the answer, so
 // the others are asked first. It answers endpoints that swallow some of their requests.
 const (
-	// Each question goes to every member of the data centre: 36 flows are 1.2 KB, which
+	// Members of a data centre answer within a few ms; the smallest instances stand
+	// still for up to a tenth of a second when their share of a core is used up.
+	doubtHold = 150 * clock.Millisecond
+	// Each question goes to every member of the data centre: 18 flows are 0.6 KB, which
 	// is 0.4 MB a second for 66 others, a third of the smallest link.
-	doubtPause = 200 * clock.Millisecond
-	doubtsMost = 36
+	doubtPause = 100 * clock.Millisecond
+	doubtsMost = 18
+	// A request is in doubt after so many times the mean of its service and of its
+	// endpoint, and after doubtLeast at least. Work ends later than that now and then.
+	doubtTimes = 15
+	doubtLeast = 450 * clock.Millisecond
+	// The instance that saw the answer may have ended, or be one of another data centre
+	// that took the consumer's packets for a while. Either takes flows dealt anew while
+	// the request waits, so such requests come together, a few to an endpoint: of those
+	// asked within unseenGap one counts. Flows aren't dealt anew so many times within
+	// the time for which one counts.
+	unseenGap     = 200 * clock.Millisecond
+	failingUnseen = 4
 )
 
 // Sight is how far an instance has seen a flow.
@@ -27,20 +43,30 @@
 
 func (s *Sight) key() key { return key{s.Consumer, s.Route} }
 
-// Doubt is a flow whose request has waited for its answer much too long.
-type Doubt struct {
-	Sight
-	Since clock.Millis
-}
-
-// doubt asks the other instances for a request that has waited much too long.
+// doubt looks at a request that has waited much too long: it asks the other instances
+// for its flow, and when none has seen it go on, counts it against its endpoint.
 func (e *Engine) doubt(now clock.Millis, k key, w *flow) {
-	// After standing still, its answer may be among the packets that are still unread.
-	if w.doubted || now < e.stalled || len(e.doubts) >= doubtsMost {
+	// After standing still a process reads old packets, whose consumers may have got
+	// their answers or left long ago.
+	if w.asked < e.stalled {
 		return
 	}
-	w.doubted = true
-	e.doubts = append(e.doubts, Doubt{Sight: Sight{Consumer: k.consumer, Route: k.route, Ack: w.from}, Since: w.asked})
+	if w.doubted == 0 {
+		if len(e.doubts) < doubtsMost {
+			w.doubted = now
+			e.doubts = append(e.doubts, Sight{Consumer: k.consumer, Route: k.route, Ack: w.from})
+		}
+		return
+	}
+	if now-w.doubted < doubtPause+doubtHold {
+		return
+	}
+	w.late = true
+	s := w.server
+	e.unseen(now, s, w.asked)
+	if e.flows.byKey[k] == w && s.judgement.failing(now) && e.repeatable(k.route) {
+		e.end(k, w)
+	}
 }
 
 // askOthers adds the question for the flows in doubt.
@@ -49,58 +75,56 @@
 		return actions
 	}
 	e.doubtAt = now
-	actions = append(actions, AskFlows{Doubts: e.doubts})
+	actions = append(actions, AskFlows{Sights: e.doubts})
 	e.doubts = nil
 	return actions
 }
 
-// asked tells another instance which of its flows got their answers here.
+// asked tells another instance which of its flows went on here.
 func (e *Engine) asked(v FlowsAsked) []Action {
-	answer := TellFlows{To: v.By, Round: v.Round}
+	var seen []Sight
 	for _, s := range v.Sights {
 		w := e.flows.byKey[s.key()]
 		if w != nil && w.established && after(w.ack, s.Ack) {
 			s.Ack = w.ack
-			answer.Sights = append(answer.Sights, s)
+			seen = append(seen, s)
 		}
 	}
-	return []Action{answer}
+	if len(seen) == 0 {
+		return nil
+	}
+	return []Action{TellFlows{To: v.By, Sights: seen}}
 }
 
-// seenElsewhere forgets flows that got their answers at another instance: their load
-// isn't this one's any more.
+// seenElsewhere forgets flows that went on at another instance: their load isn't this
+// one's any more.
 func (e *Engine) seenElsewhere(sights []Sight) {
 	for _, s := range sights {
-		if w := e.waiting(s.key()); w != nil && after(s.Ack, w.from) {
+		if w := e.flows.byKey[s.key()]; w != nil && w.asked != 0 && after(s.Ack, w.from) {
 			e.flows.remove(s.key(), w)
 		}
 	}
 }
 
-// unseen counts requests that nobody saw answered against their endpoints.
-func (e *Engine) unseen(now clock.Millis, v FlowsUnseen) []Action {
-	for _, s := range v.Sights {
-		w := e.waiting(s.key())
-		if w == nil || w.from != s.Ack {
-			continue // it was answered meanwhile
-		}
-		w.late = true
-		if v.Certain {
-			e.overdue(now, w.server)
-		} else {
-			e.perhapsOverdue(now, w.server, w.asked)
-		}
-		if e.flows.byKey[s.key()] == w && w.server.judgement.failing(now) && e.repeatable(s.Route) {
-			e.end(s.key(), w)
-		}
+// unseen notes that nobody saw the answer to a request that was asked at a time.
+func (e *Engine) unseen(now clock.Millis, s *server, asked clock.Millis) {
+	if s.silence.over() {
+		return
 	}
-	return e.TakeNotes()
+	s.judgement.tell = true
+	s.judgement.tally.Unseen = append(s.judgement.tally.Unseen, asked)
+	e.unseenDue(now, s, asked)
 }
 
-// waiting returns a flow whose request waits for its answer, or nil.
-func (e *Engine) waiting(k key) *flow {
-	if w := e.flows.byKey[k]; w != nil && w.asked != 0 {
-		return w
+// unseenDue counts such a request, of this instance or another one.
+func (e *Engine) unseenDue(now clock.Millis, s *server, asked clock.Millis) {
+	j := &s.judgement
+	j.unseen = slices.DeleteFunc(j.unseen, func(at clock.Millis) bool { return now-at > overdueHold+overdueLeast })
+	if slices.ContainsFunc(j.unseen, func(at clock.Millis) bool { return max(at-asked, asked-at) < unseenGap }) {
+		return
+	}
+	j.unseen = append(j.unseen, asked)
+	if (len(j.unseen) >= failingUnseen || j.onTrial(now)) && !e.overloaded(now, s) {
+		e.convict(now, s, whyUnseen)
 	}
-	return nil
 }
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -62,6 +62,7 @@
 // directory holds the newest of each endpoint.
 type directory struct {
 	revision  uint64 // of the store, up to which it is complete
+	begun     bool   // a part of the first list has been read
 	listed    bool   // a whole list has been read
 	confirmed clock.Millis
 	// When the store answered again after it had not; lapsed entries get a hold from it.
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -28,7 +28,7 @@
 	flows         flows
 	baselines     map[End]*baseline
 	stalled       clock.Millis // until when this process judges nobody
-	doubts        []Doubt      // flows to ask the other instances for
+	doubts        []Sight      // flows to ask the other instances for
 	doubtAt       clock.Millis // when they were last asked
 
 	notes   []Action // of packets, until the daemon takes them
@@ -62,8 +62,14 @@
 	return d
 }
 
-// Ready reports whether the engine knows what it takes to serve.
-func (e *Engine) Ready() bool { return e.configuration != nil && e.directory.listed }
+// Ready reports whether the engine knows what it takes to place flows. Flows whose
+// endpoints it doesn't know yet have to wait until it is complete.
+func (e *Engine) Ready() bool {
+	return e.configuration != nil && (e.directory.listed || e.directory.begun)
+}
+
+// Complete reports whether the engine knows all endpoints.
+func (e *Engine) Complete() bool { return e.configuration != nil && e.directory.listed }
 
 // Flows returns the number of flows remembered.
 func (e *Engine) Flows() int { return len(e.flows.byKey) }
@@ -102,10 +108,10 @@
 		return e.asked(v)
 	case FlowsSeen:
 		e.seenElsewhere(v.Sights)
-	case FlowsUnseen:
-		return e.unseen(now, v)
 	case SilenceReported:
 		return e.reported(now, v)
+	case EndpointsFound:
+		e.find(now, v)
 	case EndpointsListed:
 		return e.list(now, v)
 	case EndpointsChanged:
@@ -208,10 +214,22 @@
 	return []Action{ConfigurationAccepted{Version: c.Version, Revision: c.Revision, Routes: len(c.Routes), Removed: removed}}
 }
 
+// find takes in a part of a list. Until the list is complete it says nothing of
+// endpoints that aren't in it.
+func (e *Engine) find(now clock.Millis, v EndpointsFound) {
+	e.directory.begun = true
+	for _, p := range v.Endpoints {
+		e.directory.put(now, p)
+	}
+}
+
 func (e *Engine) list(now clock.Millis, v EndpointsListed) (actions []Action) {
 	if e.directory.listed && v.Revision < e.directory.revision {
 		return nil
 	}
+	if !e.directory.listed {
+		defer func() { actions = []Action{EndpointsLearnt{Count: len(v.Endpoints), Revision: v.Revision}} }()
+	}
 	present := make(map[string]bool, len(v.Endpoints))
 	for _, p := range v.Endpoints {
 		present[p.ID] = true
--- a/steering/established.go
+++ b/steering/established.go
@@ -12,10 +12,13 @@
 	if p.Token == 0 {
 		return Decision{Verdict: Drop, Reason: ReasonNoToken}
 	}
-	if e.configuration == nil || !e.directory.listed {
+	if !e.Ready() {
+		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
+	}
+	s, reason := e.named(p)
+	if s == nil && !e.Complete() {
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
 	}
-	s, reason := e.find(p)
 	if s == nil {
 		return Decision{Verdict: Drop, Reason: reason}
 	}
@@ -33,8 +36,8 @@
 	return d
 }
 
-// find returns the endpoint that a packet's token names, or nil and why not.
-func (e *Engine) find(p *Packet) (*server, Reason) {
+// named returns the endpoint that a packet's token names, or nil and why not.
+func (e *Engine) named(p *Packet) (*server, Reason) {
 	list := e.directory.byToken[p.Token]
 	switch len(list) {
 	case 0:
@@ -105,7 +108,7 @@
 // left notes that a consumer is done with a flow. One that leaves while its request
 // has waited very long has given it up.
 func (e *Engine) left(now clock.Millis, p *Packet, w *flow, s *server) {
-	if waited := now - w.asked; w.asked != 0 && !w.late && waited <= overdueMostAge && e.waitsTooLong(now, s, waited) {
+	if waited := now - w.asked; w.asked != 0 && waited <= overdueMostAge && e.waitsLong(now, s, waited, overdueTimes, overdueLeast) {
 		e.overdue(now, s)
 	}
 	// It is remembered for a while, since others may ask whether it got its answer.
--- a/steering/event.go
+++ b/steering/event.go
@@ -24,6 +24,9 @@
 	Revision   uint64
 }
 
+// EndpointsFound brings some endpoints of a list that is still being read.
+type EndpointsFound struct{ Endpoints []Endpoint }
+
 // EndpointsChanged brings changes up to a revision, in order. It may be empty.
 type EndpointsChanged struct {
 	Changes  []Change
@@ -59,19 +62,12 @@
 // FlowsAsked brings another instance's question: which of these flows went on here?
 type FlowsAsked struct {
 	By     string // name of the other instance
-	Round  uint32 // by which it knows the answer
 	Sights []Sight
 }
 
 // FlowsSeen tells that flows went on at other instances.
 type FlowsSeen struct{ Sights []Sight }
 
-// FlowsUnseen tells that flows went on at no other instance that is up.
-type FlowsUnseen struct {
-	Sights  []Sight
-	Certain bool // nor at one that has ended meanwhile
-}
-
 // Woke tells that the process stood still for a while.
 type Woke struct{}
 
@@ -105,6 +101,7 @@
 
 func (ConfigurationRead) event()    {}
 func (EndpointsListed) event()      {}
+func (EndpointsFound) event()       {}
 func (EndpointsChanged) event()     {}
 func (ConfigurationRevised) event() {}
 func (Confirmed) event()            {}
@@ -112,7 +109,6 @@
 func (TalliesReported) event()      {}
 func (FlowsAsked) event()           {}
 func (FlowsSeen) event()            {}
-func (FlowsUnseen) event()          {}
 func (Woke) event()                 {}
 func (Probed) event()               {}
 func (Ticked) event()               {}
@@ -144,6 +140,12 @@
 	Removed  int // routes of the earlier version that are no more
 }
 
+// EndpointsLearnt tells that the first list of endpoints is complete.
+type EndpointsLearnt struct {
+	Count    int
+	Revision uint64
+}
+
 // EndpointChanged tells what the daemon now believes of an endpoint.
 type EndpointChanged struct {
 	Endpoint string
@@ -165,12 +167,11 @@
 type SilenceSeen struct{ Finding }
 
 // AskFlows asks the other instances whether flows went on there.
-type AskFlows struct{ Doubts []Doubt }
+type AskFlows struct{ Sights []Sight }
 
-// TellFlows tells another instance which of its flows went on here, if any.
+// TellFlows tells another instance which of its flows went on here.
 type TellFlows struct {
 	To     string // name of the other instance
-	Round  uint32
 	Sights []Sight
 }
 
@@ -201,6 +202,7 @@
 
 func (Probe) action()                 {}
 func (ConfigurationAccepted) action() {}
+func (EndpointsLearnt) action()       {}
 func (EndpointChanged) action()       {}
 func (EndpointSilent) action()        {}
 func (SilenceSeen) action()           {}
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -14,13 +14,13 @@
 	asked       clock.Millis // since when a request waits for its answer; 0 for none
 	end         uint32       // sequence number after the last new byte of data
 	ack         uint32
-	copies      uint32 // of the opening packet
-	repeats     uint32 // packets with data that was sent before, since asked
-	waited      bool   // that it waits has been handed on
-	doubted     bool   // the other instances were asked for its answer
-	late        bool   // they haven't seen it either
-	from        uint32 // ack when it was asked
-	epoch       uint32 // of the endpoint's run of small answers that smalls belongs to
+	copies      uint32       // of the opening packet
+	repeats     uint32       // packets with data that was sent before, since asked
+	waited      bool         // that it waits has been handed on
+	doubted     clock.Millis // when the other instances were asked for it; 0 for not
+	late        bool         // they haven't seen it go on either
+	from        uint32       // ack when it was asked
+	epoch       uint32       // of the endpoint's run of small answers that smalls belongs to
 	smalls      uint8
 	established bool
 	closing     bool // the consumer is done
@@ -131,7 +131,7 @@
 func (w *flow) ask(now clock.Millis) {
 	if w.asked == 0 {
 		w.asked = now
-		w.repeats, w.waited, w.doubted, w.late = 0, false, false, false
+		w.repeats, w.waited, w.doubted, w.late = 0, false, 0, false
 		w.from = w.ack
 		w.server.load.waiting++
 	}
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -12,7 +12,7 @@
 
 // open decides on an opening packet.
 func (e *Engine) open(now clock.Millis, p *Packet) Decision {
-	if e.configuration == nil || !e.directory.listed {
+	if !e.Ready() {
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
 	}
 	route, found := e.configuration.Routes[p.Route]
@@ -42,6 +42,9 @@
 	if s == nil {
 		service, s = e.placeElsewhere(now, route, service)
 	}
+	if s == nil && !e.Complete() {
+		return Decision{Verdict: Drop, Reason: ReasonNoRecords, Service: service}
+	}
 	if s == nil {
 		return Decision{Verdict: Reset, Reason: ReasonNoEndpoint, Service: service}
 	}
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -143,7 +143,7 @@
 // endpoint reset it, or the consumer left, no packet ever tells.
 func (e *Engine) waits(now clock.Millis, k key, w *flow) {
 	s := w.server
-	if w.established && e.waitsTooLong(now, s, now-w.asked) {
+	if w.established && e.waitsLong(now, s, now-w.asked, doubtTimes, doubtLeast) {
 		e.doubt(now, k, w)
 	}
 	if e.flows.byKey[k] != w || w.waited || w.established && w.repeats > 0 {
