Lists of several pages are taken in page by page

Ruled out: the members' records (all answer 503, since they know no more), the processor (13 ms until the first call). Packets of flows whose endpoints it doesn't know yet wait as before.

--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -24,29 +24,34 @@
 
 // held are packets that wait for the first records.
 type held struct {
-	packets [][]byte
-	since   []clock.Millis
+	packets []heldPacket
 	over    bool // the records are there
 }
 
+// heldPacket is one of them, with the time when it came.
+type heldPacket struct {
+	data []byte
+	at   clock.Millis
+}
+
 // hold keeps a packet if records may still come in time. It reports whether it did.
-func (h *held) hold(now clock.Millis, data []byte) bool {
+func (h *held) hold(at clock.Millis, data []byte) bool {
 	if h.over || len(h.packets) >= heldPackets {
 		return false
 	}
-	h.packets = append(h.packets, append([]byte(nil), data...))
-	h.since = append(h.since, now)
+	h.packets = append(h.packets, heldPacket{append([]byte(nil), data...), at})
 	return true
 }
 
-// release returns the packets that are still of use, once.
-func (h *held) release(now clock.Millis) (packets [][]byte) {
-	for i, p := range h.packets {
-		if now-h.since[i] <= heldTime {
+// release returns the packets that are still of use, once. Unless the records are
+// complete, more may be held, and some of these again.
+func (h *held) release(now clock.Millis, complete bool) (packets []heldPacket) {
+	for _, p := range h.packets {
+		if now-p.at <= heldTime {
 			packets = append(packets, p)
 		}
 	}
-	*h = held{over: true}
+	*h = held{over: complete}
 	return packets
 }
 
@@ -57,13 +62,13 @@
 		d.mu.Unlock()
 		return
 	}
-	packets := d.held.release(clock.Now())
+	packets := d.held.release(clock.Now(), d.engine.Complete())
 	d.mu.Unlock()
 	var p steering.Packet
 	var reset [platform.HeaderSize]byte
-	for _, data := range packets {
-		if platform.DecodePacket(data[platform.PrefixSize:], &p) == nil { // it was decoded before
-			d.forward(&p, data, &reset)
+	for _, v := range packets {
+		if platform.DecodePacket(v.data[platform.PrefixSize:], &p) == nil { // it was decoded before
+			d.forward(&p, v.data, v.at, &reset)
 		}
 	}
 	if len(packets) > 0 {
@@ -92,17 +97,18 @@
 			d.journal.limited("packet malformed", "error", err.Error())
 			continue
 		}
-		d.forward(&p, buffer[:platform.PrefixSize+n], &reset)
+		d.forward(&p, buffer[:platform.PrefixSize+n], clock.Now(), &reset)
 	}
 }
 
-// forward decides on one packet and sends what the decision asks for.
-func (d *Daemon) forward(p *steering.Packet, data []byte, reset *[platform.HeaderSize]byte) {
+// forward decides on one packet, which came at a time, and sends what the decision asks
+// for.
+func (d *Daemon) forward(p *steering.Packet, data []byte, at clock.Millis, reset *[platform.HeaderSize]byte) {
 	now := clock.Now()
-	d.arrived.Store(int64(now))
+	d.arrived.Store(int64(at))
 	d.mu.Lock()
 	v := d.engine.Steer(now, p)
-	kept := v.Reason == steering.ReasonNoRecords && d.held.hold(now, data)
+	kept := v.Reason == steering.ReasonNoRecords && d.held.hold(at, data)
 	d.mu.Unlock()
 	if kept {
 		return
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -76,10 +76,10 @@
 
 func (d *Daemon) serveRecords(w http.ResponseWriter, _ *http.Request) {
 	d.mu.Lock()
-	ready := d.engine.Ready()
+	complete := d.engine.Complete()
 	r := records{State: d.fleet.State(clock.Now()), Configuration: d.engine.Configuration(), Endpoints: d.engine.Endpoints()}
 	d.mu.Unlock()
-	if !ready {
+	if !complete {
 		http.Error(w, "no records yet", http.StatusServiceUnavailable)
 		return
 	}
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -90,7 +90,7 @@
 }
 
 func (d *Daemon) listEndpoints(ctx context.Context) error {
-	l, err := d.store.Load().Endpoints(ctx)
+	l, err := d.store.Load().Endpoints(ctx, d.foundEndpoints)
 	if err != nil {
 		return err
 	}
@@ -103,6 +103,12 @@
 	return nil
 }
 
+// foundEndpoints takes in a part of the list of endpoints.
+func (d *Daemon) foundEndpoints(v steering.EndpointsFound) {
+	d.handle(v)
+	d.releaseHeld()
+}
+
 func (d *Daemon) tookChanges(since uint64, c steering.EndpointsChanged) {
 	d.took(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
 		read := fleet.RecordsRead{From: since, Changes: c.Changes, State: d.fleet.State(now)}
--- a/forwarder/site_test.go
+++ b/forwarder/site_test.go
@@ -418,11 +418,13 @@
 	}
 	require.False(t, h.hold(1000+heldTime, data), "the bound")
 	data[0] = 'x'
-	packets := h.release(1001 + heldTime)
+	packets := h.release(1001+heldTime, false)
 	require.Len(t, packets, heldPackets-1)
-	require.Equal(t, "new", string(packets[0]))
-	require.False(t, h.hold(1001+heldTime, data), "records are there")
-	require.Empty(t, h.release(1001+heldTime))
+	require.Equal(t, "new", string(packets[0].data))
+	require.True(t, h.hold(packets[0].at, packets[0].data), "some records are there, but not the one for this")
+	require.Empty(t, h.release(1001+2*heldTime, true), "it has waited since it came")
+	require.False(t, h.hold(1001+heldTime, data), "all records are there")
+	require.Empty(t, h.release(1001+heldTime, true))
 }
 
 // An instance that missed news asks the store for what changed since, not for
