Metrics of records in force, of answers by route, and of flows placed away

Asked for and lacking: revision and age of the records, whether the instance reads the store itself, answer times by service and class, spilled flows. Histograms are bounded to 256 routes, the others share one a service.

--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -15,6 +15,8 @@
 const (
 	sampleSize  = 256   // values a histogram keeps; 2 KB each
 	sampleAlpha = 0.015 // decay of a histogram; favours the last five minutes
+	// Routes with a histogram of their own, 0.5 MB in all; the others share one a service.
+	maxRoutes = 256
 )
 
 // counts holds every metric of a daemon. It is safe for concurrent use.
@@ -32,10 +34,11 @@
 	given       metrics.Counter // flows given up
 	silent      metrics.Counter
 	failing     metrics.Counter
-	version     metrics.Gauge // of the configuration
+	away        metrics.Counter // flows placed in another data centre
+	version     metrics.Gauge   // of the configuration
 
 	mu        sync.Mutex
-	histogram map[string]metrics.Histogram // of answer times, by service
+	histogram map[string]metrics.Histogram // of answer times, by service and route
 }
 
 func newCounts(d *Daemon) *counts {
@@ -57,6 +60,10 @@
 	c.failing = c.counter("endpoints.failing")
 	c.silent = c.counter("endpoints.silent")
 	c.version = metrics.NewRegisteredGauge("configuration.version", c.registry)
+	c.away = c.counter("flows.placed_away")
+	for name, value := range recordGauges {
+		metrics.NewRegisteredFunctionalGauge("records."+name, c.registry, func() int64 { return value(d) })
+	}
 	metrics.NewRegisteredFunctionalGauge("flows", c.registry, func() int64 { return int64(d.flows()) })
 	metrics.NewRegisteredFunctionalGauge("log.dropped", c.registry, d.journal.lost.Load)
 	return c
@@ -66,8 +73,28 @@
 	return metrics.NewRegisteredCounter(name, c.registry)
 }
 
+// recordGauges tell how far the records in force go, how old they are, and whether
+// this instance reads the store itself or hears of it from others.
+var recordGauges = map[string]func(*Daemon) int64{
+	"configuration_revision": func(d *Daemon) int64 { return int64(d.state().Configuration) },
+	"configuration_age_ms":   func(d *Daemon) int64 { return int64(d.state().ConfigurationAge) },
+	"endpoints_revision":     func(d *Daemon) int64 { return int64(d.state().Complete) },
+	"endpoints_age_ms":       func(d *Daemon) int64 { return int64(d.state().EndpointsAge) },
+	"watching": func(d *Daemon) int64 {
+		if d.watching.IsOpen() {
+			return 1
+		}
+		return 0
+	},
+}
+
 // decided counts a decision.
-func (c *counts) decided(v *steering.Decision) { c.decisions[v.Verdict][v.Reason].Inc(1) }
+func (c *counts) decided(v *steering.Decision) {
+	c.decisions[v.Verdict][v.Reason].Inc(1)
+	if v.Away {
+		c.away.Inc(1)
+	}
+}
 
 // called counts a call to the store.
 func (c *counts) called(err error) {
@@ -80,11 +107,15 @@
 // answered takes the time of an answer in.
 func (c *counts) answered(a steering.Answered) {
 	c.mu.Lock()
-	h := c.histogram[a.Service]
+	name := a.Service + "." + a.Route
+	if c.histogram[name] == nil && len(c.histogram) >= maxRoutes {
+		name = a.Service + ".others"
+	}
+	h := c.histogram[name]
 	if h == nil {
 		h = metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
-		c.histogram[a.Service] = h
-		_ = c.registry.Register("answers."+a.Service, h) // a name is registered once
+		c.histogram[name] = h
+		_ = c.registry.Register("answers."+name, h) // a name is registered once
 	}
 	c.mu.Unlock()
 	h.Update(int64(a.Took))
--- a/steering/established.go
+++ b/steering/established.go
@@ -125,7 +125,7 @@
 		s.silence.heard(now)
 		if w.asked != 0 && w.counted {
 			took := w.answer(now)
-			e.answers = append(e.answers, Answered{Service: s.Service, Took: took})
+			e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[p.Route].Name, Took: took})
 			// Errors come fast, and would make their endpoint look like the best one.
 			if e.judge(now, p.Route, w, s, int(p.Ack-w.from)) {
 				s.load.learn(took)
--- a/steering/event.go
+++ b/steering/event.go
@@ -129,6 +129,7 @@
 // Answered tells how long a request waited for its answer.
 type Answered struct {
 	Service string
+	Route   string // its name
 	Took    clock.Millis
 }
 
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -54,7 +54,7 @@
 		w.copies = p.Ack
 		w.join(s)
 	}
-	return Decision{Verdict: Forward, Reason: ReasonPlaced, Endpoint: s.target(), Service: service}
+	return e.placed(ReasonPlaced, s, service)
 }
 
 // placeElsewhere tries the other services of a route, which the operators allow
@@ -95,7 +95,12 @@
 	}
 	w.service = service
 	w.join(s)
-	return Decision{Verdict: Forward, Reason: reason, Endpoint: s.target(), Service: service}
+	return e.placed(reason, s, service)
+}
+
+// placed is the decision to forward an opening packet to an endpoint.
+func (e *Engine) placed(reason Reason, s *server, service string) Decision {
+	return Decision{Verdict: Forward, Reason: reason, Endpoint: s.target(), Service: service, Away: s.Centre != e.settings.Centre}
 }
 
 // hash is the same for all packets of a flow, and at all daemons.
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -140,6 +140,7 @@
 	Opened   bool   // the packet is the first to show that its flow is open
 	Endpoint Target // when forwarded
 	Service  string // of the endpoint, or of the route
+	Away     bool   // the flow was placed in another data centre
 	// What an opening packet or a reset was decided by.
 	Version int64        // of the configuration
 	Age     clock.Millis // since the store confirmed the endpoints
