A consumer that comes back at once makes its endpoint suspect

Now a consumer that opens a flow within 40 ms of another one to the same route that isn't open yet makes that one's endpoint suspect: it is probed, and new flows go elsewhere until the probe ends. An endpoint is avoided only while a probe is under way; before, one that had answered a probe less than 0.5 s ago could stay avoided for long.

--- a/steering/engine.go
+++ b/steering/engine.go
@@ -28,6 +28,8 @@
 	flows         flows
 	baselines     map[End]*baseline
 	stalled       clock.Millis // until when this process judges nobody
+	recent        [recentOpenings]opening
+	recentAt      int          // where the next one goes
 	doubts        []Sight      // flows to ask the other instances for
 	doubtAt       clock.Millis // when they were last asked
 
@@ -35,6 +37,16 @@
 	answers []Answered
 }
 
+// recentOpenings is how many new flows are looked at when a consumer comes back: some
+// 100 a second at the size designed for are four in the time that counts, a crowd more.
+const recentOpenings = 32
+
+// opening is a new flow that was placed.
+type opening struct {
+	key key
+	at  clock.Millis
+}
+
 // NewEngine returns an engine without records.
 func NewEngine(s Settings) *Engine {
 	return &Engine{
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -37,6 +37,7 @@
 
 // openNew places a flow that this daemon hasn't seen.
 func (e *Engine) openNew(now clock.Millis, p *Packet, k key, route *Route) Decision {
+	e.returned(now, p)
 	service := route.choose(k.hash())
 	s := e.place(now, service, nil)
 	if s == nil {
@@ -53,6 +54,8 @@
 		w.opened, w.last = now, now
 		w.copies = p.Ack
 		w.join(s)
+		e.recent[e.recentAt] = opening{k, now}
+		e.recentAt = (e.recentAt + 1) % recentOpenings
 	}
 	return e.placed(ReasonPlaced, s, service)
 }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -23,7 +23,9 @@
 	firstRest   = 1 * clock.Second // before one flow is tried again
 	lastRest    = 8 * clock.Second
 	probePause  = 500 * clock.Millisecond // between two probes of an endpoint
-	probeHold   = 3 * clock.Second        // for which the end of a probe says something
+	// The same when another instance has just found that it refuses connections.
+	refusedPause = 50 * clock.Millisecond
+	probeHold    = 3 * clock.Second // for which the end of a probe says something
 	// A host that takes connections does so at once, however busy it is, and no
 	// endpoint on a healthy path is without any answer for this long while two
 	// flows wait.
@@ -87,8 +89,8 @@
 
 // probeDue reports whether an endpoint should be asked on a connection of its
 // own, and notes that it is.
-func (s *silence) probeDue(now clock.Millis) bool {
-	if s.probed != 0 && now-s.probed < probePause {
+func (s *silence) probeDue(now, pause clock.Millis) bool {
+	if s.probed != 0 && now-s.probed < pause {
 		return false
 	}
 	s.probed = now
@@ -157,19 +159,48 @@
 	if since < s.silence.progress || s.silence.over() || now < e.stalled {
 		return
 	}
-	if !w.established {
+	if w.established {
+		e.ask(now, s)
+	} else {
+		e.suspect(now, s, probePause)
+	}
+}
+
+// returned looks at a consumer that opens a flow soon after another one to the same
+// route, which isn't open yet. It was probably reset, by an endpoint that has ended.
+func (e *Engine) returned(now clock.Millis, p *Packet) {
+	for i := range e.recent {
+		o := &e.recent[i]
+		if now-o.at > openingWait || o.key.consumer.Address != p.Consumer.Address || o.key.route != p.Route {
+			continue
+		}
+		w := e.flows.byKey[o.key]
+		if w != nil && !w.established && w.opened >= w.server.silence.progress && !w.server.silence.over() && now >= e.stalled {
+			e.suspect(now, w.server, probePause)
+		}
+	}
+}
+
+// suspect asks for a probe of an endpoint that has perhaps ended, unless one was asked
+// for lately. Until it ends, new flows go elsewhere.
+func (e *Engine) suspect(now clock.Millis, s *server, pause clock.Millis) {
+	if s.silence.probeDue(now, pause) {
 		s.silence.limbo = true
+		e.probe(s)
 	}
-	e.ask(now, s)
 }
 
 // ask asks for a probe of an endpoint, unless one was asked for lately.
 func (e *Engine) ask(now clock.Millis, s *server) {
-	if s.silence.probeDue(now) {
-		e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address, Control: e.control(s)})
+	if s.silence.probeDue(now, probePause) {
+		e.probe(s)
 	}
 }
 
+func (e *Engine) probe(s *server) {
+	e.notes = append(e.notes, Probe{Endpoint: s.ID, Born: s.Born, Address: s.Address, Control: e.control(s)})
+}
+
 // control returns the address of the endpoint that answered last, but for s.
 func (e *Engine) control(s *server) End {
 	var best *server
@@ -203,8 +234,7 @@
 	}
 	if v.Refused {
 		// An own probe tells within a few ms; until then others are the better choice.
-		s.silence.limbo = true
-		e.ask(now, s)
+		e.suspect(now, s, refusedPause)
 		return e.TakeNotes()
 	}
 	if now-s.silence.progress < silentAfter {
