What is usual for a service follows from all its answers alike

The mean was over endpoints, and one that has given few answers counts as much as the others with its first one, which may have been its longest. Now a service's mean is over its answers, and doubts begin at 12 times that.

--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -19,7 +19,7 @@
 	DoubtsMost = 18
 	// A request is in doubt after so many times the mean of its service and of its
 	// endpoint, and after doubtLeast at least. Work ends later than that now and then.
-	doubtTimes = 10
+	doubtTimes = 12
 	doubtLeast = 400 * clock.Millisecond
 	// The instance that saw the answer may have ended, or be one of another data centre
 	// that took the consumer's packets for a while. Either takes flows dealt anew while
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -27,7 +27,8 @@
 	directory     directory
 	flows         flows
 	baselines     map[End]*baseline
-	stalled       clock.Millis // until when this process judges nobody
+	usual         map[string]*mean // by service
+	stalled       clock.Millis     // until when this process judges nobody
 	recent        [recentOpenings]opening
 	recentAt      int          // where the next one goes
 	doubts        []Sight      // flows to ask the other instances for
@@ -56,6 +57,7 @@
 		directory:     newDirectory(),
 		flows:         newFlows(),
 		baselines:     map[End]*baseline{},
+		usual:         map[string]*mean{},
 	}
 }
 
--- a/steering/established.go
+++ b/steering/established.go
@@ -128,7 +128,7 @@
 			e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[p.Route].Name, Took: took})
 			// Errors come fast, and would make their endpoint look like the best one.
 			if e.judge(now, p.Route, w, s, int(p.Ack-w.from)) {
-				s.load.learn(took)
+				e.answered(s, took)
 			}
 		}
 	}
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -14,6 +14,7 @@
 	mostSize      = 1200
 	smallShare    = 0.35                     // of the mean answer of its route; below, it is a small one
 	sizePace      = 0.01                     // weight of one answer in that mean
+	usualPace     = 0.01                     // weight of one answer in the mean time of its service
 	warmAnswers   = 20                       // answers of a route before its mean says something
 	commonSmalls  = 0.05                     // share of small answers above which they are usual on a route
 	failingSmalls = 8                        // small answers in a row, at all instances together, without another one
@@ -296,8 +297,35 @@
 // so for long: so many times what is usual, and for a time at least.
 func (e *Engine) waitsLong(now clock.Millis, s *server, waited clock.Millis, times float64, least clock.Millis) bool {
 	if waited < least || now < s.warm+overdueWarm {
-		return false // most are; the mean takes a look at every endpoint
+		return false
 	}
-	pace := max(meanPace(e.directory.byService[s.Service]), s.load.pace)
-	return waited >= clock.Millis(times*pace)
+	usual := s.load.pace
+	if m := e.usual[s.Service]; m != nil {
+		usual = max(usual, m.took)
+	}
+	return waited >= clock.Millis(times*usual)
+}
+
+// mean is the mean time of a service's answers, the latest ones first.
+type mean struct {
+	answers int
+	took    float64 // ms
+}
+
+// learn takes the time of an answer in. Each answer counts alike, whichever endpoint gave
+// it: one that has given few may have started with its longest.
+func (m *mean) learn(took clock.Millis) {
+	m.answers++
+	m.took += max(usualPace, 1/float64(m.answers)) * (float64(took) - m.took)
+}
+
+// answered takes the time of a usual answer of an endpoint in.
+func (e *Engine) answered(s *server, took clock.Millis) {
+	s.load.learn(took)
+	m := e.usual[s.Service]
+	if m == nil {
+		m = &mean{}
+		e.usual[s.Service] = m
+	}
+	m.learn(took)
 }
