--- a/steering/place.go
+++ b/steering/place.go
@@ -116,7 +116,11 @@
 // cost is what a new flow would meet at an endpoint.
 func (e *Engine) cost(now clock.Millis, s *server, mean, away float64) float64 {
 	cost := (1 + float64(s.load.flows) + waitingWeight*float64(s.load.waiting)) / float64(s.Slots)
-	cost *= s.slowness(mean)
+	// Squared, so that fast endpoints are preferred while they have room: most of the
+	// time demand is far below capacity, and a long request ends in time only there.
+	// Their answers take longer as they fill up, which evens it out.
+	slowness := s.slowness(mean)
+	cost *= slowness * slowness
 	if now < s.warm {
 		cost *= coldFactor
 	}
