--- a/load/report.go
+++ b/load/report.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 )
@@ -27,18 +28,10 @@
 	for _, reason := range slices.Sorted(maps.Keys(t.Reasons)) {
 		list = append(list, number(reason, t.Reasons[reason]))
 	}
-	milliseconds := func(name string, share float64, long bool) value {
-		times := t.Short
-		if long {
-			times = t.Long
-		}
-		return value{name, fmt.Sprintf("%.1f", Quantile(times, share).Seconds()*1000)}
-	}
-	const median, tail = 0.5, 0.99
+	list = append(list, quantiles("short", t.Short)...)
+	list = append(list, quantiles("long", t.Long)...)
 	seconds := float64(max(t.Span, 1)) / float64(clock.Second)
 	return append(list,
-		milliseconds("short_p50_ms", median, false), milliseconds("short_p99_ms", tail, false),
-		milliseconds("long_p50_ms", median, true), milliseconds("long_p99_ms", tail, true),
 		value{"goodput_per_s", fmt.Sprintf("%.1f", float64(t.Whole)/seconds)},
 		value{"seconds", fmt.Sprintf("%.1f", seconds)},
 		number("retries", int(t.Counters.Retries)), number("repeated_parts", int(t.Counters.Repeats)),
@@ -46,6 +39,16 @@
 	)
 }
 
+// quantiles returns the median and the tail of the times of a class, nothing when there
+// are none.
+func quantiles(class string, times []time.Duration) []value {
+	if len(times) == 0 {
+		return nil
+	}
+	milliseconds := func(share float64) string { return fmt.Sprintf("%.1f", Quantile(times, share).Seconds()*1000) }
+	return []value{{class + "_p50_ms", milliseconds(0.5)}, {class + "_p99_ms", milliseconds(0.99)}}
+}
+
 // Values returns the report as name=value lines.
 func (t *Tally) Values() string {
 	var b strings.Builder
--- a/load/tally_test.go
+++ b/load/tally_test.go
@@ -126,6 +126,15 @@
 	require.False(t, tally.Clean())
 }
 
+// A class without answers has no times in the report.
+func TestReportLeavesOutWhatWasNotMeasured(t *testing.T) {
+	tally := &Tally{Short: []time.Duration{20 * time.Millisecond}}
+	require.Contains(t, tally.Values(), "short_p50_ms=20.0\n")
+	require.NotContains(t, tally.Values(), "long_")
+	tally.Long = []time.Duration{time.Second}
+	require.Contains(t, tally.Values(), "long_p99_ms=1000.0\n")
+}
+
 func TestQuantiles(t *testing.T) {
 	var times []time.Duration
 	for i := range 100 {
