--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -257,6 +257,8 @@
 		case steering.AskFlows:
 			d.journal.limited("flows doubted", "count", len(v.Sights), "first", v.Sights[0].ID())
 			d.handleFleet(fleet.FlowsDoubted{Sights: v.Sights})
+		case steering.ShareTallies:
+			d.shareTallies()
 		case steering.TellFlows:
 			d.handleFleet(fleet.FlowsFound{Of: v.To, Sights: v.Sights})
 		case steering.ResetFlow:
--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -114,6 +114,8 @@
 	if e.unseenDue(now, s, asked) {
 		s.judgement.tell = true
 		s.judgement.tally.Unseen = append(s.judgement.tally.Unseen, asked)
+		// Each of the others has seen a few of them only, and requests are lost meanwhile.
+		e.sharing = true
 	}
 }
 
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -33,6 +33,7 @@
 	recentAt      int          // where the next one goes
 	doubts        []Sight      // flows to ask the other instances for
 	doubtAt       clock.Millis // when they were last asked
+	sharing       bool         // others should be told of tallies now
 
 	notes   []Action // of packets, until the daemon takes them
 	answers []Answered
@@ -325,5 +326,10 @@
 			e.giveUp(s, "gone")
 		}
 	}
-	return e.askOthers(now, append(actions, e.TakeNotes()...))
+	actions = append(actions, e.TakeNotes()...)
+	if e.sharing {
+		e.sharing = false
+		actions = append(actions, ShareTallies{})
+	}
+	return e.askOthers(now, actions)
 }
--- a/steering/event.go
+++ b/steering/event.go
@@ -170,6 +170,9 @@
 // AskFlows asks the other instances whether flows went on there.
 type AskFlows struct{ Sights []Sight }
 
+// ShareTallies asks for the tallies to be told to others now, and not only in turn.
+type ShareTallies struct{}
+
 // TellFlows tells another instance which of its flows went on here.
 type TellFlows struct {
 	To     string // name of the other instance
@@ -208,6 +211,7 @@
 func (EndpointSilent) action()        {}
 func (SilenceSeen) action()           {}
 func (AskFlows) action()              {}
+func (ShareTallies) action()          {}
 func (TellFlows) action()             {}
 func (ResetFlow) action()             {}
 func (EndpointFailing) action()       {}
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -339,6 +339,8 @@
 		return "told others " + short(v.Endpoint) + " hung"
 	case AskFlows:
 		return "ask for" + tellSights(v.Sights)
+	case ShareTallies:
+		return "share tallies"
 	case TellFlows:
 		return "tell " + v.To + tellSights(v.Sights)
 	case EndpointFailing:
