--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -91,7 +91,7 @@
 	case EndpointsSeen:
 		return e.share(v.Tallies)
 	case FlowsDoubted:
-		return e.tell(Doubted{Sights: v.Sights})
+		return e.tell(Doubted(v))
 	case FlowsFound:
 		if p := e.members.find(v.Of); p != nil {
 			return []Action{Send{To: []netip.AddrPort{p.Address}, Message: Found{Sights: v.Sights}}}
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -20,6 +20,8 @@
 //	place.go          the choice among endpoints
 //	silence.go        endpoints that fall silent, and how they come back
 //	judge.go          endpoints that answer and fail their requests
+//	ban.go            endpoints that were found to fail, and how they come back
+//	tally.go          what instances tell each other of endpoints' answers
 //	doubt.go          requests whose answer another instance may have seen
 //	event.go          events and actions
 //	engine.go         what comes of events
--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -13,9 +13,10 @@
 	// Members of a data centre answer within a few ms; the smallest instances stand
 	// still for up to a tenth of a second when their share of a core is used up.
 	doubtHold = 150 * clock.Millisecond
-	// Each question goes to every member of the data centre: 18 flows are 0.6 KB, which
-	// is 0.4 MB a second for 66 others, a third of the smallest link.
-	doubtPause = 100 * clock.Millisecond
+	doubtPause = 100 * clock.Millisecond // between two questions
+	// DoubtsMost is how many flows one question asks for. It goes to every member of the
+	// data centre: 18 flows are 0.6 KB, which is 0.4 MB a second for 66 others, a third
+	// of the smallest link.
 	DoubtsMost = 18
 	// A request is in doubt after so many times the mean of its service and of its
 	// endpoint, and after doubtLeast at least. Work ends later than that now and then.
--- a/steering/established.go
+++ b/steering/established.go
@@ -100,14 +100,14 @@
 		e.followData(now, p, w, s)
 	}
 	if p.Flags.Has(Abort) || p.Flags.Has(Finish) {
-		e.left(now, p, w, s)
+		e.left(now, w, s)
 	}
 	return opened
 }
 
 // left notes that a consumer is done with a flow. One that leaves while its request
 // has waited very long has given it up.
-func (e *Engine) left(now clock.Millis, p *Packet, w *flow, s *server) {
+func (e *Engine) left(now clock.Millis, w *flow, s *server) {
 	if waited := now - w.asked; w.asked != 0 && waited <= overdueMostAge && e.waitsLong(now, s, waited, overdueTimes, overdueLeast) {
 		e.overdue(now, s)
 	}
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -36,14 +36,6 @@
 	overdueHold    = 3 * clock.Second        // for which an overdue request counts
 	overdueMost    = 0.25                    // share of a service's endpoints with overdue requests; above, it is the load
 	toldAfter      = 500 * clock.Millisecond // without a usual answer, to believe another instance
-	firstBan       = 3 * clock.Second        // without new flows, doubled each time
-	lastBan        = 12 * clock.Second       // at most
-	// After a ban an endpoint gets a flow from each instance once in a while, the first
-	// ones spread over trialSpread, until it has given as many usual answers in a row as
-	// say that it fails less than a third of its requests. One bad answer bans it again.
-	trialSpread  = 2 * clock.Second
-	trialPause   = 500 * clock.Millisecond
-	trialAnswers = 6
 )
 
 // judgement is what tells whether an endpoint fails its requests.
@@ -72,27 +64,6 @@
 	whyTold    = "told by another instance"
 )
 
-// failing reports whether an endpoint is found to fail now.
-func (j *judgement) failing(now clock.Millis) bool { return j.until != 0 && now < j.until }
-
-// onTrial reports whether an endpoint's ban is over and it isn't yet taken for well.
-func (j *judgement) onTrial(now clock.Millis) bool { return j.owed > 0 && now >= j.until }
-
-// refuses reports whether an endpoint gets no new flow for what was found of it.
-func (j *judgement) refuses(now clock.Millis) bool {
-	return j.failing(now) || j.onTrial(now) && now < j.trial
-}
-
-// Tally is what one instance saw of an endpoint in a while.
-type Tally struct {
-	_       struct{} `cbor:",toarray"`
-	Token   Token
-	Normal  int            // answers of usual size
-	Small   int            // small answers
-	Overdue int            // requests that became overdue
-	Unseen  []clock.Millis // how long ago requests were asked whose answers nobody saw
-}
-
 // baseline is what is usual on a route.
 type baseline struct {
 	answers int
@@ -192,7 +163,7 @@
 // dues notes overdue requests of an endpoint.
 func (e *Engine) dues(now clock.Millis, s *server, n int) {
 	j := &s.judgement
-	for range n {
+	for range min(n, failingDue) {
 		j.due = append(j.due, now)
 	}
 	for len(j.due) > 0 && now-j.due[0] > overdueHold {
@@ -216,83 +187,6 @@
 	return float64(due) > max(1, overdueMost*float64(all))
 }
 
-// convict gives an endpoint no new flows for a while and ends those that wait for
-// nothing. Requests under way are left to it, for some are answered. On trial one bad
-// answer is enough for that, which says too little to end flows.
-func (e *Engine) convict(now clock.Millis, s *server, why string) {
-	j := &s.judgement
-	if j.failing(now) {
-		return
-	}
-	onTrial := j.onTrial(now)
-	j.ban = min(max(2*j.ban, firstBan), lastBan)
-	j.until = now + j.ban
-	j.trial = j.until + clock.Millis(e.random.Int64N(int64(trialSpread)))
-	j.owed = trialAnswers
-	j.run, j.due, j.unseen = 0, nil, nil
-	j.epoch++
-	reset := 0
-	for k, w := range e.flows.byKey {
-		if w.server == s && w.established && !w.closing && !onTrial && (w.asked == 0 || w.late && e.repeatable(k.route)) {
-			e.end(k, w)
-			reset++
-		}
-	}
-	if why != whyTold && (why == whySmall || onTrial) {
-		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born, Failing: true, Trial: onTrial}})
-	}
-	e.notes = append(e.notes, EndpointFailing{Endpoint: s.ID, Service: s.Service, Why: why, Ban: j.ban, Reset: reset})
-}
-
-// end tells the consumer of a flow that it is over.
-func (e *Engine) end(k key, w *flow) {
-	e.notes = append(e.notes, ResetFlow{Consumer: k.consumer, Route: k.route, Ack: w.ack, Endpoint: w.server.ID})
-	e.flows.remove(k, w)
-}
-
-// TakeTallies returns what others should know of what was seen of endpoints since
-// the last call.
-func (e *Engine) TakeTallies(now clock.Millis) (list []Tally) {
-	for t, same := range e.directory.byToken {
-		for _, s := range same {
-			if s.judgement.tell {
-				tally := s.judgement.tally
-				tally.Token = t
-				for i := range tally.Unseen {
-					tally.Unseen[i] = now - tally.Unseen[i]
-				}
-				list = append(list, tally)
-			}
-			s.judgement.tally, s.judgement.tell = Tally{}, false
-		}
-	}
-	return list
-}
-
-// seen takes in what another instance saw.
-func (e *Engine) seen(now clock.Millis, tallies []Tally) []Action {
-	for _, t := range tallies {
-		same := e.directory.byToken[t.Token]
-		if len(same) != 1 {
-			continue
-		}
-		s := same[0]
-		if t.Normal > 0 {
-			s.judgement.normal(now, t.Normal)
-		}
-		if t.Small > 0 {
-			e.smalls(now, s, t.Small)
-		}
-		if t.Overdue > 0 {
-			e.dues(now, s, t.Overdue)
-		}
-		for _, ago := range t.Unseen {
-			e.unseenDue(now, s, now-ago)
-		}
-	}
-	return e.TakeNotes()
-}
-
 // waitsLong reports whether a request that has waited for some time at an endpoint has done
 // so for long: so many times what is usual, and for a time at least.
 func (e *Engine) waitsLong(now clock.Millis, s *server, waited clock.Millis, times float64, least clock.Millis) bool {
