--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -12,7 +12,7 @@
 const (
 	// Members of a data centre answer within a few ms; the smallest instances stand
 	// still for up to a tenth of a second when their share of a core is used up.
-	doubtHold = 150 * clock.Millisecond
+	doubtHold  = 150 * clock.Millisecond
 	doubtPause = 100 * clock.Millisecond // between two questions
 	// DoubtsMost is how many flows one question asks for. It goes to every member of the
 	// data centre: 18 flows are 0.6 KB, which is 0.4 MB a second for 66 others, a third
