Unanswered requests of one moment were asked over a longer time when answers take long

Ruled out: an endpoint that failed (it answered probes, and others' requests). Now endpoints of other data centres aren't judged by waiting requests, and moments are five usual times apart, so that what is under way at once makes three at the most.

--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -25,9 +25,12 @@
 	// The instance that saw the answer may have ended, or be one of another data centre
 	// that took the consumer's packets for a while. Either takes flows dealt anew while
 	// the request waits, so such requests come together, a few to an endpoint: of those
-	// asked within unseenGap one counts. Flows aren't dealt anew so many times within
-	// the time for which one counts.
+	// asked within unseenGap, and within unseenTimes the usual time, one counts. What is
+	// under way at one moment was asked within doubtTimes the usual time, or is in doubt
+	// anyway, which makes three. Flows aren't dealt anew so often within the time for which
+	// one counts.
 	unseenGap     = 200 * clock.Millisecond
+	unseenTimes   = 5
 	failingUnseen = 4
 )
 
@@ -48,8 +51,9 @@
 // for its flow, and when none has seen it go on, counts it against its endpoint.
 func (e *Engine) doubt(now clock.Millis, k key, w *flow) {
 	// After standing still a process reads old packets, whose consumers may have got
-	// their answers or left long ago.
-	if w.asked < e.stalled {
+	// their answers or left long ago. Flows to another data centre are mostly its
+	// consumers', who go back to its instances, and those aren't asked.
+	if w.asked < e.stalled || w.server.Centre != e.settings.Centre {
 		return
 	}
 	if w.doubted == 0 {
@@ -125,7 +129,8 @@
 func (e *Engine) unseenDue(now clock.Millis, s *server, asked clock.Millis) bool {
 	j := &s.judgement
 	j.unseen = slices.DeleteFunc(j.unseen, func(at clock.Millis) bool { return now-at > overdueHold+overdueLeast })
-	if slices.ContainsFunc(j.unseen, func(at clock.Millis) bool { return max(at-asked, asked-at) < unseenGap }) {
+	gap := max(unseenGap, clock.Millis(unseenTimes*e.usualTime(s)))
+	if slices.ContainsFunc(j.unseen, func(at clock.Millis) bool { return max(at-asked, asked-at) < gap }) {
 		return false
 	}
 	j.unseen = append(j.unseen, asked)
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -193,11 +193,16 @@
 	if waited < least || now < s.warm+overdueWarm {
 		return false
 	}
-	usual := s.load.pace
+	return waited >= clock.Millis(times*e.usualTime(s))
+}
+
+// usualTime is how long an endpoint usually takes to answer, in ms: the mean of its
+// service, or its own one when that is longer.
+func (e *Engine) usualTime(s *server) float64 {
 	if m := e.usual[s.Service]; m != nil {
-		usual = max(usual, m.took)
+		return max(m.took, s.load.pace)
 	}
-	return waited >= clock.Millis(times*usual)
+	return s.load.pace
 }
 
 // mean is the mean time of a service's answers, the latest ones first.
