Probes go out with the packet that asks for them

Cause: what a packet leads to was carried out at the next tick, up to 50 ms later, when consumers of an endpoint that has ended have used up their tries (6 to 12 ms).

--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -109,6 +109,7 @@
 	d.mu.Lock()
 	v := d.engine.Steer(now, p)
 	kept := v.Reason == steering.ReasonNoRecords && d.held.hold(at, data)
+	notes := d.engine.TakeNotes()
 	d.mu.Unlock()
 	if kept {
 		return
@@ -130,6 +131,7 @@
 	if v.Verdict != steering.Forward || p.Opening() {
 		d.journal.decision(now, p, &v)
 	}
+	d.perform(notes)
 }
 
 // sendReset tells the consumer of a packet that its flow is over. Consumers
