Endpoints that were found to have ended are probed again

Trace: riga-a was cut off from 4.2 to 9.7 s, and its instance took riga-c's endpoints for lost, rightly; nothing undid that, since it had no flows there. At 19.2 riga-c's instance was killed, its consumers' packets came to riga-a, and flows of endpoints that answered were reset (reason endpoint_silent). Now such endpoints are probed each 1.5 s while their entries stand, one that answers is as before, and what was found more than 2 s ago ends no flow.

--- a/steering/doubt.go
+++ b/steering/doubt.go
@@ -113,7 +113,7 @@
 
 // unseen notes that nobody saw the answer to a request that was asked at a time.
 func (e *Engine) unseen(now clock.Millis, s *server, asked clock.Millis) {
-	if s.silence.over() {
+	if s.silence.ended() {
 		return
 	}
 	if e.unseenDue(now, s, asked) {
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -33,6 +33,7 @@
 	recentAt      int          // where the next one goes
 	doubts        []Sight      // flows to ask the other instances for
 	doubtAt       clock.Millis // when they were last asked
+	againAt       clock.Millis // when endpoints that had ended were last looked at
 	sharing       bool         // others should be told of tallies now
 
 	notes   []Action // of packets, until the daemon takes them
@@ -326,6 +327,7 @@
 			e.giveUp(s, "gone")
 		}
 	}
+	e.probeAgain(now)
 	actions = append(actions, e.TakeNotes()...)
 	if e.sharing {
 		e.sharing = false
--- a/steering/established.go
+++ b/steering/established.go
@@ -23,7 +23,7 @@
 		return Decision{Verdict: Drop, Reason: reason}
 	}
 	d := Decision{Verdict: Forward, Reason: ReasonToken, Endpoint: s.target(), Service: s.Service}
-	if over, reason := e.over(p, s); over {
+	if over, reason := e.over(now, p, s); over {
 		if w := e.flows.byKey[p.key()]; w != nil {
 			e.flows.remove(p.key(), w)
 		}
@@ -52,7 +52,7 @@
 }
 
 // over reports whether a flow can't go on, and why.
-func (e *Engine) over(p *Packet, s *server) (bool, Reason) {
+func (e *Engine) over(now clock.Millis, p *Packet, s *server) (bool, Reason) {
 	if e.removedRoutes[p.Route] {
 		return true, ReasonRouteRemoved
 	}
@@ -61,7 +61,7 @@
 		return true, ReasonEndpointGone
 	}
 	// A request that must not be repeated goes on in the hope that it arrives.
-	if s.silence.over() && p.Length > 0 && e.repeatable(p.Route) {
+	if s.silence.over(now) && p.Length > 0 && e.repeatable(p.Route) {
 		return true, ReasonEndpointSilent
 	}
 	return false, ReasonToken
--- a/steering/judge.go
+++ b/steering/judge.go
@@ -152,7 +152,7 @@
 
 // overdue notes that a request has waited much too long.
 func (e *Engine) overdue(now clock.Millis, s *server) {
-	if now < e.stalled || s.silence.over() {
+	if now < e.stalled || s.silence.ended() {
 		return
 	}
 	s.judgement.tell = true
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -31,6 +31,10 @@
 	// flows wait.
 	lostAfter = 500 * clock.Millisecond
 	lostVotes = 2 // instances whose probes hang
+	// An endpoint that was found to have ended is probed again at this pace, and what was
+	// found holds a little longer: cuts end, and the rules excuse resets for 4 s after.
+	againPause = 1500 * clock.Millisecond
+	overHold   = 2 * clock.Second
 	// A process that is late by this much may have left answers unread, and is not
 	// to judge others for some time, in ms. Timers of the smallest instances are
 	// late by some 10 ms under load.
@@ -50,6 +54,7 @@
 	votes    []vote       // other instances whose probes hang
 	refused  bool         // its address refuses connections, so its process has ended
 	lost     bool         // nothing comes back from it, on flows or on new connections
+	foundAt  clock.Millis // when a probe last said so
 }
 
 // vote is another instance's word that an endpoint answers no probe.
@@ -58,17 +63,22 @@
 	at clock.Millis
 }
 
-// over reports whether flows of the endpoint have no hope.
-func (s *silence) over() bool { return s.refused || s.lost }
+// ended reports whether the endpoint was found to have ended, at some time. New flows
+// go elsewhere until it answers.
+func (s *silence) ended() bool { return s.refused || s.lost }
+
+// over reports whether flows of the endpoint have no hope, as a probe has just said. A
+// cut looks the same while it lasts.
+func (s *silence) over(now clock.Millis) bool { return s.ended() && now-s.foundAt <= overHold }
 
 // avoided reports whether new flows should go elsewhere.
 func (s *silence) avoided(now clock.Millis) bool {
-	return s.over() || s.limbo || s.rest != 0 && now < s.until || s.others(now) > 0
+	return s.ended() || s.limbo || s.rest != 0 && now < s.until || s.others(now) > 0
 }
 
 // heard notes that an endpoint answered.
 func (s *silence) heard(now clock.Millis) {
-	if s.missed == 0 && !s.over() && s.hung == 0 && s.votes == nil {
+	if s.missed == 0 && !s.ended() && s.hung == 0 && s.votes == nil {
 		s.progress = now
 		return
 	}
@@ -131,7 +141,7 @@
 // missed notes that an endpoint left a flow without an answer since a time. A
 // consumer repeats what isn't acknowledged, so this is seen from a packet.
 func (e *Engine) missed(now clock.Millis, s *server, since clock.Millis) {
-	if since < s.silence.progress || s.silence.over() {
+	if since < s.silence.progress || s.silence.ended() {
 		return
 	}
 	if s.silence.miss(now) {
@@ -156,7 +166,7 @@
 	if w.established {
 		since = w.asked
 	}
-	if since < s.silence.progress || s.silence.over() || now < e.stalled {
+	if since < s.silence.progress || s.silence.ended() || now < e.stalled {
 		return
 	}
 	if w.established {
@@ -175,7 +185,7 @@
 			continue
 		}
 		w := e.flows.byKey[o.key]
-		if w != nil && !w.established && w.opened >= w.server.silence.progress && !w.server.silence.over() && now >= e.stalled {
+		if w != nil && !w.established && w.opened >= w.server.silence.progress && !w.server.silence.ended() && now >= e.stalled {
 			e.suspect(now, w.server, probePause)
 		}
 	}
@@ -221,7 +231,7 @@
 // reported takes the word of another instance in.
 func (e *Engine) reported(now clock.Millis, v SilenceReported) []Action {
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Born != v.Born || s.silence.over() {
+	if s == nil || s.Born != v.Born || s.silence.ended() {
 		return nil
 	}
 	// What was answered here lately tells more than what was found elsewhere.
@@ -248,9 +258,13 @@
 // probed takes the end of a probe in.
 func (e *Engine) probed(now clock.Millis, v Probed) []Action {
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Born != v.Born || s.silence.over() {
+	if s == nil || s.Born != v.Born {
 		return nil
 	}
+	if s.silence.ended() {
+		e.probedAgain(now, s, v.End)
+		return e.TakeNotes()
+	}
 	if s.silence.probed <= s.silence.progress {
 		s.silence.limbo = false
 		return nil // it has answered since
@@ -262,7 +276,7 @@
 		if s.Draining {
 			break // it takes no connections, and may still answer its last requests
 		}
-		s.silence.refused = true
+		s.silence.refused, s.silence.foundAt = true, now
 		e.notes = append(e.notes, SilenceSeen{Finding{Endpoint: s.ID, Born: s.Born, Refused: true}})
 		e.giveUp(s, "refused")
 	case ProbeHung:
@@ -281,10 +295,35 @@
 	if !s.silence.loses(now) || now < e.stalled || e.isolated(now) {
 		return
 	}
-	s.silence.lost = true
+	s.silence.lost, s.silence.foundAt = true, now
 	e.giveUp(s, "silent")
 }
 
+// probeAgain asks for probes of the endpoints that were found to have ended.
+func (e *Engine) probeAgain(now clock.Millis) {
+	if now-e.againAt < againPause/2 {
+		return
+	}
+	e.againAt = now
+	for _, s := range e.directory.byID {
+		if s.silence.ended() && s.standing != gone && s.silence.probeDue(now, againPause) {
+			e.probe(s)
+		}
+	}
+}
+
+// probedAgain takes the end of such a probe in. An endpoint that answers was cut off.
+func (e *Engine) probedAgain(now clock.Millis, s *server, end ProbeEnd) {
+	switch end {
+	case ProbeAnswered:
+		s.silence = silence{probed: s.silence.probed}
+		e.notes = append(e.notes, s.changed())
+	case ProbeRefused, ProbeHung:
+		s.silence.foundAt = now
+	case ProbeUnclear:
+	}
+}
+
 // isolated reports whether most endpoints of the own data centre are silent. Then
 // it is more likely this instance that nothing comes through to.
 func (e *Engine) isolated(now clock.Millis) bool {
