--- a/soak/process.go
+++ b/soak/process.go
@@ -33,6 +33,7 @@
 	command *exec.Cmd // nil while it is down
 	ended   chan struct{}
 	asked   bool     // the end was asked for
+	paused  bool     // it stands still
 	wrong   []string // ends of its own
 }
 
@@ -92,6 +93,12 @@
 		return false
 	}
 	i.asked = i.asked || ends
+	switch s {
+	case syscall.SIGSTOP:
+		i.paused = true
+	case syscall.SIGCONT:
+		i.paused = false
+	}
 	return i.command.Process.Signal(s) == nil
 }
 
@@ -104,16 +111,38 @@
 	if !i.signal(syscall.SIGTERM, true) {
 		return
 	}
-	select {
-	case <-ended:
-	case <-time.After(graceTime.Duration()):
-		i.mu.Lock()
-		i.wrong = append(i.wrong, i.name+" did not stop in time")
-		i.mu.Unlock()
-		i.kill()
+	ticker := time.NewTicker(graceStep.Duration())
+	defer ticker.Stop()
+	for g := (grace{left: graceTime}); !g.over(); {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			i.mu.Lock()
+			g.pass(graceStep, i.paused)
+			i.mu.Unlock()
+		}
 	}
+	i.mu.Lock()
+	i.wrong = append(i.wrong, i.name+" did not stop in time")
+	i.mu.Unlock()
+	i.kill()
 }
 
+// graceStep is how often a stopping process is looked at, in ms.
+const graceStep = 50 * clock.Millisecond
+
+// grace is the time that a process has to end in order. While it stands still it can't.
+type grace struct{ left clock.Millis }
+
+func (g *grace) pass(span clock.Millis, paused bool) {
+	if !paused {
+		g.left -= span
+	}
+}
+
+func (g *grace) over() bool { return g.left <= 0 }
+
 // kill ends the process at once.
 func (i *instance) kill() {
 	i.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,17 @@
 	Cause string       `yaml:"cause"` // why it once failed; empty for the run that CI always plays
 }
 
+// A process that stands still gets no part of its grace taken off, and no other one gets
+// more.
+func TestGraceCountsRunningTime(t *testing.T) {
+	g := grace{left: 100}
+	g.pass(60, false)
+	g.pass(1000, true)
+	require.False(t, g.over())
+	g.pass(40, false)
+	require.True(t, g.over())
+}
+
 // Plays a short run, and each seed that ever failed. Bounds of time are not
 // checked here: they would say how busy the machine is.
 func TestSeeds(t *testing.T) {
