--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -43,7 +43,7 @@
 }
 
 // relay passes a watcher's beat on to the members that get it from this one. Members
-// whose lists differ may pass a beat on twice or not at all; the next question mends that.
+// whose lists differ may pass a beat on twice or not at all; who gets none asks for its own.
 func (e *Engine) relay(watcher *peer, s State) []Action {
 	order := e.members.after(watcher.Name)
 	// This member isn't in its own list; this is where the watcher has it.
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -243,9 +243,7 @@
 	if e.directory.listed && v.Revision < e.directory.revision {
 		return nil
 	}
-	if !e.directory.listed {
-		defer func() { actions = []Action{EndpointsLearnt{Count: len(v.Endpoints), Revision: v.Revision}} }()
-	}
+	first := !e.directory.listed
 	present := make(map[string]bool, len(v.Endpoints))
 	for _, p := range v.Endpoints {
 		present[p.ID] = true
@@ -262,6 +260,9 @@
 	}
 	e.directory.listed = true
 	e.directory.revision = v.Revision
+	if first {
+		return []Action{EndpointsLearnt{Count: len(v.Endpoints), Revision: v.Revision}}
+	}
 	return actions
 }
 
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -32,7 +32,7 @@
 	lostAfter = 500 * clock.Millisecond
 	lostVotes = 2 // instances whose probes hang
 	// An endpoint that was found to have ended is probed again at this pace, and what was
-	// found holds a little longer: cuts end, and the rules excuse resets for 4 s after.
+	// found holds a little longer: a cut looks the same, and ends.
 	againPause = 1500 * clock.Millisecond
 	overHold   = 2 * clock.Second
 	// A process that is late by this much may have left answers unread, and is not
