--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -268,9 +268,14 @@
 			d.resetFlow(v)
 		case steering.EndpointEjected:
 			d.metrics.ejectedEndpoints.Inc(1)
-			d.log.info("endpoint failing", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "ban_ms", int64(v.EjectionTime), "reset", v.ResetFlows)
+			d.log.info("endpoint failing", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "ban_ms", int64(v.EjectionTime), "reset", v.ResetFlows,
+				"own", v.Evidence.Own, "others", v.Evidence.Others, evidenceAttributes(&v.Evidence))
 		case steering.EndpointLost:
-			d.log.info("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows)
+			d.log.info("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows, evidenceAttributes(&v.Evidence))
+		case steering.ResetsContradicted:
+			d.metrics.flowsContradicted[v.Cause].Inc(int64(v.ResetFlows))
+			d.log.info("resets contradicted", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows,
+				"by", v.By, "after_ms", int64(v.Delay), "state", v.State)
 		}
 	}
 }
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +110,16 @@
 		slog.Uint64("token", uint64(p.Token)), slog.Int64("at_ms", int64(now)))
 }
 
+// evidenceAttributes returns the attributes of evidence in a log line.
+func evidenceAttributes(v *steering.Evidence) slog.Attr {
+	return slog.Group("",
+		slog.String("probe", v.Probe), slog.Int64("probe_age_ms", int64(v.ProbeAge)),
+		slog.Int("votes", len(v.Voters)), slog.String("voters", strings.Join(v.Voters, " ")),
+		slog.String("reporter", v.Reporter), slog.Int64("report_age_ms", int64(v.ReportAge)),
+		slog.Int("missed", v.UnansweredFlows), slog.Int64("answer_age_ms", int64(v.AnswerAge)),
+		slog.Int64("entry_age_ms", int64(v.EntryAge)), slog.Int64("age_ms", int64(v.RecordsAge)))
+}
+
 // earlierCopies returns how many copies of an opening packet the consumer has sent before
 // this one.
 func earlierCopies(p *steering.Packet) uint64 {
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -32,7 +32,9 @@
 	messagesIn           metrics.Counter // from other instances
 	messagesOut          metrics.Counter
 	probes               metrics.Counter
-	flowsGivenUp         metrics.Counter // flows reset because their endpoint ended or fails
+	flowsGivenUp         metrics.Counter            // flows reset because their endpoint ended or fails
+	flowsGivenUpBy       map[string]metrics.Counter // the same by cause
+	flowsContradicted    map[string]metrics.Counter // flows reset although their endpoint turned out to work, by cause
 	silentEndpoints      metrics.Counter
 	ejectedEndpoints     metrics.Counter
 	placedInOtherCentre  metrics.Counter // flows placed at an endpoint of another data centre
@@ -43,7 +45,7 @@
 }
 
 func newDaemonMetrics(d *Daemon) *daemonMetrics {
-	m := &daemonMetrics{registry: metrics.NewRegistry(), latencies: map[string]metrics.Histogram{}}
+	m := &daemonMetrics{registry: metrics.NewRegistry(), latencies: map[string]metrics.Histogram{}, flowsGivenUpBy: map[string]metrics.Counter{}, flowsContradicted: map[string]metrics.Counter{}}
 	for v := range m.decisions {
 		for _, r := range steering.Reasons() {
 			m.decisions[v] = append(m.decisions[v], m.counter(fmt.Sprintf("packets.%s.%s", steering.Verdict(v), r)))
@@ -58,6 +60,12 @@
 	m.messagesOut = m.counter("members.messages_out")
 	m.probes = m.counter("endpoints.probes")
 	m.flowsGivenUp = m.counter("flows.given_up")
+	for _, cause := range steering.ResetCauses() {
+		m.flowsGivenUpBy[cause] = m.counter("flows.given_up." + steering.CounterName(cause))
+	}
+	for _, cause := range steering.SeriesCauses() {
+		m.flowsContradicted[cause] = m.counter("flows.contradicted." + steering.CounterName(cause))
+	}
 	m.ejectedEndpoints = m.counter("endpoints.failing")
 	m.silentEndpoints = m.counter("endpoints.silent")
 	m.configurationVersion = metrics.NewRegisteredGauge("configuration.version", m.registry)
--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -155,5 +155,6 @@
 	var buffer [platform.HeaderSize]byte
 	err := d.sendReset(&p, &buffer)
 	d.metrics.flowsGivenUp.Inc(1)
-	d.log.infoLimited("flow given up", "flow", p.FlowID(), "endpoint", v.Endpoint, "error", errorText(err))
+	d.metrics.flowsGivenUpBy[v.Cause].Inc(1)
+	d.log.infoLimited("flow given up", "flow", p.FlowID(), "endpoint", v.Endpoint, "why", v.Cause, "error", errorText(err))
 }
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -22,12 +22,14 @@
 	go func() {
 		controlAnswered <- v.Control == steering.AddrPort{} || d.probeAddress(v.Control) == steering.ProbeAnswered
 	}()
+	start := clock.Now()
 	result := d.probeAddress(v.Address)
+	took := clock.Now() - start
 	if result == steering.ProbeTimedOut && !<-controlAnswered {
 		result = steering.ProbeInconclusive
 	}
 	d.log.infoLimited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", result.String(),
-		"control", v.Control.String())
+		"control", v.Control.String(), "took_ms", int64(took))
 	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result})
 }
 
--- /dev/null
+++ b/steering/contradiction.go
@@ -0,0 +1,218 @@
+package steering
+
+import (
+	"strings"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// Causes of resets, as they appear in the log. Those of ejections are in outlier.go.
+const (
+	causeRefused = "refused"
+	causeSilent  = "silent"
+	causeGone    = "gone"
+)
+
+// ResetCauses lists the causes of ResetFlow.
+func ResetCauses() []string {
+	return []string{causeRefused, causeSilent, causeGone, causeSmall, causeOverdue, causeUnanswered, causeReported}
+}
+
+// SeriesCauses lists the causes of ResetsContradicted: those of ResetFlow, and the reasons
+// of resets in reply to a packet.
+func SeriesCauses() []string {
+	return append(ResetCauses(), ReasonEndpointGone.String(), ReasonEndpointSilent.String())
+}
+
+// What contradicts resets, as it appears in the log.
+const (
+	contradictedByAnswer   = "answer"   // to a request or opening that was sent after the first reset
+	contradictedByProbe    = "probe"    // requested after the first reset, and answered
+	contradictedByEntry    = "entry"    // of an endpoint that was gone, back in the store
+	contradictedByDraining = "draining" // the entry of an endpoint that refused a connection
+)
+
+// Limits of a series of resets.
+const (
+	// How long after the first reset, or the end of an ejection, the endpoint is compared.
+	contradictionWindow = 5 * clock.Second
+	// Requests seen earlier after the first reset may be retransmissions whose answer was on
+	// its way then.
+	minRequestDelay = 200 * clock.Millisecond
+	// A process that has been replaced by one with the same ID writes its new entry within
+	// this time. A contradiction is reported when the store confirmed the entry afterwards.
+	entryDelay = 1 * clock.Second
+	// Normal answers in a row after which resets of a failing endpoint count as contradicted.
+	// One that fails a third of its requests gives them less than once in ten times.
+	minNormalAnswers = 6
+)
+
+// resetSeries is the latest series of resets at an endpoint, and what contradicts it.
+type resetSeries struct {
+	cause          string       // of the first reset
+	flows          int          // number of flows that were reset; 0 if there is no series
+	startedAt      clock.Millis // first reset
+	until          clock.Millis // when a contradiction no longer counts
+	normalAnswers  int          // in a row, if the endpoint was failing
+	contradictedAt clock.Millis // 0 if it wasn't
+	contradictedBy string
+	reported       bool
+}
+
+// open reports whether a contradiction still counts.
+func (r *resetSeries) open(now clock.Millis) bool {
+	return r.flows > 0 && r.contradictedAt == 0 && now <= r.until
+}
+
+// failing reports whether the cause is an ejection.
+func (r *resetSeries) failing() bool {
+	return r.cause == causeSmall || r.cause == causeOverdue || r.cause == causeUnanswered || r.cause == causeReported
+}
+
+// recordFailure ends a row of normal answers.
+func (r *resetSeries) recordFailure() { r.normalAnswers = 0 }
+
+// startResets starts a series, unless no flow was reset.
+func (s *endpointState) startResets(now clock.Millis, cause string, flows int) {
+	r := &s.resets
+	switch {
+	case flows == 0:
+		if s.failures.ejected(now) && r.failing() && r.contradictedAt == 0 {
+			*r = resetSeries{} // ejected again before it gave enough normal answers
+		}
+		return
+	case r.contradictedAt != 0 && !r.reported:
+		r.flows += flows
+		return
+	}
+	*r = resetSeries{cause: cause, flows: flows, startedAt: now, until: now + contradictionWindow}
+	switch {
+	case r.failing():
+		r.until = s.failures.ejectedUntil + contradictionWindow
+	case cause == causeGone || cause == ReasonEndpointGone.String():
+		r.until = s.entryChangedAt + goneTimeout
+	}
+}
+
+// addReset counts a flow that was reset after the first ones of a series, or starts one.
+func (s *endpointState) addReset(now clock.Millis, cause string) {
+	if r := &s.resets; r.flows > 0 && now <= r.until {
+		r.flows++
+		return
+	}
+	s.startResets(now, cause, 1)
+}
+
+// recordPacketReset counts a flow that was reset in reply to its packet.
+func (s *endpointState) recordPacketReset(now clock.Millis, reason Reason) {
+	if reason == ReasonEndpointGone || reason == ReasonEndpointSilent {
+		s.addReset(now, reason.String())
+	}
+}
+
+// compareAnswer compares an answer with the resets of its endpoint. sentAt is when the
+// request or opening was seen.
+func (e *Engine) compareAnswer(now clock.Millis, s *endpointState, sentAt clock.Millis, normal bool) {
+	r := &s.resets
+	// Packets that waited during a stall may be older than the resets.
+	if !r.open(now) || sentAt < r.startedAt+minRequestDelay || now < e.stalledUntil {
+		return
+	}
+	if !r.failing() {
+		e.contradict(now, s, contradictedByAnswer)
+	} else if normal {
+		e.compareNormal(now, s, 1)
+	}
+}
+
+// compareNormal compares normal answers with an ejection.
+func (e *Engine) compareNormal(now clock.Millis, s *endpointState, n int) {
+	r := &s.resets
+	if !r.open(now) || !r.failing() {
+		return
+	}
+	if r.normalAnswers += n; r.normalAnswers >= minNormalAnswers {
+		e.contradict(now, s, contradictedByAnswer)
+	}
+}
+
+// compareProbe compares a probe that was answered with the resets of its endpoint.
+func (e *Engine) compareProbe(now clock.Millis, s *endpointState) {
+	r := &s.resets
+	if !r.open(now) || r.failing() || s.silence.probedAt <= r.startedAt || e.addressReused(s) {
+		return
+	}
+	e.contradict(now, s, contradictedByProbe)
+}
+
+// addressReused reports whether another endpoint has the address of s.
+func (e *Engine) addressReused(s *endpointState) bool {
+	for _, o := range e.directory.byID {
+		if o != s && o.Address == s.Address && o.entryState == listed {
+			return true
+		}
+	}
+	return false
+}
+
+// compareEntry compares a new entry of the same incarnation with the resets of its endpoint.
+func (e *Engine) compareEntry(now clock.Millis, s *endpointState) {
+	r := &s.resets
+	if !r.open(now) {
+		return
+	}
+	switch r.cause {
+	case causeGone, ReasonEndpointGone.String():
+		e.contradict(now, s, contradictedByEntry)
+	case causeRefused:
+		if s.Draining {
+			e.contradict(now, s, contradictedByDraining)
+		}
+	}
+}
+
+func (e *Engine) contradict(now clock.Millis, s *endpointState, by string) {
+	s.resets.contradictedAt, s.resets.contradictedBy = now, by
+	e.contradicted = append(e.contradicted, s)
+}
+
+// reportContradictions appends an action for each contradiction, once the store has
+// confirmed that the endpoint is still the same process. A series whose endpoint was
+// replaced has been cleared by then.
+func (e *Engine) reportContradictions(actions []Action) []Action {
+	kept := e.contradicted[:0]
+	for _, s := range e.contradicted {
+		r := &s.resets
+		switch {
+		case r.contradictedAt == 0 || r.reported:
+		case e.directory.confirmedAt < r.contradictedAt+entryDelay:
+			kept = append(kept, s)
+		default:
+			r.reported = true
+			actions = append(actions, ResetsContradicted{
+				Endpoint: s.ID, Service: s.Service, Cause: r.cause, ResetFlows: r.flows,
+				Delay: r.contradictedAt - r.startedAt, By: r.contradictedBy, State: s.stateName(),
+			})
+		}
+	}
+	clear(e.contradicted[len(kept):])
+	e.contradicted = kept
+	return actions
+}
+
+// ResetsContradicted makes the daemon log and count that flows of an endpoint were reset
+// which then turned out to work, in the same incarnation.
+type ResetsContradicted struct {
+	Endpoint   string
+	Service    string
+	Cause      string       // of the first reset; one of SeriesCauses
+	ResetFlows int          // number of flows that were reset
+	Delay      clock.Millis // from the first reset to the contradiction
+	By         string       // answer, probe, entry or draining
+	State      string       // of the entry now: ready, draining, lapsed or gone
+}
+
+func (ResetsContradicted) action() {}
+
+// CounterName returns a cause as it appears in names of counters.
+func CounterName(cause string) string { return strings.ReplaceAll(cause, " ", "_") }
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -27,6 +27,8 @@
 //	outlier.go        detection of endpoints that fail requests
 //	query.go          queries to other instances about unanswered requests
 //	ejection.go       ejection of failing endpoints, and probation
+//	contradiction.go  resets that turned out wrong
+//	evidence.go       what was known of an endpoint when its flows were reset
 //	tally.go          counts of answers, exchanged between instances
 //
 // # Usage
--- a/steering/ejection.go
+++ b/steering/ejection.go
@@ -45,23 +45,25 @@
 	f.ejectedUntil = now + f.ejectionTime
 	f.nextProbationAt = f.ejectedUntil + clock.Millis(e.random.Int64N(int64(probationSpread)))
 	f.answersNeeded = probationAnswers
+	evidence := e.evidence(now, s, cause)
 	f.streak, f.overdueAt, f.unansweredAt = 0, nil, nil
 	f.streakNumber++
 	reset := 0
 	for k, w := range e.flows.byKey {
 		if w.endpoint == s && w.established && !w.consumerDone && !onProbation && (w.requestAt == 0 || w.suspectedLost && e.idempotent(k.destination)) {
-			e.resetFlow(k, w)
+			e.resetFlow(k, w, cause)
 			reset++
 		}
 	}
+	s.startResets(now, cause, reset)
 	if cause != causeReported && (cause == causeSmall || onProbation) {
 		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Failing: true, Probation: onProbation}})
 	}
-	e.pendingActions = append(e.pendingActions, EndpointEjected{Endpoint: s.ID, Service: s.Service, Cause: cause, EjectionTime: f.ejectionTime, ResetFlows: reset})
+	e.pendingActions = append(e.pendingActions, EndpointEjected{Endpoint: s.ID, Service: s.Service, Cause: cause, EjectionTime: f.ejectionTime, ResetFlows: reset, Evidence: evidence})
 }
 
 // resetFlow forgets a flow and asks the daemon to send its consumer a reset.
-func (e *Engine) resetFlow(k key, w *flow) {
-	e.pendingActions = append(e.pendingActions, ResetFlow{Consumer: k.consumer, Destination: k.destination, Ack: w.ack, Endpoint: w.endpoint.ID})
+func (e *Engine) resetFlow(k key, w *flow, cause string) {
+	e.pendingActions = append(e.pendingActions, ResetFlow{Consumer: k.consumer, Destination: k.destination, Ack: w.ack, Endpoint: w.endpoint.ID, Cause: cause})
 	e.flows.remove(k, w)
 }
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -58,6 +58,8 @@
 	load     load
 	silence  silence
 	failures failures
+	resets   resetSeries
+	observed observed
 }
 
 func (s *endpointState) target() Target {
@@ -95,6 +97,7 @@
 	} else if p.Incarnation != s.Incarnation || p.Address != s.Address {
 		// A new process or address: nothing seen of the earlier one applies.
 		s.load, s.silence, s.failures = load{}, silence{}, failures{}
+		s.resets, s.observed = resetSeries{}, observed{}
 	}
 	if s.entryState != listed {
 		s.silence = silence{}
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -30,11 +30,12 @@
 	latencies                map[string]*serviceLatency // by service
 	stalledUntil             clock.Millis               // end of stallRecovery; until then, missing answers are no evidence
 	recent                   [recentOpenings]recentOpening
-	recentIndex              int            // index of the oldest entry of recent
-	flowsToQuery             []FlowProgress // flows for the next query
-	queriedAt                clock.Millis   // time of the last query
-	reprobedAt               clock.Millis   // last run of reprobeEnded
-	sendTallies              bool           // the next tick sends the tallies
+	recentIndex              int              // index of the oldest entry of recent
+	flowsToQuery             []FlowProgress   // flows for the next query
+	queriedAt                clock.Millis     // time of the last query
+	reprobedAt               clock.Millis     // last run of reprobeEnded
+	sendTallies              bool             // the next tick sends the tallies
+	contradicted             []*endpointState // endpoints whose contradiction may not be reported yet
 
 	pendingActions []Action // until TakeActions
 	answers        []Answered
@@ -285,7 +286,11 @@
 func (e *Engine) put(now clock.Millis, p Endpoint, actions []Action) []Action {
 	old := e.directory.byID[p.ID]
 	unchanged := old != nil && old.entryState == listed && old.Draining == p.Draining && old.Incarnation == p.Incarnation && old.Address == p.Address
-	if !e.directory.put(now, p) || unchanged {
+	if !e.directory.put(now, p) {
+		return actions
+	}
+	e.compareEntry(now, e.directory.byID[p.ID])
+	if unchanged {
 		return actions
 	}
 	return append(actions, e.directory.byID[p.ID].stateChanged())
@@ -326,11 +331,12 @@
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
 		if s.silence.answeredAt < s.entryChangedAt {
-			e.resetFlows(s, "gone")
+			e.resetFlows(now, s, causeGone)
 		}
 	}
 	e.reprobeEnded(now)
 	actions = append(actions, e.TakeActions()...)
+	actions = e.reportContradictions(actions)
 	if e.sendTallies {
 		e.sendTallies = false
 		actions = append(actions, SendTallies{})
--- a/steering/established.go
+++ b/steering/established.go
@@ -30,6 +30,7 @@
 		if p.Flags.Has(Abort) {
 			return Decision{Verdict: Drop, Reason: reason, Service: s.Service}
 		}
+		s.recordPacketReset(now, reason)
 		return Decision{Verdict: Reset, Reason: reason, Endpoint: s.target(), Service: s.Service}
 	}
 	d.NewlyEstablished = e.trackPacket(now, p, s)
@@ -90,6 +91,9 @@
 		w.attach(s)
 	} else if !w.established || w.endpoint != s {
 		newlyEstablished = !w.established
+		if newlyEstablished {
+			e.compareAnswer(now, s, w.openedAt, false)
+		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
 		if w.endpoint != s {
@@ -126,13 +130,16 @@
 		w.ack = p.Ack
 		s.silence.recordAnswer(now)
 		if w.requestAt != 0 && w.counted {
+			requestAt := w.requestAt
 			latency := w.endRequest(now)
 			e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[p.Destination].Name, Latency: latency})
 			// Small answers are excluded: errors are fast, and would make the failing
 			// endpoint the preferred one.
-			if e.classifyAnswer(now, p.Destination, w, s, int(p.Ack-w.requestAck)) {
+			normal := e.classifyAnswer(now, p.Destination, w, s, int(p.Ack-w.requestAck))
+			if normal {
 				e.recordLatency(s, latency)
 			}
+			e.compareAnswer(now, s, requestAt, normal)
 		}
 	}
 	if p.Length == 0 {
--- a/steering/event.go
+++ b/steering/event.go
@@ -198,6 +198,7 @@
 	Consumer, Destination AddrPort
 	Ack                   uint32 // next byte that the consumer expects
 	Endpoint              string
+	Cause                 string // one of ResetCauses
 }
 
 // EndpointEjected makes the daemon log and count that an endpoint failed requests and gets no new
@@ -208,6 +209,7 @@
 	Cause        string
 	EjectionTime clock.Millis
 	ResetFlows   int // number of flows that were reset
+	Evidence     Evidence
 }
 
 // EndpointLost makes the daemon log that the flows of an endpoint were reset.
@@ -216,6 +218,7 @@
 	Service    string
 	Cause      string // refused, silent or gone
 	ResetFlows int    // number of flows that were reset
+	Evidence   Evidence
 }
 
 func (Probe) action()                 {}
--- /dev/null
+++ b/steering/evidence_test.go
@@ -0,0 +1,94 @@
+package steering
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+)
+
+// evidenceEngine returns an engine with endpoints i-a1 and i-a2, confirmed at startTime, and a
+// flow at i-a1.
+func evidenceEngine(t *testing.T) *Engine {
+	e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1})
+	e.Handle(startTime, configurationEvent(t, e, &configurationStep{Version: 1, Revision: 1, Routes: map[string]map[string]int{"desk": {"desk": 1}}, Idempotent: []string{"desk"}}))
+	e.Handle(startTime, listEvent(t, step{List: []string{"a1 desk here", "a2 desk here"}, Revision: 2}))
+	e.Handle(startTime, RecordsConfirmed{ConfigurationAt: startTime, EndpointsAt: startTime})
+	steerAll(t, e, startTime+10, "c1 ack token=a1")
+	return e
+}
+
+func steerAll(t *testing.T, e *Engine, now clock.Millis, packets ...string) {
+	for _, text := range packets {
+		p := parsePacket(t, text)
+		e.Steer(now, &p)
+	}
+}
+
+func TestEvidenceOfLostEndpoint(t *testing.T) {
+	e := evidenceEngine(t)
+	steerAll(t, e, startTime+300, "c1 ack token=a1 ack=60", "c2 ack token=a2", "c2 ack token=a2 ack=60")
+	e.Handle(startTime+400, ProbeEnded{Endpoint: "i-a1", Incarnation: 1, Result: ProbeInconclusive})
+	e.Handle(startTime+1000, FaultReported{Sender: "east", EndpointFault: EndpointFault{Endpoint: "i-a1", Incarnation: 1}})
+	actions := e.Handle(startTime+1010, FaultReported{Sender: "west", EndpointFault: EndpointFault{Endpoint: "i-a1", Incarnation: 1}})
+	require.Contains(t, actions, EndpointLost{Endpoint: "i-a1", Service: "desk", Cause: causeSilent, ResetFlows: 1, Evidence: Evidence{
+		Probe: "unclear", ProbeAge: 610, Voters: []string{"east", "west"}, ReportAge: -1, AnswerAge: 710, EntryAge: 1010, RecordsAge: 1010,
+	}})
+}
+
+func TestEvidenceOfFailingEndpoint(t *testing.T) {
+	e := evidenceEngine(t)
+	steerAll(t, e, startTime+10, "c2 ack token=a1")
+	steerAll(t, e, startTime+5000, "c1 data token=a1 length=10")
+	steerAll(t, e, startTime+5900, "c1 abort token=a1 sequence=110")
+	token := e.directory.byID["i-a1"].token
+	actions := e.Handle(startTime+6000, TalliesReported{Tallies: []Tally{{Token: token, Overdue: 2}}})
+	require.Contains(t, actions, EndpointEjected{Endpoint: "i-a1", Service: "desk", Cause: causeOverdue, EjectionTime: minEjectionTime, ResetFlows: 1, Evidence: Evidence{
+		ProbeAge: -1, ReportAge: -1, AnswerAge: -1, EntryAge: 6000, RecordsAge: 6000, Own: 1, Others: 2,
+	}})
+}
+
+func TestEvidenceNamesReporter(t *testing.T) {
+	e := evidenceEngine(t)
+	actions := e.Handle(startTime+5000, FaultReported{Sender: "east", EndpointFault: EndpointFault{Endpoint: "i-a1", Incarnation: 1, Failing: true}})
+	require.Contains(t, actions, EndpointEjected{Endpoint: "i-a1", Service: "desk", Cause: causeReported, EjectionTime: minEjectionTime, ResetFlows: 1, Evidence: Evidence{
+		ProbeAge: -1, Reporter: "east", ReportAge: 0, AnswerAge: -1, EntryAge: 5000, RecordsAge: 5000,
+	}})
+}
+
+// Normal answers that other instances count on probation must contradict an ejection, and
+// those of before must not.
+func TestContradictionByTallies(t *testing.T) {
+	e := evidenceEngine(t)
+	token := e.directory.byID["i-a1"].token
+	e.Handle(startTime+5000, FaultReported{Sender: "east", EndpointFault: EndpointFault{Endpoint: "i-a1", Incarnation: 1, Failing: true}})
+	e.Handle(startTime+5300, TalliesReported{Tallies: []Tally{{Token: token, Normal: 6}}})
+	e.Handle(startTime+8200, TalliesReported{Tallies: []Tally{{Token: token, Normal: 4}}})
+	e.Handle(startTime+8700, TalliesReported{Tallies: []Tally{{Token: token, Normal: 2}}})
+	e.Handle(startTime+9700, RecordsConfirmed{ConfigurationAt: startTime + 9700, EndpointsAt: startTime + 9700})
+	want := ResetsContradicted{Endpoint: "i-a1", Service: "desk", Cause: causeReported, ResetFlows: 1, Delay: 3700, By: contradictedByAnswer, State: "ready"}
+	require.Contains(t, e.Handle(startTime+9700, Ticked{}), want)
+	require.NotContains(t, e.Handle(startTime+9750, Ticked{}), want)
+}
+
+// An endpoint that is ejected again before enough normal answers contradicts nothing.
+func TestNoContradictionAfterSecondEjection(t *testing.T) {
+	e := evidenceEngine(t)
+	token := e.directory.byID["i-a1"].token
+	failing := EndpointFault{Endpoint: "i-a1", Incarnation: 1, Failing: true}
+	e.Handle(startTime+5000, FaultReported{Sender: "east", EndpointFault: failing})
+	e.Handle(startTime+8200, TalliesReported{Tallies: []Tally{{Token: token, Normal: 5}}})
+	failing.Probation = true
+	require.Contains(t, e.Handle(startTime+8300, FaultReported{Sender: "east", EndpointFault: failing}), EndpointEjected{
+		Endpoint: "i-a1", Service: "desk", Cause: causeReported, EjectionTime: 2 * minEjectionTime,
+		Evidence: Evidence{ProbeAge: -1, Reporter: "east", AnswerAge: -1, EntryAge: 8300, RecordsAge: 8300},
+	})
+	steerAll(t, e, startTime+8600, "c3 data token=a1 length=10")
+	steerAll(t, e, startTime+8620, "c3 ack token=a1 sequence=110 ack=900")
+	e.Handle(startTime+9700, RecordsConfirmed{ConfigurationAt: startTime + 9700, EndpointsAt: startTime + 9700})
+	for _, a := range e.Handle(startTime+9700, Ticked{}) {
+		_, found := a.(ResetsContradicted)
+		require.False(t, found)
+	}
+}
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -105,6 +105,7 @@
 		w.streakNumber, w.smallAnswers = s.failures.streakNumber, 0
 	}
 	if w.smallAnswers++; w.smallAnswers <= maxSmallAnswersPerFlow {
+		s.observed.small.add(now)
 		s.failures.tally.Small++
 		s.failures.tallyPending = true
 		e.recordSmall(now, s, 1)
@@ -144,6 +145,7 @@
 // answer much later doesn't continue it.
 func (e *Engine) recordSmall(now clock.Millis, s *endpointState, n int) {
 	f := &s.failures
+	s.resets.recordFailure()
 	if now-f.streakGrewAt > maxStreakGap {
 		f.endStreak()
 	}
@@ -164,6 +166,7 @@
 	}
 	s.failures.tallyPending = true
 	s.failures.tally.Overdue++
+	s.observed.overdue.add(now)
 	e.addOverdue(now, s, 1)
 }
 
@@ -171,6 +174,7 @@
 // endpoint at overdueToEject.
 func (e *Engine) addOverdue(now clock.Millis, s *endpointState, n int) {
 	f := &s.failures
+	s.resets.recordFailure()
 	for range min(n, overdueToEject) {
 		f.overdueAt = append(f.overdueAt, now)
 	}
--- a/steering/query.go
+++ b/steering/query.go
@@ -73,7 +73,8 @@
 	s := w.endpoint
 	e.recordUnanswered(now, s, w.requestAt)
 	if e.flows.byKey[k] == w && s.failures.ejected(now) && e.idempotent(k.destination) {
-		e.resetFlow(k, w)
+		e.resetFlow(k, w, causeUnanswered)
+		s.addReset(now, causeUnanswered)
 	}
 }
 
@@ -121,6 +122,7 @@
 	if s.silence.ended() {
 		return
 	}
+	s.observed.unanswered.add(requestAt)
 	if e.addUnanswered(now, s, requestAt) {
 		s.failures.tallyPending = true
 		s.failures.tally.UnansweredAges = append(s.failures.tally.UnansweredAges, requestAt)
@@ -135,6 +137,7 @@
 // ignored. It reports whether the request was counted.
 func (e *Engine) addUnanswered(now clock.Millis, s *endpointState, requestAt clock.Millis) bool {
 	f := &s.failures
+	s.resets.recordFailure()
 	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > overdueWindow+minOverdueTime })
 	gap := max(minUnansweredGap, clock.Millis(unansweredGapFactor*e.expectedLatency(s)))
 	if slices.ContainsFunc(f.unansweredAt, func(at clock.Millis) bool { return max(at-requestAt, requestAt-at) < gap }) {
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -348,6 +348,8 @@
 		return fmt.Sprintf("%s failing %s", short(v.Endpoint), v.Cause)
 	case ResetFlow:
 		return fmt.Sprintf("reset c%d", v.Consumer.Address)
+	case ResetsContradicted:
+		return fmt.Sprintf("%s contradicted %s %d by %s after %d, %s", short(v.Endpoint), v.Cause, v.ResetFlows, v.By, v.Delay, v.State)
 	case EndpointLost:
 		return fmt.Sprintf("%s lost %s", short(v.Endpoint), v.Cause)
 	}
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -245,6 +245,9 @@
 	}
 	// A recent answer to this instance outweighs a report of a failing or lost endpoint.
 	// Refused connections are verified by a probe instead.
+	if v.Failing || v.Refused {
+		s.observed.reporter, s.observed.reportedAt = v.Sender, now
+	}
 	if v.Failing {
 		known := !v.Probation || s.failures.onProbation(now)
 		if known && now-s.failures.normalAt >= trustReportsAfter {
@@ -271,6 +274,10 @@
 	if s == nil || s.Incarnation != v.Incarnation {
 		return nil
 	}
+	s.observed.probe, s.observed.probedAt = v.Result, now
+	if v.Result == ProbeAnswered {
+		e.compareProbe(now, s)
+	}
 	if s.silence.ended() {
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
@@ -288,7 +295,7 @@
 		}
 		s.silence.refused, s.silence.endedAt = true, now
 		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Refused: true}})
-		e.resetFlows(s, "refused")
+		e.resetFlows(now, s, causeRefused)
 	case ProbeTimedOut:
 		if now < e.stalledUntil {
 			break
@@ -306,7 +313,7 @@
 		return
 	}
 	s.silence.lost, s.silence.endedAt = true, now
-	e.resetFlows(s, "silent")
+	e.resetFlows(now, s, causeSilent)
 }
 
 // reprobeEnded requests probes of the endpoints that were found to have ended.
@@ -356,16 +363,17 @@
 // resetFlows resets the flows of an endpoint, so that the next requests of their consumers
 // don't wait until a deadline. Flows with a pending request that isn't idempotent are
 // kept: the request may have been executed, and its consumer must decide.
-func (e *Engine) resetFlows(s *endpointState, cause string) {
+func (e *Engine) resetFlows(now clock.Millis, s *endpointState, cause string) {
 	reset := 0
 	for k, w := range e.flows.byKey {
 		if w.endpoint != s || !w.established || w.consumerDone || w.requestAt != 0 && !e.idempotent(k.destination) {
 			continue
 		}
-		e.resetFlow(k, w)
+		e.resetFlow(k, w, cause)
 		reset++
 	}
-	e.pendingActions = append(e.pendingActions, EndpointLost{Endpoint: s.ID, Service: s.Service, Cause: cause, ResetFlows: reset})
+	s.startResets(now, cause, reset)
+	e.pendingActions = append(e.pendingActions, EndpointLost{Endpoint: s.ID, Service: s.Service, Cause: cause, ResetFlows: reset, Evidence: e.evidence(now, s, cause)})
 }
 
 // idempotent reports whether the requests on the route to a destination are idempotent.
--- a/steering/tally.go
+++ b/steering/tally.go
@@ -44,6 +44,9 @@
 		}
 		s := same[0]
 		if t.Normal > 0 {
+			if s.failures.onProbation(now) {
+				e.compareNormal(now, s, t.Normal)
+			}
 			s.failures.recordNormal(now, t.Normal)
 		}
 		if t.Small > 0 {
