--- a/steering/contradiction.go
+++ b/steering/contradiction.go
@@ -39,9 +39,12 @@
 	// Requests seen earlier after the first reset may be retransmissions whose answer was on
 	// its way then.
 	minRequestDelay = 200 * clock.Millisecond
-	// A process that has been replaced by one with the same ID writes its new entry within
-	// this time. A contradiction is reported when the store confirmed the entry afterwards.
-	entryDelay = 1 * clock.Second
+	// A process that replaces one with the same ID writes its entry within this time. A
+	// contradiction is reported when the store confirmed the entry afterwards.
+	entryDelay = 2 * clock.Second
+	// The entry of a process that has ended is removed within this time. Until then another
+	// process may have got its address, whose entry isn't known yet, and answered a probe.
+	entryLifetime = 5 * clock.Second
 	// Normal answers in a row after which resets of a failing endpoint count as contradicted.
 	// One that fails a third of its requests gives them less than once in ten times.
 	minNormalAnswers = 6
@@ -171,6 +174,14 @@
 	}
 }
 
+// reportDelay returns how long after a contradiction the store must confirm the entry.
+func (r *resetSeries) reportDelay() clock.Millis {
+	if r.contradictedBy == contradictedByProbe {
+		return entryLifetime
+	}
+	return entryDelay
+}
+
 func (e *Engine) contradict(now clock.Millis, s *endpointState, by string) {
 	s.resets.contradictedAt, s.resets.contradictedBy = now, by
 	e.contradicted = append(e.contradicted, s)
@@ -185,7 +196,9 @@
 		r := &s.resets
 		switch {
 		case r.contradictedAt == 0 || r.reported:
-		case e.directory.confirmedAt < r.contradictedAt+entryDelay:
+		case r.contradictedBy == contradictedByProbe && (s.entryState != listed || e.addressReused(s)):
+			*r = resetSeries{}
+		case e.directory.confirmedAt < r.contradictedAt+r.reportDelay():
 			kept = append(kept, s)
 		default:
 			r.reported = true
