--- a/steering/contradiction.go
+++ b/steering/contradiction.go
@@ -142,7 +142,7 @@
 // compareProbe compares a probe that was answered with the resets of its endpoint.
 func (e *Engine) compareProbe(now clock.Millis, s *endpointState) {
 	r := &s.resets
-	if !r.open(now) || r.failing() || s.silence.probedAt <= r.startedAt || e.addressReused(s) {
+	if !r.open(now) || r.failing() || s.silence.probedAt <= r.startedAt {
 		return
 	}
 	e.contradict(now, s, contradictedByProbe)
@@ -174,7 +174,8 @@
 	}
 }
 
-// reportDelay returns how long after a contradiction the store must confirm the entry.
+// reportDelay returns how long after a contradiction, or the recovery of the store if that is
+// later, the store must confirm the entry.
 func (r *resetSeries) reportDelay() clock.Millis {
 	if r.contradictedBy == contradictedByProbe {
 		return entryLifetime
@@ -198,7 +199,7 @@
 		case r.contradictedAt == 0 || r.reported:
 		case r.contradictedBy == contradictedByProbe && (s.entryState != listed || e.addressReused(s)):
 			*r = resetSeries{}
-		case e.directory.confirmedAt < r.contradictedAt+r.reportDelay():
+		case e.directory.confirmedAt < max(r.contradictedAt, e.directory.storeRecoveredAt)+r.reportDelay():
 			kept = append(kept, s)
 		default:
 			r.reported = true
--- a/steering/evidence_test.go
+++ b/steering/evidence_test.go
@@ -26,6 +26,14 @@
 	}
 }
 
+// confirmUntil confirms the records each second until a time.
+func confirmUntil(e *Engine, until clock.Millis) {
+	for at := e.directory.confirmedAt; at < until; {
+		at = min(at+clock.Second, until)
+		e.Handle(at, RecordsConfirmed{ConfigurationAt: at, EndpointsAt: at})
+	}
+}
+
 func TestEvidenceOfLostEndpoint(t *testing.T) {
 	e := evidenceEngine(t)
 	steerAll(t, e, startTime+300, "c1 ack token=a1 ack=60", "c2 ack token=a2", "c2 ack token=a2 ack=60")
@@ -66,7 +74,7 @@
 	e.Handle(startTime+5300, TalliesReported{Tallies: []Tally{{Token: token, Normal: 6}}})
 	e.Handle(startTime+8200, TalliesReported{Tallies: []Tally{{Token: token, Normal: 4}}})
 	e.Handle(startTime+8700, TalliesReported{Tallies: []Tally{{Token: token, Normal: 2}}})
-	e.Handle(startTime+10700, RecordsConfirmed{ConfigurationAt: startTime + 10700, EndpointsAt: startTime + 10700})
+	confirmUntil(e, startTime+10700)
 	want := ResetsContradicted{Endpoint: "i-a1", Service: "desk", Cause: causeReported, ResetFlows: 1, Delay: 3700, By: contradictedByAnswer, State: "ready"}
 	require.Contains(t, e.Handle(startTime+10700, Ticked{}), want)
 	require.NotContains(t, e.Handle(startTime+10750, Ticked{}), want)
@@ -86,7 +94,7 @@
 	})
 	steerAll(t, e, startTime+8600, "c3 data token=a1 length=10")
 	steerAll(t, e, startTime+8620, "c3 ack token=a1 sequence=110 ack=900")
-	e.Handle(startTime+10700, RecordsConfirmed{ConfigurationAt: startTime + 10700, EndpointsAt: startTime + 10700})
+	confirmUntil(e, startTime+10700)
 	for _, a := range e.Handle(startTime+10700, Ticked{}) {
 		_, found := a.(ResetsContradicted)
 		require.False(t, found)
