--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -25,6 +25,9 @@
 	probeTimeout = 10 * clock.Minute
 	// Members listed in a reply to Hello; a message has room for about twenty.
 	maxHelloMembers = 10
+	// Greatest age of records in messages, also of those that were never confirmed. It takes
+	// as many bytes as that of an outage of minutes.
+	maxRecordAge = 24 * clock.Hour
 )
 
 // Engine decides when its member watches the store, and what it sends to other members.
@@ -33,9 +36,10 @@
 	settings Settings
 	peers    peerList
 
+	startedAt                clock.Millis
 	state                    RecordState
-	configurationConfirmedAt clock.Millis // when the store last confirmed the configuration
-	endpointsConfirmedAt     clock.Millis // when the store last confirmed the endpoints
+	configurationConfirmedAt clock.Millis // when the store last confirmed the configuration; 0 if it hasn't
+	endpointsConfirmedAt     clock.Millis // when the store last confirmed the endpoints; 0 if it hasn't
 	readAt                   clock.Millis // when this member last read the store itself
 	recoveredAt              clock.Millis // when the store answered again after a failure; 0 if it never failed
 
@@ -48,9 +52,9 @@
 	probedAt    clock.Millis // when this member last probed silent members
 }
 
-// NewEngine returns an engine that knows no other members. Its records count as read now.
+// NewEngine returns an engine that knows no other members and has no records.
 func NewEngine(s Settings, now clock.Millis) *Engine {
-	return &Engine{settings: s, configurationConfirmedAt: now, endpointsConfirmedAt: now, readAt: now, probedAt: now}
+	return &Engine{settings: s, startedAt: now, readAt: now, probedAt: now}
 }
 
 // Watching reports whether this member watches the store.
@@ -62,7 +66,7 @@
 // RecordState returns the revisions and ages of this member's records.
 func (e *Engine) RecordState(now clock.Millis) RecordState {
 	s := e.state
-	s.ConfigurationAge, s.EndpointsAge = now-e.configurationConfirmedAt, now-e.endpointsConfirmedAt
+	s.ConfigurationAge, s.EndpointsAge = min(now-e.configurationConfirmedAt, maxRecordAge), min(now-e.endpointsConfirmedAt, maxRecordAge)
 	if e.recoveredAt != 0 {
 		s.RecoveredAge = max(now-e.recoveredAt, 1)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -437,3 +437,28 @@
 		_, _, _ = Decode(data)
 	})
 }
+
+// A member that starts while the store doesn't answer must not make its own records or those
+// of the other members look confirmed.
+func TestRestartConfirmsNoRecords(t *testing.T) {
+	member := func(i byte) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)}
+	}
+	old := NewEngine(Settings{Self: member(1), RecordBound: 3000}, 10_000)
+	old.Handle(10_000, MembersListed{Members: []Member{member(2)}})
+	for _, isConfiguration := range []bool{true, false} {
+		state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 7, EndpointsRevision: 7}
+		old.Handle(10_000, RecordsRead{IsConfiguration: isConfiguration, State: state})
+	}
+	restarted := NewEngine(Settings{Self: member(2), RecordBound: 3000}, 20_000)
+	restarted.Handle(20_000, MembersListed{Members: []Member{member(1)}})
+	require.Zero(t, restarted.Confirmation().EndpointsAt, "before it has records")
+	require.Zero(t, restarted.Confirmation().ConfigurationAt, "before it has records")
+	restarted.Handle(20_050, RecordsFetched{State: old.RecordState(20_050)})
+	require.EqualValues(t, 10_000, restarted.Confirmation().EndpointsAt)
+	require.EqualValues(t, 10_000, restarted.Confirmation().ConfigurationAt)
+	old.Handle(20_100, MessageReceived{From: member(2), Message: Heartbeat{State: restarted.RecordState(20_100)}})
+	require.EqualValues(t, 10_000, old.Confirmation().EndpointsAt, "at another member")
+	require.EqualValues(t, 10_000, old.Confirmation().ConfigurationAt, "at another member")
+	require.False(t, old.isActiveWatcher(20_100, old.peers.find("edge-2")), "the restarted member gets no answers")
+}
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -52,9 +52,10 @@
 }
 
 // recordAge returns the age of this member's configuration or endpoints, whichever is
-// older.
+// older. Before they were confirmed, it is the time since the start, so that a new member
+// leaves the store to the watcher at first.
 func (e *Engine) recordAge(now clock.Millis) clock.Millis {
-	return now - min(e.configurationConfirmedAt, e.endpointsConfirmedAt)
+	return now - max(min(e.configurationConfirmedAt, e.endpointsConfirmedAt), e.startedAt)
 }
 
 // storeUnreachable reports whether the store hasn't answered this member for the stale
