Keep flows at an endpoint that refuses connections until it is known not to drain

Callers saw an open flow reset by us while its endpoint was answering it.

Cause: a refused connection was taken for the end of the process. It shows only that nothing listens.

New flows still go elsewhere at once. Flows are reset when the store confirms after the refusal that the endpoint isn't draining, not within a second of a stall of this instance, since confirmations may have waited unread, and not on a refusal that is no longer valid. An endpoint whose entry left the store may have drained unseen; it counts as gone or not by the rule for that.

--- a/steering/engine.go
+++ b/steering/engine.go
@@ -328,6 +328,9 @@
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
+	for _, s := range e.directory.byID {
+		e.checkRefused(now, s)
+	}
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
 		if s.silence.answeredAt < s.entryChangedAt {
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -55,7 +55,9 @@
 	probedAt        clock.Millis // last request for a probe
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
 	votes           []vote       // instances that reported a probe timeout
-	refused         bool         // the address refuses connections, so the process has ended
+	refused         bool         // the address refuses connections
+	refusedAt       clock.Millis // when refused was set
+	notDraining     bool         // refused, and the store confirmed since that the endpoint isn't draining
 	lost            bool         // it answers neither flows nor probes
 	endedAt         clock.Millis // when refused or lost was set, or last confirmed by a probe
 }
@@ -70,10 +72,10 @@
 // since. Until it does, it gets no new flows.
 func (s *silence) ended() bool { return s.refused || s.lost }
 
-// endedRecently reports whether the finding that the endpoint has ended is still valid.
-// Only then are its flows reset: the cause may be a partition that is over by now.
+// endedRecently reports whether the endpoint has ended for certain and that finding is still
+// valid. Only then are its flows reset: the cause may be a partition that is over by now.
 func (s *silence) endedRecently(now clock.Millis) bool {
-	return s.ended() && now-s.endedAt <= endedValidity
+	return (s.notDraining || s.lost) && now-s.endedAt <= endedValidity
 }
 
 // avoided reports whether new flows should go to other endpoints.
@@ -293,9 +295,8 @@
 		if s.Draining {
 			break // accepts no connections, but may still answer its last requests
 		}
-		s.silence.refused, s.silence.endedAt = true, now
+		s.silence.refused, s.silence.refusedAt, s.silence.endedAt = true, now, now
 		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Refused: true}})
-		e.resetFlows(now, s, causeRefused)
 	case ProbeTimedOut:
 		if now < e.stalledUntil {
 			break
@@ -316,6 +317,20 @@
 	e.resetFlows(now, s, causeSilent)
 }
 
+// checkRefused resets the flows of an endpoint that refuses connections when the store has
+// confirmed since that it isn't draining. A draining endpoint closes its listener before it
+// has answered its last requests.
+func (e *Engine) checkRefused(now clock.Millis, s *endpointState) {
+	if !s.silence.refused || s.silence.notDraining || s.Draining || s.entryState != listed {
+		return
+	}
+	if now < e.stalledUntil || now-s.silence.endedAt > endedValidity || e.directory.confirmedAt <= s.silence.refusedAt {
+		return
+	}
+	s.silence.notDraining = true
+	e.resetFlows(now, s, causeRefused)
+}
+
 // reprobeEnded requests probes of the endpoints that were found to have ended.
 func (e *Engine) reprobeEnded(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
