Withdraw a refusal when the endpoint turns out to be draining

Callers would see resets at a draining endpoint that still answers: packets of its flows were reset for 2 s after a refused connection, renewed by a probe each 1.5 s, though the entry that says that it drains had arrived since. An endpoint that drains and had been unreachable before was kept lost in the same way by a probe that was refused, which shows that it can be reached again.

Cause: only the first probe looked at the entry; a change of the entry left the finding, and the later probes renewed it. An entry that can't be read any more counts as draining and did the same.

--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -102,6 +102,9 @@
 	if s.entryState != listed {
 		s.silence = silence{}
 	}
+	if p.Draining {
+		s.silence.withdrawRefusal()
+	}
 	d.unindex(s)
 	s.Endpoint, s.entryState, s.entryChangedAt = p, listed, now
 	s.warmedUpAt = now + p.Warmup
@@ -155,6 +158,7 @@
 	}
 	s.Revision, s.entryChangedAt = revision, now
 	s.Draining = true
+	s.silence.withdrawRefusal()
 	d.reindex(s)
 	return true
 }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -78,6 +78,10 @@
 	return (s.notDraining || s.lost) && now-s.endedAt <= endedValidity
 }
 
+// withdrawRefusal withdraws the finding that the address refuses connections, when the
+// endpoint turns out to be draining.
+func (s *silence) withdrawRefusal() { s.refused, s.notDraining = false, false }
+
 // avoided reports whether new flows should go to other endpoints.
 func (s *silence) avoided(now clock.Millis) bool {
 	return s.ended() || s.suspected || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
@@ -352,6 +356,9 @@
 		s.silence = silence{probedAt: s.silence.probedAt}
 		e.pendingActions = append(e.pendingActions, s.stateChanged())
 	case ProbeRefused, ProbeTimedOut:
+		if result == ProbeRefused && s.Draining {
+			break
+		}
 		s.silence.endedAt = now
 	case ProbeInconclusive:
 	}
