Reset no flow on probe timeouts of other instances alone

Callers saw an open flow reset although its endpoint was sound. An endpoint counted as lost when the probes of two other instances had timed out. The instance itself needed no probe and no unanswered flow, so instances that lose packets, stall or are cut off made sound ones reset their flows.

A report now makes the instance probe the endpoint itself, at once, and moves new flows as before. Flows are reset only if its own probe timed out, together with silent flows of its own or the report. Packets of flows that were placed elsewhere are reset by the same finding (endpoint_silent).

--- a/steering/event.go
+++ b/steering/event.go
@@ -56,8 +56,9 @@
 }
 
 // FaultReported is emitted when another instance reported a fault. The engine probes an
-// endpoint that refuses connections. It ejects a failing one, or counts a vote for a probe
-// that timed out, unless the endpoint answered this instance just before.
+// endpoint that refuses connections. It ejects a failing one, and for a probe that timed
+// out it counts a vote and probes the endpoint too, unless the endpoint answered this
+// instance just before.
 type FaultReported struct {
 	Sender string // name of the other instance
 	EndpointFault
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -27,12 +27,14 @@
 	probeInterval     = 500 * clock.Millisecond // minimum time between two probes of an endpoint
 	// The same after another instance reported that the endpoint refuses connections.
 	refusedProbeInterval = 50 * clock.Millisecond
+	// The same after another instance reported a probe timeout. A probe of this instance
+	// that began earlier is over by then.
+	votedProbeInterval = minSilentTime
 	probeValidity        = 3 * clock.Second // how long a probe result is used
 	// Time without any answer after which an endpoint may count as lost. A host accepts
 	// connections at once even under load, and on a healthy path some answer arrives
 	// within this time when two flows wait.
-	minLostTime  = 500 * clock.Millisecond
-	minLostVotes = 2 // instances whose probes timed out
+	minLostTime = 500 * clock.Millisecond
 	// Endpoints that were found to have ended are probed again at this interval, because a
 	// network partition looks the same and is temporary. The finding is valid a little
 	// longer than the interval, so that the next probe can renew it.
@@ -54,6 +56,7 @@
 	backoffUntil    clock.Millis // end of that pause
 	probedAt        clock.Millis // last request for a probe
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
+	probeAnsweredAt clock.Millis // last probe with an answer
 	votes           []vote       // instances that reported a probe timeout
 	refused         bool         // the address refuses connections, so the process has ended
 	lost            bool         // it answers neither flows nor probes
@@ -128,18 +131,16 @@
 	return n
 }
 
-// isLost reports whether the endpoint should be declared lost: this instance has silent
-// flows and its own probe timed out, or the probes of enough instances did.
+// isLost reports whether the endpoint should be declared lost: the probe of this instance
+// timed out, and either its flows are silent too or the probe of another instance timed
+// out. Probes of other instances alone prove nothing, since their paths or stalls may be
+// the cause.
 func (s *silence) isLost(now clock.Millis) bool {
 	if s.lost || now-s.answeredAt < minLostTime {
 		return false
 	}
 	timedOut := s.probeTimedOutAt != 0 && now-s.probeTimedOutAt <= probeValidity
-	votes := s.countVotes(now)
-	if timedOut {
-		votes++
-	}
-	return timedOut && s.unansweredFlows >= minSilentFlows || votes >= minLostVotes
+	return timedOut && (s.unansweredFlows >= minSilentFlows || s.countVotes(now) > 0)
 }
 
 // handleMiss handles a flow that an endpoint hasn't answered since the given time. It is
@@ -257,11 +258,14 @@
 		e.probeSuspect(now, s, refusedProbeInterval)
 		return e.TakeActions()
 	}
-	if now-s.silence.answeredAt < minSilentTime {
+	if now-max(s.silence.answeredAt, s.silence.probeAnsweredAt) < minSilentTime {
 		return nil
 	}
 	s.silence.addVote(now, v.Sender)
 	e.checkLost(now, s)
+	if !s.silence.ended() {
+		e.probeSuspect(now, s, votedProbeInterval)
+	}
 	return e.TakeActions()
 }
 
@@ -281,6 +285,7 @@
 	}
 	switch v.Result {
 	case ProbeAnswered:
+		s.silence.probeAnsweredAt = now
 		s.silence.probeTimedOutAt, s.silence.votes, s.silence.suspected = 0, nil, false
 	case ProbeRefused:
 		if s.Draining {
