Give an endpoint new flows again after a probe without a finding

After a probe that was inconclusive, or that timed out during a stall of this instance, the endpoint got no new flows from it any more: the mark "suspected" lasted until a later probe was answered, and nothing requested one. The same held for a probe that timed out soundly without other evidence.

The mark now ends with the result of the probe. After a sound timeout new flows avoid the endpoint while the result is valid, and it is probed again every 1.5 s like an endpoint that was found to have ended. Only the first timeout is reported, since each report makes all other instances probe.

--- a/steering/engine.go
+++ b/steering/engine.go
@@ -33,7 +33,7 @@
 	recentIndex              int            // index of the oldest entry of recent
 	flowsToQuery             []FlowProgress // flows for the next query
 	queriedAt                clock.Millis   // time of the last query
-	reprobedAt               clock.Millis   // last run of reprobeEnded
+	reprobedAt               clock.Millis   // last run of reprobe
 	sendTallies              bool           // the next tick sends the tallies
 
 	pendingActions []Action // until TakeActions
@@ -329,7 +329,7 @@
 			e.resetFlows(s, "gone")
 		}
 	}
-	e.reprobeEnded(now)
+	e.reprobe(now)
 	actions = append(actions, e.TakeActions()...)
 	if e.sendTallies {
 		e.sendTallies = false
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -35,9 +35,10 @@
 	// connections at once even under load, and on a healthy path some answer arrives
 	// within this time when two flows wait.
 	minLostTime = 500 * clock.Millisecond
-	// Endpoints that were found to have ended are probed again at this interval, because a
-	// network partition looks the same and is temporary. The finding is valid a little
-	// longer than the interval, so that the next probe can renew it.
+	// Endpoints that were found to have ended, or whose last probe timed out, are probed
+	// again at this interval, because a network partition looks the same and is temporary.
+	// The finding that an endpoint has ended is valid a little longer than the interval, so
+	// that the next probe can renew it.
 	reprobeInterval = 1500 * clock.Millisecond
 	endedValidity   = 2 * clock.Second
 	// A tick that is late by this much counts as a stall: packets may be waiting unread in
@@ -51,7 +52,7 @@
 type silence struct {
 	answeredAt      clock.Millis // last answer from the endpoint
 	unansweredFlows int          // flows of this instance without an answer since then
-	suspected       bool         // an opening got no answer, or another instance reported refused connections; a probe decides
+	suspected       bool         // an opening got no answer, or another instance reported a fault; a probe is under way
 	backoff         clock.Millis // current pause without new flows; 0 when not silent
 	backoffUntil    clock.Millis // end of that pause
 	probedAt        clock.Millis // last request for a probe
@@ -81,7 +82,7 @@
 
 // avoided reports whether new flows should go to other endpoints.
 func (s *silence) avoided(now clock.Millis) bool {
-	return s.ended() || s.suspected || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
+	return s.ended() || s.suspected || s.probeTimedOut(now) || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
 }
 
 // recordAnswer handles an answer from the endpoint. It clears all evidence of silence.
@@ -131,6 +132,11 @@
 	return n
 }
 
+// probeTimedOut reports whether the last probe timed out and its result is still valid.
+func (s *silence) probeTimedOut(now clock.Millis) bool {
+	return s.probeTimedOutAt != 0 && now-s.probeTimedOutAt <= probeValidity
+}
+
 // isLost reports whether the endpoint should be declared lost: the probe of this instance
 // timed out, and either its flows are silent too or the probe of another instance timed
 // out. Probes of other instances alone prove nothing, since their paths or stalls may be
@@ -139,8 +145,7 @@
 	if s.lost || now-s.answeredAt < minLostTime {
 		return false
 	}
-	timedOut := s.probeTimedOutAt != 0 && now-s.probeTimedOutAt <= probeValidity
-	return timedOut && (s.unansweredFlows >= minSilentFlows || s.countVotes(now) > 0)
+	return s.probeTimedOut(now) && (s.unansweredFlows >= minSilentFlows || s.countVotes(now) > 0)
 }
 
 // handleMiss handles a flow that an endpoint hasn't answered since the given time. It is
@@ -279,14 +284,14 @@
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
 	}
+	s.silence.suspected = false
 	if s.silence.probedAt <= s.silence.answeredAt {
-		s.silence.suspected = false
 		return nil // the endpoint has answered since
 	}
 	switch v.Result {
 	case ProbeAnswered:
 		s.silence.probeAnsweredAt = now
-		s.silence.probeTimedOutAt, s.silence.votes, s.silence.suspected = 0, nil, false
+		s.silence.probeTimedOutAt, s.silence.votes = 0, nil
 	case ProbeRefused:
 		if s.Draining {
 			break // accepts no connections, but may still answer its last requests
@@ -298,8 +303,10 @@
 		if now < e.stalledUntil {
 			break
 		}
+		if !s.silence.probeTimedOut(now) { // each report makes all other instances probe the endpoint
+			e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation}})
+		}
 		s.silence.probeTimedOutAt = now
-		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation}})
 		e.checkLost(now, s)
 	}
 	return e.TakeActions()
@@ -314,20 +321,21 @@
 	e.resetFlows(s, "silent")
 }
 
-// reprobeEnded requests probes of the endpoints that were found to have ended.
-func (e *Engine) reprobeEnded(now clock.Millis) {
+// reprobe requests probes of the endpoints that were found to have ended, and of those
+// whose last probe timed out.
+func (e *Engine) reprobe(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
 		return
 	}
 	e.reprobedAt = now
 	for _, s := range e.directory.byID {
-		if s.silence.ended() && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
+		if (s.silence.ended() || s.silence.probeTimedOut(now)) && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
 			e.addProbe(s)
 		}
 	}
 }
 
-// handleReprobe handles the result of a probe by reprobeEnded. An endpoint that answers
+// handleReprobe handles the result of a probe of an endpoint that was found to have ended. An endpoint that answers
 // was only unreachable, and gets new flows again.
 func (e *Engine) handleReprobe(now clock.Millis, s *endpointState, result ProbeResult) {
 	switch result {
