Let a probe survive lost packets and a full queue of new connections

A single lost packet made a probe time out: the system retransmits the opening packet of a connection only after a second, and a probe lasts 300 ms. A full queue of new connections, as when many instances probe an endpoint at once, drops the packet as well. The instance then took the endpoint for silent, and reported it so to all others.

A probe now opens up to three connections, 100 ms apart, and the first that is accepted or refused decides. It still takes 300 ms to time out, and opens only one connection at an endpoint that answers within 100 ms.

Failed before:

--- FAIL: TestProbeSurvivesDroppedOpeningPacket (0.35s) expected: 0x1 (answered) actual: 0x0 (timed out)

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,9 +12,15 @@
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
-// probeTimeout is the time for a probe, in ms: 100 times the round-trip time within a
-// region, and a fifth of the time in which consumers expect the answer to a request.
-const probeTimeout = 300 * clock.Millisecond
+const (
+	// probeTimeout is the time for a probe: 100 times the round-trip time within a region,
+	// and a fifth of the time in which consumers expect the answer to a request.
+	probeTimeout = 300 * clock.Millisecond
+	// A probe without an answer opens another connection at this interval. A lost packet, or
+	// one that a full queue of new connections dropped, is retransmitted only after a second.
+	probeAttemptInterval = 100 * clock.Millisecond
+	probeAttempts        = int(probeTimeout / probeAttemptInterval)
+)
 
 // probe tests whether a process listens at an endpoint's address, and passes the result to
 // the engine. The control endpoint is probed at the same time: if neither answers, the
@@ -31,10 +39,38 @@
 	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result})
 }
 
-// probeAddress opens a TCP connection to an address and closes it.
+// probeAddress opens TCP connections to an address until one is accepted or refused, and
+// closes them.
 func (d *Daemon) probeAddress(to steering.AddrPort) steering.ProbeResult {
 	d.metrics.probes.Inc(1)
-	c, err := net.DialTimeout("tcp4", to.String(), probeTimeout.Duration())
+	start := clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	defer cancel()
+	results := make(chan steering.ProbeResult, probeAttempts)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	attempts, timeouts := 0, 0
+	for timeouts < probeAttempts {
+		select {
+		case <-timer.C:
+			go func() { results <- dialAddress(ctx, to) }()
+			if attempts++; attempts < probeAttempts {
+				timer.Reset((clock.Millis(attempts)*probeAttemptInterval - (clock.Now() - start)).Duration())
+			}
+		case result := <-results:
+			if result != steering.ProbeTimedOut {
+				return result
+			}
+			timeouts++
+		}
+	}
+	return steering.ProbeTimedOut
+}
+
+// dialAddress opens a TCP connection to an address and closes it.
+func dialAddress(ctx context.Context, to steering.AddrPort) steering.ProbeResult {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp4", to.String())
 	switch {
 	case err == nil:
 		_ = c.Close() // no data was sent
