Take a probe that failed locally for inconclusive

When a probe couldn't be sent, for lack of descriptors, ports or a route, it counted as a timeout: evidence against an endpoint that nobody had asked. Only a timeout counts now.

Failed before:

--- FAIL: TestProbeThatFailsLocallyIsInconclusive (0.00s) expected: 0x3 (inconclusive) actual: 0x0 (timed out)

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -71,6 +71,7 @@
 func dialAddress(ctx context.Context, to steering.AddrPort) steering.ProbeResult {
 	var dialer net.Dialer
 	c, err := dialer.DialContext(ctx, "tcp4", to.String())
+	var netError net.Error
 	switch {
 	case err == nil:
 		_ = c.Close() // no data was sent
@@ -79,6 +80,8 @@
 		return steering.ProbeAnswered // a reset shows that a process listens, too
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return steering.ProbeRefused
+	case errors.As(err, &netError) && netError.Timeout():
+		return steering.ProbeTimedOut
 	}
-	return steering.ProbeTimedOut
+	return steering.ProbeInconclusive // a local fault, such as too few descriptors
 }
--- a/forwarder/probe_test.go
+++ b/forwarder/probe_test.go
@@ -73,3 +73,8 @@
 	require.Equal(t, steering.ProbeTimedOut, result)
 	require.GreaterOrEqual(t, clock.Now()-start, probeTimeout)
 }
+
+func TestProbeThatFailsLocallyIsInconclusive(t *testing.T) {
+	result := newProbingDaemon().probeAddress(steering.AddrPort{Address: 0xffffffff, Port: 80})
+	require.Equal(t, steering.ProbeInconclusive, result)
+}
--- a/steering/event.go
+++ b/steering/event.go
@@ -98,7 +98,7 @@
 	ProbeTimedOut     ProbeResult = iota // no answer in time, but the control address, if any, answered
 	ProbeAnswered                        // the connection was accepted or reset
 	ProbeRefused                         // the connection was refused
-	ProbeInconclusive                    // neither the endpoint nor the control address answered
+	ProbeInconclusive                    // neither the endpoint nor the control address answered, or the instance failed to probe
 )
 
 var probeResultNames = map[ProbeResult]string{ProbeTimedOut: "hung", ProbeAnswered: "answered", ProbeRefused: "refused", ProbeInconclusive: "unclear"}
