Take a probe that timed out in a stall for no evidence

An instance that didn't run while a probe was under way may find its timers expired before it reads the answer that waits in the socket. The stall was noticed only by the next tick, so the result of the probe came first and could reset the flows of a sound endpoint, at this instance and with the reports at others. The control endpoint doesn't help if it was read before the stall.

A probe now measures how late its own timers were and whether the system was suspended, and the engine treats this like a late tick.

TestProbeShowsStallBeforeNextTick stops the test process for 0.4 s during a probe, and expects the probe to say so.

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -26,22 +26,29 @@
 // the engine. The control endpoint is probed at the same time: if neither answers, the
 // cause may be this instance's network, and the result is inconclusive.
 func (d *Daemon) probe(v steering.Probe) {
+	stalls := newStallDetector()
 	controlAnswered := make(chan bool, 1)
 	go func() {
-		controlAnswered <- v.Control == steering.AddrPort{} || d.probeAddress(v.Control) == steering.ProbeAnswered
+		if v.Control == (steering.AddrPort{}) {
+			controlAnswered <- true
+			return
+		}
+		result, _ := d.probeAddress(v.Control)
+		controlAnswered <- result == steering.ProbeAnswered
 	}()
-	result := d.probeAddress(v.Address)
+	result, delay := d.probeAddress(v.Address)
 	if result == steering.ProbeTimedOut && !<-controlAnswered {
 		result = steering.ProbeInconclusive
 	}
+	delay = max(delay, stalls.check())
 	d.log.infoLimited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", result.String(),
-		"control", v.Control.String())
-	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result})
+		"control", v.Control.String(), "late_ms", int64(delay))
+	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result, Delay: delay})
 }
 
 // probeAddress opens TCP connections to an address until one is accepted or refused, and
-// closes them.
-func (d *Daemon) probeAddress(to steering.AddrPort) steering.ProbeResult {
+// closes them. It also returns how late its timers were at most.
+func (d *Daemon) probeAddress(to steering.AddrPort) (result steering.ProbeResult, delay clock.Millis) {
 	d.metrics.probes.Inc(1)
 	start := clock.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
@@ -53,18 +60,19 @@
 	for timeouts < probeAttempts {
 		select {
 		case <-timer.C:
+			delay = max(delay, clock.Now()-start-clock.Millis(attempts)*probeAttemptInterval)
 			go func() { results <- dialAddress(ctx, to) }()
 			if attempts++; attempts < probeAttempts {
 				timer.Reset((clock.Millis(attempts)*probeAttemptInterval - (clock.Now() - start)).Duration())
 			}
-		case result := <-results:
+		case result = <-results:
 			if result != steering.ProbeTimedOut {
-				return result
+				return result, delay
 			}
 			timeouts++
 		}
 	}
-	return steering.ProbeTimedOut
+	return steering.ProbeTimedOut, max(delay, clock.Now()-start-probeTimeout)
 }
 
 // dialAddress opens a TCP connection to an address and closes it.
--- a/forwarder/probe_test.go
+++ b/forwarder/probe_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"testing"
 	"time"
 
@@ -51,7 +53,8 @@
 	l, to := listenWithFullQueue(t)
 	result := make(chan steering.ProbeResult, 1)
 	go func() {
-		result <- newProbingDaemon().probeAddress(to)
+		r, _ := newProbingDaemon().probeAddress(to)
+		result <- r
 	}()
 	time.Sleep(50 * time.Millisecond)
 	go func() {
@@ -69,12 +72,25 @@
 func TestProbeTimesOutWhenNothingAnswers(t *testing.T) {
 	_, to := listenWithFullQueue(t)
 	start := clock.Now()
-	result := newProbingDaemon().probeAddress(to)
+	result, _ := newProbingDaemon().probeAddress(to)
 	require.Equal(t, steering.ProbeTimedOut, result)
 	require.GreaterOrEqual(t, clock.Now()-start, probeTimeout)
 }
 
 func TestProbeThatFailsLocallyIsInconclusive(t *testing.T) {
-	result := newProbingDaemon().probeAddress(steering.AddrPort{Address: 0xffffffff, Port: 80})
+	result, _ := newProbingDaemon().probeAddress(steering.AddrPort{Address: 0xffffffff, Port: 80})
 	require.Equal(t, steering.ProbeInconclusive, result)
 }
+
+func TestProbeShowsStallBeforeNextTick(t *testing.T) {
+	_, to := listenWithFullQueue(t)
+	delays := make(chan clock.Millis, 1)
+	go func() {
+		_, delay := newProbingDaemon().probeAddress(to)
+		delays <- delay
+	}()
+	time.Sleep(20 * time.Millisecond)
+	stall := fmt.Sprintf("kill -STOP %d; sleep 0.4; kill -CONT %d", os.Getpid(), os.Getpid())
+	require.NoError(t, exec.Command("sh", "-c", stall).Run())
+	require.GreaterOrEqual(t, <-delays, 60*clock.Millisecond)
+}
--- a/steering/event.go
+++ b/steering/event.go
@@ -88,6 +88,7 @@
 	Endpoint    string
 	Incarnation clock.Millis
 	Result      ProbeResult
+	Delay       clock.Millis // how late the timers of the probe were, or how long it was suspended
 }
 
 // ProbeResult is the result of a probe.
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -276,6 +276,10 @@
 
 // handleProbeEnded handles the result of a probe.
 func (e *Engine) handleProbeEnded(now clock.Millis, v ProbeEnded) []Action {
+	if v.Delay >= minStall {
+		// The next tick shows the stall too, but may come only after this result.
+		e.stalledUntil = now + stallRecovery
+	}
 	s := e.directory.byID[v.Endpoint]
 	if s == nil || s.Incarnation != v.Incarnation {
 		return nil
