Count nothing against an endpoint that a stall of this instance explains

Evidence of a silent endpoint was dropped for a second after a stall, but what had been counted meanwhile and before stayed. Four cases could end in the reset of flows at a sound endpoint:

- Requests and their retransmissions that waited in the socket together counted as unanswered flows.
A retransmission now counts only if it is read 150 ms after its request, since consumers wait 200 ms.
- Retransmissions in the second after a stall counted after it.
- A probe that timed out in a stall renewed the finding that an endpoint is lost, so its flows were reset for 2 s more.
- After a suspension of the process, which the clock doesn't count, evidence and findings from before it were used.
The endpoint now gets no new flows until it answers a probe, and resets none.

TestPacketTriggersProbeAtOnce sent the retransmission in the same millisecond as the request, which no consumer does; it now sends it 200 ms later, as consumers do, and still expects the probe at once.

--- a/forwarder/packets_test.go
+++ b/forwarder/packets_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -39,6 +40,7 @@
 	d.forward(&p, data, clock.Now(), &reset)
 	d.goroutines.Wait()
 	require.Zero(t, d.metrics.probes.Count())
+	time.Sleep(200 * time.Millisecond)
 	d.forward(&p, data, clock.Now(), &reset) // a retransmission, because the data was not acknowledged
 	d.goroutines.Wait()
 	require.Equal(t, int64(1), d.metrics.probes.Count())
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -139,6 +139,10 @@
 		e.configurationConfirmedAt = 0
 		e.stalledUntil = now + stallRecovery
 		e.directory.storeRecoveredAt = now
+		// The clock doesn't count the suspension, so evidence is older than it seems.
+		for _, s := range e.directory.byID {
+			s.silence.expire()
+		}
 	case ProbeEnded:
 		return e.handleProbeEnded(now, v)
 	case Ticked:
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -16,6 +16,9 @@
 	// Consumers retransmit after 200 ms. An endpoint that has requests to answer and has
 	// sent nothing for longer than that is not just slow to acknowledge.
 	minSilentTime = 300 * clock.Millisecond
+	// A retransmission that is read sooner after its request has waited in the socket
+	// together with it, because this instance was stalled.
+	minRetransmitTime = 150 * clock.Millisecond
 	// A handshake takes 8 ms on the platform. An opening that waits five times as
 	// long may have been reset by an endpoint that is starting or has ended.
 	openingProbeDelay = 40 * clock.Millisecond
@@ -30,7 +33,7 @@
 	// The same after another instance reported a probe timeout. A probe of this instance
 	// that began earlier is over by then.
 	votedProbeInterval = minSilentTime
-	probeValidity        = 3 * clock.Second // how long a probe result is used
+	probeValidity      = 3 * clock.Second // how long a probe result is used
 	// Time without any answer after which an endpoint may count as lost. A host accepts
 	// connections at once even under load, and on a healthy path some answer arrives
 	// within this time when two flows wait.
@@ -94,6 +97,12 @@
 	*s = silence{answeredAt: now, probedAt: s.probedAt}
 }
 
+// expire ends the validity of all evidence. The endpoint still gets no new flows if it was
+// found to have ended.
+func (s *silence) expire() {
+	s.unansweredFlows, s.probeTimedOutAt, s.votes, s.endedAt = 0, 0, nil, 0
+}
+
 // recordMiss counts a flow that got no answer, and reports whether the endpoint now
 // counts as silent and starts a backoff.
 func (s *silence) recordMiss(now clock.Millis) bool {
@@ -151,10 +160,10 @@
 // handleMiss handles a flow that an endpoint hasn't answered since the given time. It is
 // called when the consumer retransmits, which shows that no acknowledgement arrived.
 func (e *Engine) handleMiss(now clock.Millis, s *endpointState, since clock.Millis) {
-	if since < s.silence.answeredAt || s.silence.ended() {
+	if since < s.silence.answeredAt || s.silence.ended() || now-since < minRetransmitTime {
 		return
 	}
-	if s.silence.recordMiss(now) {
+	if now >= e.stalledUntil && s.silence.recordMiss(now) {
 		e.pendingActions = append(e.pendingActions, EndpointSilent{Endpoint: s.ID, Service: s.Service, UnansweredFlows: s.silence.unansweredFlows, Backoff: s.silence.backoff})
 	}
 	e.checkLost(now, s)
@@ -344,10 +353,14 @@
 func (e *Engine) handleReprobe(now clock.Millis, s *endpointState, result ProbeResult) {
 	switch result {
 	case ProbeAnswered:
-		s.silence = silence{probedAt: s.silence.probedAt}
+		s.silence = silence{probedAt: s.silence.probedAt, probeAnsweredAt: now}
 		e.pendingActions = append(e.pendingActions, s.stateChanged())
-	case ProbeRefused, ProbeTimedOut:
+	case ProbeRefused:
 		s.silence.endedAt = now
+	case ProbeTimedOut:
+		if now >= e.stalledUntil {
+			s.silence.endedAt = now
+		}
 	case ProbeInconclusive:
 	}
 }
