Take no probe timeout without an answer from a control endpoint

A probe shows a fault of the endpoint only if another endpoint, probed at the same time, answers. When each other local endpoint had an unanswered flow, as while the network of the instance fails, no control was chosen, and the timeout counted as if one had answered. An endpoint found silent could be the control, too, which made timeouts inconclusive at dead endpoints.

There is a control now whenever another endpoint is listed: first those without a sign of silence, then local ones, then the latest to answer. A refused connection shows that the network works as well as an accepted one. Without a control a timeout is inconclusive.

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -23,18 +23,18 @@
 )
 
 // probe tests whether a process listens at an endpoint's address, and passes the result to
-// the engine. The control endpoint is probed at the same time: if neither answers, the
-// cause may be this instance's network, and the result is inconclusive.
+// the engine. The control endpoint is probed at the same time: unless something
+// comes back from it, the cause may be this instance's network, and a timeout is inconclusive.
 func (d *Daemon) probe(v steering.Probe) {
 	stalls := newStallDetector()
 	controlAnswered := make(chan bool, 1)
 	go func() {
 		if v.Control == (steering.AddrPort{}) {
-			controlAnswered <- true
+			controlAnswered <- false
 			return
 		}
 		result, _ := d.probeAddress(v.Control)
-		controlAnswered <- result == steering.ProbeAnswered
+		controlAnswered <- result == steering.ProbeAnswered || result == steering.ProbeRefused
 	}()
 	result, delay := d.probeAddress(v.Address)
 	if result == steering.ProbeTimedOut && !<-controlAnswered {
--- a/forwarder/probe_test.go
+++ b/forwarder/probe_test.go
@@ -94,3 +94,13 @@
 	require.NoError(t, exec.Command("sh", "-c", stall).Run())
 	require.GreaterOrEqual(t, <-delays, 60*clock.Millisecond)
 }
+
+func TestProbeWithoutControlThatTimesOutIsInconclusive(t *testing.T) {
+	d := newProbingDaemon()
+	log := &bytes.Buffer{}
+	d.log = newEventLog(log)
+	_, to := listenWithFullQueue(t)
+	d.probe(steering.Probe{Endpoint: "i-1", Incarnation: 1, Address: to})
+	d.log.flush()
+	require.Contains(t, log.String(), `"end":"unclear"`)
+}
--- a/steering/event.go
+++ b/steering/event.go
@@ -96,10 +96,10 @@
 
 // The results of probes.
 const (
-	ProbeTimedOut     ProbeResult = iota // no answer in time, but the control address, if any, answered
+	ProbeTimedOut     ProbeResult = iota // no answer in time, but one from the control address
 	ProbeAnswered                        // the connection was accepted or reset
 	ProbeRefused                         // the connection was refused
-	ProbeInconclusive                    // neither the endpoint nor the control address answered, or the instance failed to probe
+	ProbeInconclusive                    // no answer in time, neither from the control address, or the instance failed to probe
 )
 
 var probeResultNames = map[ProbeResult]string{ProbeTimedOut: "hung", ProbeAnswered: "answered", ProbeRefused: "refused", ProbeInconclusive: "unclear"}
@@ -136,7 +136,8 @@
 	Incarnation clock.Millis
 	Address     AddrPort
 	// Address of an endpoint that answered recently, probed at the same time. If it doesn't
-	// answer either, the network of this instance is faulty. Zero if there is none.
+	// answer either, the network of this instance is faulty. Zero if there is none, which
+	// makes a timeout inconclusive.
 	Control AddrPort
 }
 
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -43,9 +43,10 @@
 	TickDelay      clock.Millis       `yaml:"late"` // how late the tick is
 	Tick           bool               `yaml:"tick"`
 
-	Want        string   `yaml:"want"`  // "VERDICT REASON [ID]" for the packet, or a prefix of it
-	WantNot     string   `yaml:"not"`   // endpoint that the packet must not be forwarded to
-	WantActions []string `yaml:"tells"` // actions in any order, as describeAction writes them; nil for any
+	Want        string   `yaml:"want"`    // "VERDICT REASON [ID]" for the packet, or a prefix of it
+	WantNot     string   `yaml:"not"`     // endpoint that the packet must not be forwarded to
+	WantControl string   `yaml:"control"` // control endpoint of the probe that the step requests, or "none"
+	WantActions []string `yaml:"tells"`   // actions in any order, as describeAction writes them; nil for any
 }
 
 type configurationStep struct {
@@ -87,6 +88,9 @@
 	var got []string
 	collect := func(actions []Action) {
 		for _, a := range actions {
+			if v, ok := a.(Probe); ok && s.WantControl != "" {
+				require.Equal(t, s.WantControl, describeControl(e, v), name)
+			}
 			if text := describeAction(a); text != "" {
 				got = append(got, text)
 			}
@@ -328,6 +332,16 @@
 	return ProbeTimedOut
 }
 
+// describeControl returns the endpoint that a probe uses as its control.
+func describeControl(e *Engine, v Probe) string {
+	for id, s := range e.directory.byID {
+		if s.Address == v.Control {
+			return strings.TrimPrefix(id, "i-")
+		}
+	}
+	return "none"
+}
+
 // describeAction returns an action as scripts write it, or "" for actions that they ignore.
 func describeAction(a Action) string {
 	short := func(id string) string { return strings.TrimPrefix(id, "i-") }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -88,6 +88,11 @@
 	return s.ended() || s.suspected || s.probeTimedOut(now) || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
 }
 
+// suspicious reports whether this instance has any sign that the endpoint is silent.
+func (s *silence) suspicious(now clock.Millis) bool {
+	return s.unansweredFlows > 0 || s.avoided(now)
+}
+
 // recordAnswer handles an answer from the endpoint. It clears all evidence of silence.
 func (s *silence) recordAnswer(now clock.Millis) {
 	if s.unansweredFlows == 0 && !s.ended() && s.probeTimedOutAt == 0 && s.votes == nil {
@@ -217,7 +222,7 @@
 func (e *Engine) probeSuspect(now clock.Millis, s *endpointState, interval clock.Millis) {
 	if s.silence.probeDue(now, interval) {
 		s.silence.suspected = true
-		e.addProbe(s)
+		e.addProbe(now, s)
 	}
 }
 
@@ -225,24 +230,21 @@
 // probeInterval.
 func (e *Engine) requestProbe(now clock.Millis, s *endpointState) {
 	if s.silence.probeDue(now, probeInterval) {
-		e.addProbe(s)
+		e.addProbe(now, s)
 	}
 }
 
-func (e *Engine) addProbe(s *endpointState) {
-	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(s)})
+func (e *Engine) addProbe(now clock.Millis, s *endpointState) {
+	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(now, s)})
 }
 
-// controlAddress returns the address of the local endpoint other than s that answered
-// most recently. The daemon probes it together with s, to tell a fault of s from one of
-// its own network.
-func (e *Engine) controlAddress(s *endpointState) AddrPort {
+// controlAddress returns the address of another endpoint, which the daemon probes together
+// with s to tell a fault of s from one of its own network. Endpoints without a sign of
+// silence come first, then local ones, then those that answered most recently.
+func (e *Engine) controlAddress(now clock.Millis, s *endpointState) AddrPort {
 	var best *endpointState
 	for _, o := range e.directory.byID {
-		if o == s || o.entryState != listed || o.Centre != e.settings.Centre || o.silence.unansweredFlows > 0 {
-			continue
-		}
-		if best == nil || o.silence.answeredAt > best.silence.answeredAt {
+		if o != s && o.entryState == listed && !o.silence.ended() && (best == nil || e.betterControl(now, o, best)) {
 			best = o
 		}
 	}
@@ -252,6 +254,16 @@
 	return best.Address
 }
 
+func (e *Engine) betterControl(now clock.Millis, a, b *endpointState) bool {
+	if x, y := a.silence.suspicious(now), b.silence.suspicious(now); x != y {
+		return y
+	}
+	if x, y := a.Centre == e.settings.Centre, b.Centre == e.settings.Centre; x != y {
+		return x
+	}
+	return a.silence.answeredAt > b.silence.answeredAt
+}
+
 // handleFault handles a fault that another instance reported.
 func (e *Engine) handleFault(now clock.Millis, v FaultReported) []Action {
 	s := e.directory.byID[v.Endpoint]
@@ -343,7 +355,7 @@
 	e.reprobedAt = now
 	for _, s := range e.directory.byID {
 		if (s.silence.ended() || s.silence.probeTimedOut(now)) && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
-			e.addProbe(s)
+			e.addProbe(now, s)
 		}
 	}
 }
