Ignore the result of a probe that a later one replaced

Several probes of an endpoint can be under way, when refused connections are reported or the entry of the endpoint changed. One that timed out after a later one was answered counted against the endpoint, and so did a probe of the address that the endpoint had before. With the report of another instance, flows at a sound endpoint were reset.

Probes are numbered, and only the result of the last one counts.

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -43,7 +43,7 @@
 	delay = max(delay, stalls.check())
 	d.log.infoLimited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", result.String(),
 		"control", v.Control.String(), "late_ms", int64(delay))
-	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result, Delay: delay})
+	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result, Delay: delay})
 }
 
 // probeAddress opens TCP connections to an address until one is accepted or refused, and
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -34,6 +34,7 @@
 	flowsToQuery             []FlowProgress // flows for the next query
 	queriedAt                clock.Millis   // time of the last query
 	reprobedAt               clock.Millis   // last run of reprobe
+	lastProbe                uint64         // number of the last probe
 	sendTallies              bool           // the next tick sends the tallies
 
 	pendingActions []Action // until TakeActions
--- a/steering/event.go
+++ b/steering/event.go
@@ -86,6 +86,7 @@
 // ProbeEnded carries the result of a Probe.
 type ProbeEnded struct {
 	Endpoint    string
+	Number      uint64 // of the Probe
 	Incarnation clock.Millis
 	Result      ProbeResult
 	Delay       clock.Millis // how late the timers of the probe were, or how long it was suspended
@@ -133,6 +134,7 @@
 // ProbeEnded.
 type Probe struct {
 	Endpoint    string
+	Number      uint64 // distinguishes the probes of an endpoint
 	Incarnation clock.Millis
 	Address     AddrPort
 	// Address of an endpoint that answered recently, probed at the same time. If it doesn't
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -211,7 +211,7 @@
 				result = ProbeRefused
 			}
 			l.schedule(delay, func() {
-				l.perform(l.engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result}))
+				l.perform(l.engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
 			})
 		case ResetFlow:
 			l.resets++
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -35,7 +35,7 @@
 	Confirm        bool               `yaml:"confirm"`  // the store confirms all records now
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
 	Packet         string             `yaml:"packet"`
-	ProbeResult    string             `yaml:"probe"`  // "ID RESULT [late=N]" of a probe
+	ProbeResult    string             `yaml:"probe"`  // "ID RESULT [late=N]" of the last probe, or "ID RESULT earlier" of the one before
 	FaultReport    string             `yaml:"report"` // "ID INSTANCE hung" (or refused, failing, trial): a fault that another instance reports
 	FlowQuery      string             `yaml:"asked"`  // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
 	FlowReport     string             `yaml:"seen"`   // "CONSUMER ACK [ROUTE]": a flow progressed at another instance
@@ -133,7 +133,7 @@
 		return v
 	})
 	add(s.ProbeResult != "", func() Event {
-		return parseProbe(t, s.ProbeResult)
+		return parseProbe(t, e, s.ProbeResult)
 	})
 	add(s.FaultReport != "", func() Event {
 		words := strings.Fields(s.FaultReport)
@@ -314,9 +314,14 @@
 	return p
 }
 
-func parseProbe(t *testing.T, text string) ProbeEnded {
+func parseProbe(t *testing.T, e *Engine, text string) ProbeEnded {
 	words := append(strings.Fields(text), "late=0")
 	v := ProbeEnded{Endpoint: "i-" + words[0], Incarnation: 1, Result: parseProbeResult(t, words[1])}
+	v.Number = e.directory.byID[v.Endpoint].silence.probeNumber
+	if words[2] == "earlier" {
+		v.Number--
+		return v
+	}
 	_, err := fmt.Sscanf(words[2], "late=%d", &v.Delay)
 	require.NoError(t, err, "probe %q", text)
 	return v
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -59,6 +59,7 @@
 	backoff         clock.Millis // current pause without new flows; 0 when not silent
 	backoffUntil    clock.Millis // end of that pause
 	probedAt        clock.Millis // last request for a probe
+	probeNumber     uint64       // number of that probe
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
 	probeAnsweredAt clock.Millis // last probe with an answer
 	votes           []vote       // instances that reported a probe timeout
@@ -235,7 +236,9 @@
 }
 
 func (e *Engine) addProbe(now clock.Millis, s *endpointState) {
-	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(now, s)})
+	e.lastProbe++
+	s.silence.probeNumber = e.lastProbe
+	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Number: e.lastProbe, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(now, s)})
 }
 
 // controlAddress returns the address of another endpoint, which the daemon probes together
@@ -302,7 +305,7 @@
 		e.stalledUntil = now + stallRecovery
 	}
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Incarnation != v.Incarnation {
+	if s == nil || s.Incarnation != v.Incarnation || s.silence.probeNumber != v.Number {
 		return nil
 	}
 	if s.silence.ended() {
