--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -36,13 +36,15 @@
 		result, _ := d.probeAddress(v.Control)
 		controlAnswered <- result == steering.ProbeAnswered || result == steering.ProbeRefused
 	}()
+	start := clock.Now()
 	result, delay := d.probeAddress(v.Address)
+	took := clock.Now() - start
 	if result == steering.ProbeTimedOut && !<-controlAnswered {
 		result = steering.ProbeInconclusive
 	}
 	delay = max(delay, stalls.check())
 	d.log.infoLimited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", result.String(),
-		"control", v.Control.String(), "late_ms", int64(delay))
+		"control", v.Control.String(), "took_ms", int64(took), "late_ms", int64(delay))
 	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result, Delay: delay})
 }
 
