Keep idle flows of a draining endpoint that accepts no connections

A draining endpoint may stop accepting connections and still answer its last requests. A refused probe resets nothing there since, but one that got no answer did, with the report of another instance, which is evidence of the same kind. While its entry is in the store, a draining endpoint is lost now only if its flows are silent too.

--- a/steering/silence.go
+++ b/steering/silence.go
@@ -352,6 +352,9 @@
 	if !s.silence.isLost(now) || now < e.stalledUntil || e.isolated(now) {
 		return
 	}
+	if s.Draining && s.entryState == listed && s.silence.unansweredFlows < minSilentFlows {
+		return // it may accept no connections, and still answer its last requests
+	}
 	s.silence.lost, s.silence.endedAt = true, now
 	e.resetFlows(now, s, causeSilent)
 }
