Forget that an endpoint was lost when it starts to drain

The finding that an endpoint is lost stayed when its entry changed to draining. Packets of its flows were reset (endpoint_silent) while probes of a draining endpoint, which may accept no connections, renewed the finding. The endpoint has written that entry, so it runs, and evidence against it starts anew, by the rule for draining endpoints.

--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -102,6 +102,9 @@
 	if s.entryState != listed {
 		s.silence = silence{}
 	}
+	if p.Draining && !s.Draining {
+		s.silence.lost = false // it has written its entry, so it runs
+	}
 	d.unindex(s)
 	s.Endpoint, s.entryState, s.entryChangedAt = p, listed, now
 	s.warmedUpAt = now + p.Warmup
