Notice a stall before handling what waited for the process

After a stall, packets, messages of other instances and results of probes are often handled before the tick that shows the stall. A report that waited in the socket then reset the flows of an endpoint, together with an earlier probe timeout, while answers that disprove both waited unread as well.

The engine knows the period of ticks now, and takes any event or packet that comes while a tick is overdue by 60 ms for the end of a stall.

Failed before:

events_after_a_stall_reset_no_flow_before_the_next_tick_shows_it step 10 at 1400: extra elements: "reset c1", "a1 lost silent"

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -93,7 +93,7 @@
 	s := &o.Settings
 	d.self = fleet.Member{Name: s.Instance, Centre: s.Centre, Address: d.peerAddress(), StartedAt: clock.Now()}
 	bound := s.RecordBound()
-	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, StaleAfter: fleet.StaleAge(bound), Seed: rand.Uint64()})
+	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, StaleAfter: fleet.StaleAge(bound), TickPeriod: tickPeriod, Seed: rand.Uint64()})
 	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, RecordBound: bound}, clock.Now())
 	return d, nil
 }
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -13,7 +13,8 @@
 	Centre string // name of the data centre
 	// Age of the last confirmation from which on the store counts as unreachable.
 	StaleAfter clock.Millis
-	Seed       uint64 // of random choices
+	TickPeriod clock.Millis // time between two Ticked events; 0 if they need not come in time
+	Seed       uint64       // of random choices
 }
 
 // Engine makes the decisions of one instance. It is not safe for concurrent use.
@@ -29,6 +30,7 @@
 	baselines                map[AddrPort]*baseline
 	latencies                map[string]*serviceLatency // by service
 	stalledUntil             clock.Millis               // end of stallRecovery; until then, missing answers are no evidence
+	tickedAt                 clock.Millis               // last Ticked event
 	recent                   [recentOpenings]recentOpening
 	recentIndex              int              // index of the oldest entry of recent
 	flowsToQuery             []FlowProgress   // flows for the next query
@@ -66,8 +68,17 @@
 	}
 }
 
+// checkDelay notices a stall by a tick that is overdue. Packets and messages that waited
+// for the process may be handled before the tick itself.
+func (e *Engine) checkDelay(now clock.Millis) {
+	if e.settings.TickPeriod != 0 && e.tickedAt != 0 && now-e.tickedAt-e.settings.TickPeriod >= minStall {
+		e.stalledUntil = now + stallRecovery
+	}
+}
+
 // Steer decides on one packet. Actions that result from it are returned by TakeActions.
 func (e *Engine) Steer(now clock.Millis, p *Packet) Decision {
+	e.checkDelay(now)
 	var d Decision
 	if p.Opening() {
 		d = e.steerOpening(now, p)
@@ -110,6 +121,7 @@
 
 // Handle handles an event and returns the resulting actions.
 func (e *Engine) Handle(now clock.Millis, event Event) []Action {
+	e.checkDelay(now)
 	switch v := event.(type) {
 	case ConfigurationRead:
 		return e.applyConfiguration(v.Configuration)
@@ -148,6 +160,7 @@
 	case ProbeEnded:
 		return e.handleProbeEnded(now, v)
 	case Ticked:
+		e.tickedAt = now
 		if v.Delay >= minStall {
 			e.stalledUntil = now + stallRecovery
 		}
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -17,8 +17,9 @@
 // scriptCase is a case of testdata: events and packets in order, with the expected
 // decisions and actions.
 type scriptCase struct {
-	Name  string `yaml:"name"`
-	Steps []step `yaml:"steps"`
+	Name       string       `yaml:"name"`
+	TickPeriod clock.Millis `yaml:"period"` // 0 if ticks need not come in time
+	Steps      []step       `yaml:"steps"`
 }
 
 // step is one event or packet. Endpoints are written as "ID SERVICE CENTRE", followed by
@@ -69,7 +70,7 @@
 		require.NotEmpty(t, cases)
 		for _, c := range cases {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml")+"/"+c.Name, func(t *testing.T) {
-				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1})
+				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1})
 				for i, s := range c.Steps {
 					runStep(t, e, fmt.Sprintf("step %d at %d", i+1, s.At), s)
 				}
