Don't replace a probe that is under way when another instance reports

Instances that find an endpoint silent at the same moment probe it at the same time, and each one's report reaches the others when their own probes are about to time out. The report requested another probe, 300 ms after the first, and the result of the first was ignored, so the flows of a dead endpoint were reset 300 ms later.

--- a/steering/silence.go
+++ b/steering/silence.go
@@ -28,12 +28,11 @@
 	minBackoff        = 1 * clock.Second // first pause without new flows, doubled each time
 	maxBackoff        = 8 * clock.Second
 	probeInterval     = 500 * clock.Millisecond // minimum time between two probes of an endpoint
-	// The same after another instance reported that the endpoint refuses connections.
+	// The same after another instance reported that the endpoint refuses connections, and
+	// that its probe timed out.
 	refusedProbeInterval = 50 * clock.Millisecond
-	// The same after another instance reported a probe timeout. A probe of this instance
-	// that began earlier is over by then.
-	votedProbeInterval = minSilentTime
-	probeValidity      = 3 * clock.Second // how long a probe result is used
+	votedProbeInterval   = minSilentTime
+	probeValidity        = 3 * clock.Second // how long a probe result is used
 	// Time without any answer after which an endpoint may count as lost. A host accepts
 	// connections at once even under load, and on a healthy path some answer arrives
 	// within this time when two flows wait.
@@ -60,6 +59,7 @@
 	backoffUntil    clock.Millis // end of that pause
 	probedAt        clock.Millis // last request for a probe
 	probeNumber     uint64       // number of that probe
+	probePending    bool         // that probe is under way
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
 	probeAnsweredAt clock.Millis // last probe with an answer
 	votes           []vote       // instances that reported a probe timeout
@@ -237,7 +237,7 @@
 
 func (e *Engine) addProbe(now clock.Millis, s *endpointState) {
 	e.lastProbe++
-	s.silence.probeNumber = e.lastProbe
+	s.silence.probeNumber, s.silence.probePending = e.lastProbe, true
 	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Number: e.lastProbe, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(now, s)})
 }
 
@@ -295,7 +295,7 @@
 	}
 	s.silence.addVote(now, v.Sender)
 	e.checkLost(now, s)
-	if !s.silence.ended() {
+	if !s.silence.ended() && !s.silence.probePending {
 		e.probeSuspect(now, s, votedProbeInterval)
 	}
 	return e.TakeActions()
@@ -311,6 +311,7 @@
 	if s == nil || s.Incarnation != v.Incarnation || s.silence.probeNumber != v.Number {
 		return nil
 	}
+	s.silence.probePending = false
 	s.observed.probe, s.observed.probedAt = v.Result, now
 	if v.Result == ProbeAnswered {
 		e.compareProbe(now, s)
