--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -23,8 +23,8 @@
 )
 
 // probe tests whether a process listens at an endpoint's address, and passes the result to
-// the engine. The control endpoint is probed at the same time: unless something
-// comes back from it, the cause may be this instance's network, and a timeout is inconclusive.
+// the engine. The control endpoint is probed at the same time: unless something comes back
+// from it, the cause may be this instance's network, and a timeout is inconclusive.
 func (d *Daemon) probe(v steering.Probe) {
 	stalls := newStallDetector()
 	controlAnswered := make(chan bool, 1)
--- a/steering/event.go
+++ b/steering/event.go
@@ -100,7 +100,7 @@
 	ProbeTimedOut     ProbeResult = iota // no answer in time, but one from the control address
 	ProbeAnswered                        // the connection was accepted or reset
 	ProbeRefused                         // the connection was refused
-	ProbeInconclusive                    // no answer in time, neither from the control address, or the instance failed to probe
+	ProbeInconclusive                    // no answer in time, and none from the control address, or the connection failed locally
 )
 
 var probeResultNames = map[ProbeResult]string{ProbeTimedOut: "hung", ProbeAnswered: "answered", ProbeRefused: "refused", ProbeInconclusive: "unclear"}
