--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -104,6 +104,9 @@
 	}
 	if p.Draining {
 		s.silence.withdrawRefusal()
+		if !s.Draining {
+			s.silence.lost = false // it has written its entry, so it runs
+		}
 	}
 	d.unindex(s)
 	s.Endpoint, s.entryState, s.entryChangedAt = p, listed, now
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -16,6 +16,9 @@
 	// Consumers retransmit after 200 ms. An endpoint that has requests to answer and has
 	// sent nothing for longer than that is not just slow to acknowledge.
 	minSilentTime = 300 * clock.Millisecond
+	// A retransmission that is read sooner after its request has waited in the socket
+	// together with it, because this instance was stalled.
+	minRetransmitTime = 150 * clock.Millisecond
 	// A handshake takes 8 ms on the platform. An opening that waits five times as
 	// long may have been reset by an endpoint that is starting or has ended.
 	openingProbeDelay = 40 * clock.Millisecond
@@ -25,17 +28,19 @@
 	minBackoff        = 1 * clock.Second // first pause without new flows, doubled each time
 	maxBackoff        = 8 * clock.Second
 	probeInterval     = 500 * clock.Millisecond // minimum time between two probes of an endpoint
-	// The same after another instance reported that the endpoint refuses connections.
+	// The same after another instance reported that the endpoint refuses connections, and
+	// that its probe timed out.
 	refusedProbeInterval = 50 * clock.Millisecond
+	votedProbeInterval   = minSilentTime
 	probeValidity        = 3 * clock.Second // how long a probe result is used
 	// Time without any answer after which an endpoint may count as lost. A host accepts
 	// connections at once even under load, and on a healthy path some answer arrives
 	// within this time when two flows wait.
-	minLostTime  = 500 * clock.Millisecond
-	minLostVotes = 2 // instances whose probes timed out
-	// Endpoints that were found to have ended are probed again at this interval, because a
-	// network partition looks the same and is temporary. The finding is valid a little
-	// longer than the interval, so that the next probe can renew it.
+	minLostTime = 500 * clock.Millisecond
+	// Endpoints that were found to have ended, or whose last probe timed out, are probed
+	// again at this interval, because a network partition looks the same and is temporary.
+	// The finding that an endpoint has ended is valid a little longer than the interval, so
+	// that the next probe can renew it.
 	reprobeInterval = 1500 * clock.Millisecond
 	endedValidity   = 2 * clock.Second
 	// A tick that is late by this much counts as a stall: packets may be waiting unread in
@@ -49,11 +54,14 @@
 type silence struct {
 	answeredAt      clock.Millis // last answer from the endpoint
 	unansweredFlows int          // flows of this instance without an answer since then
-	suspected       bool         // an opening got no answer, or another instance reported refused connections; a probe decides
+	suspected       bool         // an opening got no answer, or another instance reported a fault; a probe is under way
 	backoff         clock.Millis // current pause without new flows; 0 when not silent
 	backoffUntil    clock.Millis // end of that pause
 	probedAt        clock.Millis // last request for a probe
+	probeNumber     uint64       // number of that probe
+	probePending    bool         // that probe is under way
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
+	probeAnsweredAt clock.Millis // last probe with an answer
 	votes           []vote       // instances that reported a probe timeout
 	refused         bool         // the address refuses connections
 	refusedAt       clock.Millis // when refused was set
@@ -84,7 +92,12 @@
 
 // avoided reports whether new flows should go to other endpoints.
 func (s *silence) avoided(now clock.Millis) bool {
-	return s.ended() || s.suspected || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
+	return s.ended() || s.suspected || s.probeTimedOut(now) || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
+}
+
+// suspicious reports whether this instance has any sign that the endpoint is silent.
+func (s *silence) suspicious(now clock.Millis) bool {
+	return s.unansweredFlows > 0 || s.avoided(now)
 }
 
 // recordAnswer handles an answer from the endpoint. It clears all evidence of silence.
@@ -96,6 +109,12 @@
 	*s = silence{answeredAt: now, probedAt: s.probedAt}
 }
 
+// expire ends the validity of all evidence. The endpoint still gets no new flows if it was
+// found to have ended.
+func (s *silence) expire() {
+	s.unansweredFlows, s.probeTimedOutAt, s.votes, s.endedAt = 0, 0, nil, 0
+}
+
 // recordMiss counts a flow that got no answer, and reports whether the endpoint now
 // counts as silent and starts a backoff.
 func (s *silence) recordMiss(now clock.Millis) bool {
@@ -134,27 +153,29 @@
 	return n
 }
 
-// isLost reports whether the endpoint should be declared lost: this instance has silent
-// flows and its own probe timed out, or the probes of enough instances did.
+// probeTimedOut reports whether the last probe timed out and its result is still valid.
+func (s *silence) probeTimedOut(now clock.Millis) bool {
+	return s.probeTimedOutAt != 0 && now-s.probeTimedOutAt <= probeValidity
+}
+
+// isLost reports whether the endpoint should be declared lost: the probe of this instance
+// timed out, and either its flows are silent too or the probe of another instance timed
+// out. Probes of other instances alone prove nothing, since their paths or stalls may be
+// the cause.
 func (s *silence) isLost(now clock.Millis) bool {
 	if s.lost || now-s.answeredAt < minLostTime {
 		return false
 	}
-	timedOut := s.probeTimedOutAt != 0 && now-s.probeTimedOutAt <= probeValidity
-	votes := s.countVotes(now)
-	if timedOut {
-		votes++
-	}
-	return timedOut && s.unansweredFlows >= minSilentFlows || votes >= minLostVotes
+	return s.probeTimedOut(now) && (s.unansweredFlows >= minSilentFlows || s.countVotes(now) > 0)
 }
 
 // handleMiss handles a flow that an endpoint hasn't answered since the given time. It is
 // called when the consumer retransmits, which shows that no acknowledgement arrived.
 func (e *Engine) handleMiss(now clock.Millis, s *endpointState, since clock.Millis) {
-	if since < s.silence.answeredAt || s.silence.ended() {
+	if since < s.silence.answeredAt || s.silence.ended() || now-since < minRetransmitTime {
 		return
 	}
-	if s.silence.recordMiss(now) {
+	if now >= e.stalledUntil && s.silence.recordMiss(now) {
 		e.pendingActions = append(e.pendingActions, EndpointSilent{Endpoint: s.ID, Service: s.Service, UnansweredFlows: s.silence.unansweredFlows, Backoff: s.silence.backoff})
 	}
 	e.checkLost(now, s)
@@ -208,7 +229,7 @@
 func (e *Engine) probeSuspect(now clock.Millis, s *endpointState, interval clock.Millis) {
 	if s.silence.probeDue(now, interval) {
 		s.silence.suspected = true
-		e.addProbe(s)
+		e.addProbe(now, s)
 	}
 }
 
@@ -216,24 +237,23 @@
 // probeInterval.
 func (e *Engine) requestProbe(now clock.Millis, s *endpointState) {
 	if s.silence.probeDue(now, probeInterval) {
-		e.addProbe(s)
+		e.addProbe(now, s)
 	}
 }
 
-func (e *Engine) addProbe(s *endpointState) {
-	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(s)})
+func (e *Engine) addProbe(now clock.Millis, s *endpointState) {
+	e.lastProbe++
+	s.silence.probeNumber, s.silence.probePending = e.lastProbe, true
+	e.pendingActions = append(e.pendingActions, Probe{Endpoint: s.ID, Number: e.lastProbe, Incarnation: s.Incarnation, Address: s.Address, Control: e.controlAddress(now, s)})
 }
 
-// controlAddress returns the address of the local endpoint other than s that answered
-// most recently. The daemon probes it together with s, to tell a fault of s from one of
-// its own network.
-func (e *Engine) controlAddress(s *endpointState) AddrPort {
+// controlAddress returns the address of another endpoint, which the daemon probes together
+// with s to tell a fault of s from one of its own network. Endpoints without a sign of
+// silence come first, then local ones, then those that answered most recently.
+func (e *Engine) controlAddress(now clock.Millis, s *endpointState) AddrPort {
 	var best *endpointState
 	for _, o := range e.directory.byID {
-		if o == s || o.entryState != listed || o.Centre != e.settings.Centre || o.silence.unansweredFlows > 0 {
-			continue
-		}
-		if best == nil || o.silence.answeredAt > best.silence.answeredAt {
+		if o != s && o.entryState == listed && !o.silence.ended() && (best == nil || e.betterControl(now, o, best)) {
 			best = o
 		}
 	}
@@ -243,6 +263,16 @@
 	return best.Address
 }
 
+func (e *Engine) betterControl(now clock.Millis, a, b *endpointState) bool {
+	if x, y := a.silence.suspicious(now), b.silence.suspicious(now); x != y {
+		return y
+	}
+	if x, y := a.Centre == e.settings.Centre, b.Centre == e.settings.Centre; x != y {
+		return x
+	}
+	return a.silence.answeredAt > b.silence.answeredAt
+}
+
 // handleFault handles a fault that another instance reported.
 func (e *Engine) handleFault(now clock.Millis, v FaultReported) []Action {
 	s := e.directory.byID[v.Endpoint]
@@ -266,20 +296,28 @@
 		e.probeSuspect(now, s, refusedProbeInterval)
 		return e.TakeActions()
 	}
-	if now-s.silence.answeredAt < minSilentTime {
+	if now-max(s.silence.answeredAt, s.silence.probeAnsweredAt) < minSilentTime {
 		return nil
 	}
 	s.silence.addVote(now, v.Sender)
 	e.checkLost(now, s)
+	if !s.silence.ended() && !s.silence.probePending {
+		e.probeSuspect(now, s, votedProbeInterval)
+	}
 	return e.TakeActions()
 }
 
 // handleProbeEnded handles the result of a probe.
 func (e *Engine) handleProbeEnded(now clock.Millis, v ProbeEnded) []Action {
+	if v.Delay >= minStall {
+		// The next tick shows the stall too, but may come only after this result.
+		e.stalledUntil = now + stallRecovery
+	}
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Incarnation != v.Incarnation {
+	if s == nil || s.Incarnation != v.Incarnation || s.silence.probeNumber != v.Number {
 		return nil
 	}
+	s.silence.probePending = false
 	s.observed.probe, s.observed.probedAt = v.Result, now
 	if v.Result == ProbeAnswered {
 		e.compareProbe(now, s)
@@ -288,13 +326,14 @@
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
 	}
+	s.silence.suspected = false
 	if s.silence.probedAt <= s.silence.answeredAt {
-		s.silence.suspected = false
 		return nil // the endpoint has answered since
 	}
 	switch v.Result {
 	case ProbeAnswered:
-		s.silence.probeTimedOutAt, s.silence.votes, s.silence.suspected = 0, nil, false
+		s.silence.probeAnsweredAt = now
+		s.silence.probeTimedOutAt, s.silence.votes = 0, nil
 	case ProbeRefused:
 		if s.Draining {
 			break // accepts no connections, but may still answer its last requests
@@ -305,8 +344,10 @@
 		if now < e.stalledUntil {
 			break
 		}
+		if !s.silence.probeTimedOut(now) { // each report makes all other instances probe the endpoint
+			e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation}})
+		}
 		s.silence.probeTimedOutAt = now
-		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation}})
 		e.checkLost(now, s)
 	}
 	return e.TakeActions()
@@ -317,6 +358,9 @@
 	if !s.silence.isLost(now) || now < e.stalledUntil || e.isolated(now) {
 		return
 	}
+	if s.Draining && s.entryState == listed && s.silence.unansweredFlows < minSilentFlows {
+		return // it may accept no connections, and still answer its last requests
+	}
 	s.silence.lost, s.silence.endedAt = true, now
 	e.resetFlows(now, s, causeSilent)
 }
@@ -335,31 +379,36 @@
 	e.resetFlows(now, s, causeRefused)
 }
 
-// reprobeEnded requests probes of the endpoints that were found to have ended.
-func (e *Engine) reprobeEnded(now clock.Millis) {
+// reprobe requests probes of the endpoints that were found to have ended, and of those
+// whose last probe timed out.
+func (e *Engine) reprobe(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
 		return
 	}
 	e.reprobedAt = now
 	for _, s := range e.directory.byID {
-		if s.silence.ended() && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
-			e.addProbe(s)
+		if (s.silence.ended() || s.silence.probeTimedOut(now)) && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
+			e.addProbe(now, s)
 		}
 	}
 }
 
-// handleReprobe handles the result of a probe by reprobeEnded. An endpoint that answers
-// was only unreachable, and gets new flows again.
+// handleReprobe handles the result of a probe of an endpoint that was found to have ended.
+// One that answers was only unreachable, and gets new flows again.
 func (e *Engine) handleReprobe(now clock.Millis, s *endpointState, result ProbeResult) {
 	switch result {
 	case ProbeAnswered:
-		s.silence = silence{probedAt: s.silence.probedAt}
+		s.silence = silence{probedAt: s.silence.probedAt, probeAnsweredAt: now}
 		e.pendingActions = append(e.pendingActions, s.stateChanged())
-	case ProbeRefused, ProbeTimedOut:
-		if result == ProbeRefused && s.Draining {
+	case ProbeRefused:
+		if s.Draining {
 			break
 		}
 		s.silence.endedAt = now
+	case ProbeTimedOut:
+		if now >= e.stalledUntil {
+			s.silence.endedAt = now
+		}
 	case ProbeInconclusive:
 	}
 }
