Flows of an endpoint without an entry are reset only after this instance found its end

Callers would see: an open flow reset at a sound endpoint whose entry left the store, or stayed out of it, while the endpoint served on.

Cause: 2.5 s after the removal, all flows that this instance knew there, and each packet that reached it later, were reset, unless it had seen an answer of the endpoint since. An idle flow, or one whose answers other instances see, shows none. So a missing entry alone ended flows: of an endpoint that lost its connection to the store, or that an instance with incomplete records (an unreadable entry isn't passed on to others) reported as missing.

Before the change the new test "an endpoint that accepts connections keeps its flows after its entry is gone, although only other instances see its answers" failed at the step where the entry is gone:

extra elements in list A: "probe a1" extra elements in list B: "reset c1", "a1 lost gone"

Now a gone endpoint with flows here is probed, when it is gone and when a packet for it arrives, and its flows go on by their token until a connection was refused, or two timed out while this instance was neither stalled nor isolated. A probe answered by another process doesn't count: if an endpoint that started later is listed at the address, the earlier one has ended, and no probe is needed. An endpoint that drains isn't an exception: its entry leaves with it.

Endpoints that were replaced accept connections at once again, as another process has their address.

--- a/steering/doc.go
+++ b/steering/doc.go
@@ -19,6 +19,7 @@
 //	packet.go         packets and decisions
 //	configuration.go  routes, and deltas between configurations
 //	endpoint.go       endpoints and the directory of them
+//	removal.go        detection of the end of endpoints whose entries were removed
 //	flow.go           the flow table
 //	opening.go        decisions on opening packets
 //	established.go    decisions on all other packets
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -54,6 +54,7 @@
 	entryChangedAt  clock.Millis // when the entry was written or removed
 	removedRevision uint64       // revision at which the entry was removed; entries up to it are outdated
 	warmedUpAt      clock.Millis // end of the warm-up
+	removal         removal      // valid while the endpoint is gone
 
 	load     load
 	silence  silence
@@ -100,7 +101,7 @@
 		s.silence = silence{}
 	}
 	d.unindex(s)
-	s.Endpoint, s.entryState, s.entryChangedAt = p, listed, now
+	s.Endpoint, s.entryState, s.entryChangedAt, s.removal = p, listed, now, removal{}
 	s.warmedUpAt = now + p.Warmup
 	s.token = p.token()
 	d.index(s)
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -325,8 +325,8 @@
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
-		if s.silence.answeredAt < s.entryChangedAt {
-			e.resetFlows(s, "gone")
+		if s.load.flows > 0 {
+			e.checkEnded(now, s, probeInterval)
 		}
 	}
 	e.reprobeEnded(now)
--- a/steering/established.go
+++ b/steering/established.go
@@ -57,9 +57,11 @@
 	if e.removedRoutes[p.Destination] {
 		return true, ReasonRouteRemoved
 	}
-	// An endpoint that lost only its connection to the store still answers its flows.
-	if s.entryState == gone && s.silence.answeredAt < s.entryChangedAt {
-		return true, ReasonEndpointGone
+	if s.entryState == gone {
+		e.checkEnded(now, s, probeInterval)
+		if s.removal.ended && !s.answeredSinceRemoval() {
+			return true, ReasonEndpointGone
+		}
 	}
 	// Requests that aren't idempotent are forwarded to a silent endpoint all the same, since
 	// they may arrive.
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -271,6 +271,10 @@
 	if s == nil || s.Incarnation != v.Incarnation {
 		return nil
 	}
+	if s.entryState == gone {
+		e.handleRemovalProbe(now, s, v.Result)
+		return e.TakeActions()
+	}
 	if s.silence.ended() {
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
@@ -309,14 +313,18 @@
 	e.resetFlows(s, "silent")
 }
 
-// reprobeEnded requests probes of the endpoints that were found to have ended.
+// reprobeEnded requests probes of the endpoints that were found to have ended, and of
+// those whose end is unconfirmed and that have flows.
 func (e *Engine) reprobeEnded(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
 		return
 	}
 	e.reprobedAt = now
 	for _, s := range e.directory.byID {
-		if s.silence.ended() && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
+		switch {
+		case s.entryState == gone && s.load.flows > 0:
+			e.checkEnded(now, s, reprobeInterval)
+		case s.entryState != gone && s.silence.ended() && s.silence.probeDue(now, reprobeInterval):
 			e.addProbe(s)
 		}
 	}
