--- a/steering/removal.go
+++ b/steering/removal.go
@@ -32,15 +32,15 @@
 	if !s.unconfirmedEnd() || !s.silence.probeDue(now, interval) {
 		return
 	}
-	if e.directory.addressReused(s) {
-		e.endRemoved(s)
+	if e.directory.addressTaken(s) {
+		e.endRemoved(now, s)
 		return
 	}
 	e.addProbe(s)
 }
 
-// addressReused reports whether a process that started later has the endpoint's address.
-func (d *directory) addressReused(s *endpointState) bool {
+// addressTaken reports whether a process that started later has the endpoint's address.
+func (d *directory) addressTaken(s *endpointState) bool {
 	for _, o := range d.byID {
 		if o != s && o.entryState == listed && o.Address == s.Address && o.Incarnation > s.Incarnation {
 			return true
@@ -56,7 +56,7 @@
 	}
 	switch result {
 	case ProbeRefused:
-		e.endRemoved(s)
+		e.endRemoved(now, s)
 	case ProbeTimedOut:
 		if now < e.stalledUntil || e.isolated(now) {
 			return
@@ -66,7 +66,7 @@
 			e.addProbe(s)
 			return
 		}
-		e.endRemoved(s)
+		e.endRemoved(now, s)
 	case ProbeAnswered:
 		s.removal.timeouts, s.silence.refused, s.silence.lost = 0, false, false
 	case ProbeInconclusive:
@@ -74,7 +74,7 @@
 }
 
 // endRemoved resets the flows of a gone endpoint whose process has ended.
-func (e *Engine) endRemoved(s *endpointState) {
+func (e *Engine) endRemoved(now clock.Millis, s *endpointState) {
 	s.removal.ended = true
-	e.resetFlows(s, "gone")
+	e.resetFlows(now, s, causeGone)
 }
