Flows of a removed route are reset only once the removal is confirmed after they were seen

Callers would see: an open flow reset although its route is in force.

Cause: a route that one version removes and a later one adds again. An instance that has only read the removal reset each packet for that route, also of flows that an instance with the later version had opened, since packets of one flow pass several instances. Versions reach instances up to seconds apart, and a stalled instance kept its removed routes.

Now a flow is reset for its route only if the store confirmed the configuration in force after this instance first saw the flow, and not within stallRecovery. If the store says so at a time after the flow was seen, no newer version existed when the flow was opened. Flows of a removed route that were seen before go on being reset with their next packet, others one confirmation (0.3 to 1 s) later. A flow that was reset stays in the table, so that its later packets are recognized.

Ruled out: a skipped version.

--- a/steering/established.go
+++ b/steering/established.go
@@ -24,9 +24,7 @@
 	}
 	d := Decision{Verdict: Forward, Reason: ReasonToken, Endpoint: s.target(), Service: s.Service}
 	if mustEnd, reason := e.mustEnd(now, p, s); mustEnd {
-		if w := e.flows.byKey[p.key()]; w != nil {
-			e.flows.remove(p.key(), w)
-		}
+		e.closeFlow(now, p.key(), reason)
 		if p.Flags.Has(Abort) {
 			return Decision{Verdict: Drop, Reason: reason, Service: s.Service}
 		}
@@ -55,7 +53,7 @@
 
 // mustEnd reports whether a flow must be reset, and the reason.
 func (e *Engine) mustEnd(now clock.Millis, p *Packet, s *endpointState) (bool, Reason) {
-	if e.removedRoutes[p.Destination] {
+	if e.removedRoutes[p.Destination] && e.openedBeforeRemoval(now, p.key()) {
 		return true, ReasonRouteRemoved
 	}
 	if s.entryState == gone {
@@ -72,6 +70,29 @@
 	return false, ReasonToken
 }
 
+// openedBeforeRemoval reports whether a flow was opened before its route was removed, as
+// far as this instance knows. Another instance may have opened it by a newer configuration
+// that has the route again, unless the store confirmed this one since the flow was first
+// seen here. After a stall, messages that confirm it may be old.
+func (e *Engine) openedBeforeRemoval(now clock.Millis, k key) bool {
+	w := e.flows.byKey[k]
+	return w != nil && e.configurationConfirmedAt > w.openedAt && now >= e.stalledUntil
+}
+
+// closeFlow handles a flow that is reset in reply to a packet. It forgets the flow, except
+// when the route was removed: the flow's later packets still have to be recognized.
+func (e *Engine) closeFlow(now clock.Millis, k key, reason Reason) {
+	w := e.flows.byKey[k]
+	switch {
+	case w == nil:
+	case reason == ReasonRouteRemoved:
+		w.established, w.consumerDone, w.lastPacketAt = true, true, now
+		w.detach()
+	default:
+		e.flows.remove(k, w)
+	}
+}
+
 // trackPacket updates the state of a flow from a packet, and reports whether the packet
 // is the first one after the flow's opening packets.
 func (e *Engine) trackPacket(now clock.Millis, p *Packet, s *endpointState) bool {
