Flows of the earlier process of a restarted endpoint count neither as load nor as evidence

Callers would see: new flows crowding at an endpoint that has just restarted under its id, and open flows reset there for faults of the process before. Planted in scripts.

Cause: when the entry of a new process came, its load was set to 0 while the flows of the earlier process stayed attached to the endpoint. Each of them that ended made the load smaller, down below 0, where the endpoint costs less than any other, also while it is avoided. Requests on them that waited were missed by the new process, led to probes, and counted as unanswered, which ejects an endpoint and resets the flows that it has by then.

The new tests failed before:

an_endpoint_that_restarts_with_the_same_id_is_not_preferred_when_flows_of_its_earlier_process_end step 11 at 105: c5 open is "forward placed a1", want "forward placed a2" requests_to_the_earlier_process_of_an_endpoint_that_restarted_are_no_evidence_against_the_new_one step 6 at 201: unexpected "probe a1" a_flow_that_the_new_process_of_a_restarted_endpoint_answers_counts_in_its_load_again step 6 at 111: c2 open is "forward placed a1", want "forward placed a2"

Now the flows of the endpoint are detached when the entry of a new process is put. Their packets go on by the token, as the endpoint itself resets what it doesn't hold; an answer attaches a flow again, as it may have been opened at the new process before its entry was read. They aren't reset by this instance for the same reason.

--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -96,8 +96,10 @@
 		s = &endpointState{}
 		d.byID[p.ID] = s
 	} else if p.Incarnation != s.Incarnation || p.Address != s.Address {
-		// A new process or address: nothing seen of the earlier one applies.
-		s.load, s.silence, s.failures = load{}, silence{}, failures{}
+		// A new process or address: nothing seen of the earlier one applies. The counts of
+		// the load go down as the engine detaches its flows.
+		s.load.latency, s.load.shedAt = 0, 0
+		s.silence, s.failures = silence{}, failures{}
 		s.resets, s.observed = resetSeries{}, observed{}
 	}
 	if s.entryState != listed {
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -237,7 +237,7 @@
 func (e *Engine) applyPage(now clock.Millis, v EndpointsPageRead) {
 	e.directory.partlyListed = true
 	for _, p := range v.Endpoints {
-		e.directory.put(now, p)
+		e.put(now, p, nil)
 	}
 }
 
@@ -285,10 +285,14 @@
 
 func (e *Engine) put(now clock.Millis, p Endpoint, actions []Action) []Action {
 	old := e.directory.byID[p.ID]
-	unchanged := old != nil && old.entryState == listed && old.Draining == p.Draining && old.Incarnation == p.Incarnation && old.Address == p.Address
+	sameProcess := old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address
+	unchanged := sameProcess && old.entryState == listed && old.Draining == p.Draining
 	if !e.directory.put(now, p) {
 		return actions
 	}
+	if old != nil && !sameProcess {
+		e.flows.detachAll(old)
+	}
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
 		return actions
--- a/steering/established.go
+++ b/steering/established.go
@@ -119,7 +119,7 @@
 		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
-		if w.endpoint != s {
+		if w.endpoint != s || !w.counted {
 			w.attach(s)
 		}
 		s.silence.recordAnswer(now)
@@ -151,6 +151,9 @@
 func (e *Engine) trackData(now clock.Millis, p *Packet, w *flow, s *endpointState) {
 	if p.Flags.Has(Acknowledge) && sequenceAfter(p.Ack, w.ack) {
 		w.ack = p.Ack
+		if !w.counted && !w.consumerDone {
+			w.attach(s)
+		}
 		s.silence.recordAnswer(now)
 		if w.requestAt != 0 && w.counted {
 			requestAt := w.requestAt
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// detachAll detaches the flows of an endpoint that was replaced by a new process. Most of
+// them have ended, so they are neither load nor evidence until the endpoint answers them.
+func (f *flows) detachAll(s *endpointState) {
+	for _, w := range f.byKey {
+		if w.endpoint == s {
+			w.detach()
+		}
+	}
+}
+
 // startRequest marks a request as pending, unless one is pending already.
 func (w *flow) startRequest(now clock.Millis) {
 	if w.requestAt == 0 {
