The end of an endpoint without an entry is checked again while packets come for it

Callers would see: flows reset at a sound endpoint after a cut. A cut takes its entry away and lets probes time out, so that it counts as ended; its entry returns up to 2 s after the cut, and until then the finding stayed.

The new test failed before, as the finding was never checked again:

Now a result of probes is valid for endedValidity like other findings of silence, and is renewed by a probe each reprobeInterval while packets come. One probe that times out renews it, an answer ends it. An endpoint that answered is probed each probeValidity at most; a line added to the earlier test of such an endpoint shows that, and failed before.

--- a/steering/engine.go
+++ b/steering/engine.go
@@ -335,7 +335,7 @@
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
 		if s.load.flows > 0 {
-			e.checkEnded(now, s, probeInterval)
+			e.checkEnded(now, s)
 		}
 	}
 	e.reprobeEnded(now)
--- a/steering/established.go
+++ b/steering/established.go
@@ -57,8 +57,8 @@
 		return true, ReasonRouteRemoved
 	}
 	if s.entryState == gone {
-		e.checkEnded(now, s, probeInterval)
-		if s.removal.ended && !s.answeredSinceRemoval() {
+		e.checkEnded(now, s)
+		if s.removal.endedRecently(now) && !s.answeredSinceRemoval() {
 			return true, ReasonEndpointGone
 		}
 	}
--- a/steering/removal.go
+++ b/steering/removal.go
@@ -12,28 +12,41 @@
 // removed. An entry may also leave because the endpoint lost its connection to the store,
 // and other instances may see its answers, so only a probe of this instance shows its end.
 type removal struct {
-	timeouts int  // probes without an answer since the last one with another result
-	ended    bool // the process has ended
+	timeouts int          // probes without an answer since the last one with another result
+	endedAt  clock.Millis // when a probe last showed that the process has ended; 0 if none did
+	running  bool         // the last probe was answered
+	replaced bool         // a process that started later has its address
 }
 
-// unconfirmedEnd reports whether an endpoint is gone, but it isn't known whether its
-// process has ended.
-func (s *endpointState) unconfirmedEnd() bool {
-	return s.entryState == gone && !s.removal.ended && !s.answeredSinceRemoval()
+// endedRecently reports whether the process has ended. A result of probes is valid for
+// endedValidity, since a network partition looks the same and may be over by now.
+func (r *removal) endedRecently(now clock.Millis) bool {
+	return r.replaced || r.endedAt != 0 && now-r.endedAt <= endedValidity
 }
 
 // answeredSinceRemoval reports whether this instance saw an answer of the endpoint after
 // its entry was removed.
 func (s *endpointState) answeredSinceRemoval() bool { return s.silence.answeredAt >= s.entryChangedAt }
 
-// checkEnded finds out whether the process of a gone endpoint has ended, unless that was
-// tried within the interval. It requests a probe if the records don't show it.
-func (e *Engine) checkEnded(now clock.Millis, s *endpointState, interval clock.Millis) {
-	if !s.unconfirmedEnd() || !s.silence.probeDue(now, interval) {
+// checkEnded finds out whether the process of a gone endpoint has ended, or still counts as
+// ended, unless that was tried just before. It requests a probe if the records don't show it.
+func (e *Engine) checkEnded(now clock.Millis, s *endpointState) {
+	if s.removal.replaced || s.answeredSinceRemoval() {
+		return
+	}
+	interval := probeInterval
+	switch {
+	case s.removal.endedRecently(now):
+		interval = reprobeInterval
+	case s.removal.running:
+		interval = probeValidity
+	}
+	if !s.silence.probeDue(now, interval) {
 		return
 	}
 	if e.directory.addressTaken(s) {
-		e.endRemoved(now, s)
+		s.removal.replaced = true
+		e.resetFlows(now, s, causeGone)
 		return
 	}
 	e.addProbe(s)
@@ -51,12 +64,12 @@
 
 // handleRemovalProbe handles the result of a probe of a gone endpoint.
 func (e *Engine) handleRemovalProbe(now clock.Millis, s *endpointState, result ProbeResult) {
-	if !s.unconfirmedEnd() {
+	if s.removal.replaced || s.answeredSinceRemoval() {
 		return
 	}
 	switch result {
 	case ProbeRefused:
-		e.endRemoved(now, s)
+		e.recordEnd(now, s)
 	case ProbeTimedOut:
 		if now < e.stalledUntil || e.isolated(now) {
 			return
@@ -66,15 +79,20 @@
 			e.addProbe(s)
 			return
 		}
-		e.endRemoved(now, s)
+		e.recordEnd(now, s)
 	case ProbeAnswered:
-		s.removal.timeouts, s.silence.refused, s.silence.lost = 0, false, false
+		s.removal = removal{running: true}
+		s.silence.refused, s.silence.lost = false, false
 	case ProbeInconclusive:
 	}
 }
 
-// endRemoved resets the flows of a gone endpoint whose process has ended.
-func (e *Engine) endRemoved(now clock.Millis, s *endpointState) {
-	s.removal.ended = true
-	e.resetFlows(now, s, causeGone)
+// recordEnd handles a probe that shows that the process of a gone endpoint has ended. It
+// resets the endpoint's flows, unless an earlier result is still valid.
+func (e *Engine) recordEnd(now clock.Millis, s *endpointState) {
+	known := s.removal.endedRecently(now)
+	s.removal.endedAt, s.removal.running = now, false
+	if !known {
+		e.resetFlows(now, s, causeGone)
+	}
 }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -330,7 +330,7 @@
 	for _, s := range e.directory.byID {
 		switch {
 		case s.entryState == gone && s.load.flows > 0:
-			e.checkEnded(now, s, reprobeInterval)
+			e.checkEnded(now, s)
 		case s.entryState != gone && s.silence.ended() && s.silence.probeDue(now, reprobeInterval):
 			e.addProbe(s)
 		}
