--- a/steering/silence.go
+++ b/steering/silence.go
@@ -322,6 +322,10 @@
 	if v.Result == ProbeAnswered {
 		e.compareProbe(now, s)
 	}
+	if s.entryState == gone {
+		e.handleRemovalProbe(now, s, v.Result)
+		return e.TakeActions()
+	}
 	if s.silence.ended() {
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
@@ -379,15 +383,18 @@
 	e.resetFlows(now, s, causeRefused)
 }
 
-// reprobe requests probes of the endpoints that were found to have ended, and of those
-// whose last probe timed out.
+// reprobe requests probes of the endpoints that were found to have ended, of those whose
+// last probe timed out, and of gone ones with flows whose end is unconfirmed.
 func (e *Engine) reprobe(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
 		return
 	}
 	e.reprobedAt = now
 	for _, s := range e.directory.byID {
-		if (s.silence.ended() || s.silence.probeTimedOut(now)) && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
+		switch {
+		case s.entryState == gone && s.load.flows > 0:
+			e.checkEnded(now, s)
+		case s.entryState != gone && (s.silence.ended() || s.silence.probeTimedOut(now)) && s.silence.probeDue(now, reprobeInterval):
 			e.addProbe(now, s)
 		}
 	}
