--- a/steering/ejection.go
+++ b/steering/ejection.go
@@ -15,6 +15,9 @@
 	probationSpread   = 2 * clock.Second
 	probationInterval = 500 * clock.Millisecond
 	probationAnswers  = 6
+	// Consecutive small answers of a flow before it is reset. Fewer may be short normal
+	// answers.
+	minErrorsPerReset = 3
 )
 
 // ejected reports whether the endpoint is ejected now.
@@ -31,33 +34,85 @@
 	return f.ejected(now) || f.onProbation(now) && now < f.nextProbationAt
 }
 
-// eject excludes an endpoint from new flows for a while, and resets its idle flows and
-// those whose idempotent request is suspected lost. Other pending requests are kept,
-// because some are answered. An endpoint on probation is ejected after one bad answer,
-// which is too little evidence to reset flows.
+// eject excludes an endpoint from new flows for a while, and resets the flows that
+// resetFailing selects. An endpoint on probation is ejected after one bad answer, which is
+// too little evidence to reset flows.
 func (e *Engine) eject(now clock.Millis, s *endpointState, cause string) {
 	f := &s.failures
 	if f.ejected(now) {
 		return
 	}
 	onProbation := f.onProbation(now)
+	reset := 0
+	if onProbation {
+		f.endStreak()
+	} else {
+		reset = e.resetFailing(now, s)
+	}
 	f.ejectionTime = min(max(2*f.ejectionTime, minEjectionTime), maxEjectionTime)
 	f.ejectedUntil = now + f.ejectionTime
+	f.ejectedOnProbation = onProbation
 	f.nextProbationAt = f.ejectedUntil + clock.Millis(e.random.Int64N(int64(probationSpread)))
 	f.answersNeeded = probationAnswers
-	f.streak, f.overdueAt, f.unansweredAt = 0, nil, nil
-	f.streakNumber++
-	reset := 0
+	f.overdueAt, f.unansweredAt = nil, nil
+	if cause != causeReported && (cause == causeSmall || onProbation) {
+		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Failing: true, Probation: onProbation}})
+	}
+	e.pendingActions = append(e.pendingActions, EndpointEjected{Endpoint: s.ID, Service: s.Service, Cause: cause, EjectionTime: f.ejectionTime, ResetFlows: reset})
+}
+
+// resetFailing resets flows of an endpoint that was found to fail, and returns their
+// number. All instances share the evidence for that, but any of them may have caused it by
+// a fault of its own. So idle flows are reset only if this instance counted a failure too,
+// or if the endpoint is proven to answer with errors; others only if they show the failure
+// themselves. Pending requests that aren't suspected lost are kept, because some are
+// answered.
+func (e *Engine) resetFailing(now clock.Millis, s *endpointState) (reset int) {
+	f := &s.failures
+	errors := e.provesErrors(now, s)
+	idle := errors || f.ownFailureAt != 0 && now-f.ownFailureAt <= overdueWindow
 	for k, w := range e.flows.byKey {
-		if w.endpoint == s && w.established && !w.consumerDone && !onProbation && (w.requestAt == 0 || w.suspectedLost && e.idempotent(k.destination)) {
+		if w.endpoint == s && w.established && !w.consumerDone && (idle && w.requestAt == 0 || e.showsFailure(now, k, w)) {
 			e.resetFlow(k, w)
 			reset++
 		}
 	}
-	if cause != causeReported && (cause == causeSmall || onProbation) {
-		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Failing: true, Probation: onProbation}})
+	if errors {
+		f.endStreak()
+	}
+	return reset
+}
+
+// recordOwnFailure handles an overdue or unanswered request that this instance saw. If the
+// endpoint is ejected already, its idle flows are reset.
+func (e *Engine) recordOwnFailure(now clock.Millis, s *endpointState) {
+	f := &s.failures
+	f.ownFailureAt = now
+	if f.ejected(now) && !f.ejectedOnProbation {
+		e.resetFailing(now, s)
+	}
+}
+
+// showsFailure reports whether a flow shows itself that its endpoint fails: its idempotent
+// request is suspected lost, or its last answers were errors.
+func (e *Engine) showsFailure(now clock.Millis, k key, w *flow) bool {
+	if w.requestAt != 0 {
+		return w.suspectedLost && e.idempotent(k.destination)
+	}
+	return w.showsErrors(now)
+}
+
+// showsErrors reports whether the last answers on a flow were errors by their size.
+func (w *flow) showsErrors(now clock.Millis) bool {
+	f := &w.endpoint.failures
+	return w.smallAnswers >= minErrorsPerReset && w.streakNumber == f.streakNumber && now-f.streakGrewAt <= maxStreakGap
+}
+
+// resetIfFailing resets an idle flow of an ejected endpoint if it shows errors.
+func (e *Engine) resetIfFailing(now clock.Millis, k key, w *flow) {
+	if w.endpoint.failures.ejected(now) && w.requestAt == 0 && w.showsErrors(now) {
+		e.resetFlow(k, w)
 	}
-	e.pendingActions = append(e.pendingActions, EndpointEjected{Endpoint: s.ID, Service: s.Service, Cause: cause, EjectionTime: f.ejectionTime, ResetFlows: reset})
 }
 
 // resetFlow forgets a flow and asks the daemon to send its consumer a reset.
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -121,7 +121,7 @@
 		e.directory.storeRecoveredAt = max(e.directory.storeRecoveredAt, v.StoreRecoveredAt)
 		e.directory.confirm(v.EndpointsAt, e.settings.StaleAfter)
 	case TalliesReported:
-		return e.applyTallies(now, v.Tallies)
+		return e.applyTallies(now, v)
 	case FlowsQueried:
 		return e.reportFlows(v)
 	case FlowsReported:
--- a/steering/established.go
+++ b/steering/established.go
@@ -136,6 +136,9 @@
 		}
 	}
 	if p.Length == 0 {
+		if !p.Flags.Has(Finish) {
+			e.resetIfFailing(now, p.key(), w)
+		}
 		return
 	}
 	end := p.Sequence + uint32(p.Length)
--- a/steering/event.go
+++ b/steering/event.go
@@ -65,7 +65,10 @@
 
 // TalliesReported is emitted when another instance sent its tallies. The engine adds them
 // to its own counts.
-type TalliesReported struct{ Tallies []Tally }
+type TalliesReported struct {
+	Sender  string // name of the other instance
+	Tallies []Tally
+}
 
 // FlowsQueried is emitted when another instance asks which of its flows progressed here.
 // The engine answers with ReportFlows.
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"slices"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -24,6 +26,7 @@
 	// twice a second, which ends the streak.
 	minStreakTime          = 700 * clock.Millisecond
 	maxSmallAnswersPerFlow = 3 // small answers of one flow that count in a streak
+	minStreakInstances     = 3 // instances that counted a streak, unless this one counted all of it
 	// A request is overdue when its consumer gives it up after more than overdueFactor times
 	// the expected latency and at least minOverdueTime. The longest requests on the platform
 	// take 11 times the mean, on the slowest endpoints 18 times.
@@ -36,7 +39,7 @@
 	maxOverdueAge     = 2500 * clock.Millisecond
 	overdueToEject    = 3                       // overdue requests within overdueWindow, seen by all instances together
 	overdueWindow     = 3 * clock.Second        // how long an overdue request counts
-	maxOverdueShare   = 0.25                    // if a larger share of a service's endpoints has such requests, the cause is overload
+	maxAffectedShare  = 0.25                    // if a larger share of a service's endpoints fails requests, the cause is the service or overload
 	trustReportsAfter = 500 * clock.Millisecond // reports are ignored until this long after a normal answer
 )
 
@@ -46,17 +49,23 @@
 	streak          int            // consecutive small answers
 	streakStartedAt clock.Millis   // first answer of the streak
 	streakGrewAt    clock.Millis   // latest answer of the streak
+	streakOwn       int            // answers of the streak that this instance saw
+	streakInstances []string       // other instances that saw answers of the streak
+	longStreakAt    clock.Millis   // last time the streak had half the length that suffices to eject
 	streakNumber    uint32         // identifies the streak, for the limit per flow
 	overdueAt       []clock.Millis // when requests became overdue, within overdueWindow
+	ownFailureAt    clock.Millis   // when this instance last saw an overdue or unanswered request itself
 	// When unanswered requests were sent. Those older than overdueWindow and
 	// minOverdueTime together are removed.
-	unansweredAt    []clock.Millis
-	ejectionTime    clock.Millis // length of the latest ejection
-	ejectedUntil    clock.Millis // end of the latest ejection
-	nextProbationAt clock.Millis // when this instance may send the next flow on probation
-	answersNeeded   int          // normal answers until probation ends
-	tally           Tally        // counts since the last TakeTallies
-	tallyPending    bool         // the other instances need the tally
+	unansweredAt []clock.Millis
+	ejectionTime clock.Millis // length of the latest ejection
+	ejectedUntil clock.Millis // end of the latest ejection
+	// The latest ejection was for one bad answer on probation.
+	ejectedOnProbation bool
+	nextProbationAt    clock.Millis // when this instance may send the next flow on probation
+	answersNeeded      int          // normal answers until probation ends
+	tally              Tally        // counts since the last TakeTallies
+	tallyPending       bool         // the other instances need the tally
 }
 
 // Causes of ejections, as they appear in the log.
@@ -107,7 +116,7 @@
 	if w.smallAnswers++; w.smallAnswers <= maxSmallAnswersPerFlow {
 		s.failures.tally.Small++
 		s.failures.tallyPending = true
-		e.recordSmall(now, s, 1)
+		e.recordSmall(now, s, 1, "")
 	}
 	return false
 }
@@ -134,15 +143,15 @@
 // endStreak resets the streak of small answers.
 func (f *failures) endStreak() {
 	if f.streak > 0 {
-		f.streak = 0
+		f.streak, f.streakOwn, f.streakInstances = 0, 0, nil
 		f.streakNumber++
 	}
 }
 
-// recordSmall counts small answers and ejects the endpoint when its streak reaches the
-// limits. A streak without a new answer for maxStreakGap ends, so that a single small
-// answer much later doesn't continue it.
-func (e *Engine) recordSmall(now clock.Millis, s *endpointState, n int) {
+// recordSmall counts small answers, of this instance or of the given other one, and ejects
+// the endpoint when its streak reaches the limits. A streak without a new answer for
+// maxStreakGap ends, so that a single small answer much later doesn't continue it.
+func (e *Engine) recordSmall(now clock.Millis, s *endpointState, n int, instance string) {
 	f := &s.failures
 	if now-f.streakGrewAt > maxStreakGap {
 		f.endStreak()
@@ -152,11 +161,48 @@
 	}
 	f.streak += n
 	f.streakGrewAt = now
-	if f.streak >= smallAnswersToEject && now-f.streakStartedAt >= minStreakTime || f.onProbation(now) {
+	switch {
+	case instance == "":
+		f.streakOwn += n
+	case !slices.Contains(f.streakInstances, instance):
+		f.streakInstances = append(f.streakInstances, instance)
+	}
+	if f.streak >= smallAnswersToEject/2 {
+		f.longStreakAt = now
+	}
+	switch {
+	case f.ejected(now):
+		if e.provesErrors(now, s) {
+			e.resetFailing(now, s)
+		}
+	case f.completeStreak(now) || f.onProbation(now):
 		e.eject(now, s, causeSmall)
 	}
 }
 
+// completeStreak reports whether the streak suffices to eject the endpoint.
+func (f *failures) completeStreak(now clock.Millis) bool {
+	return f.streak >= smallAnswersToEject && now-f.streakStartedAt >= minStreakTime
+}
+
+// provesErrors reports whether the streak is sufficient evidence to reset flows that had no
+// failure: enough instances saw the small answers, and most endpoints of the service still
+// answer as usual. Unlike missing answers, small ones can't be caused by an instance.
+func (e *Engine) provesErrors(now clock.Millis, s *endpointState) bool {
+	f := &s.failures
+	if !f.completeStreak(now) {
+		return false
+	}
+	instances := len(f.streakInstances)
+	if f.streakOwn > 0 {
+		instances++
+	}
+	if f.streakOwn < smallAnswersToEject && instances < minStreakInstances {
+		return false
+	}
+	return !e.isWidespread(s, func(o *failures) bool { return o.longStreakAt != 0 && now-o.longStreakAt <= overdueWindow })
+}
+
 // recordOverdue counts an overdue request that this instance saw.
 func (e *Engine) recordOverdue(now clock.Millis, s *endpointState) {
 	if now < e.stalledUntil || s.silence.ended() {
@@ -164,6 +210,7 @@
 	}
 	s.failures.tallyPending = true
 	s.failures.tally.Overdue++
+	e.recordOwnFailure(now, s)
 	e.addOverdue(now, s, 1)
 }
 
@@ -185,15 +232,23 @@
 // overloaded reports whether so many endpoints of the service have overdue or unanswered
 // requests that the service is overloaded rather than one endpoint faulty.
 func (e *Engine) overloaded(now clock.Millis, s *endpointState) bool {
-	all, affected := 0, 0
-	for _, o := range e.directory.byService[s.Service] {
-		all++
-		n := len(o.failures.overdueAt)
-		if n > 0 && now-o.failures.overdueAt[n-1] <= overdueWindow || len(o.failures.unansweredAt) > unansweredToEject/2 {
-			affected++
+	return e.isWidespread(s, func(f *failures) bool {
+		n := len(f.overdueAt)
+		return n > 0 && now-f.overdueAt[n-1] <= overdueWindow || len(f.unansweredAt) > unansweredToEject/2
+	})
+}
+
+// isWidespread reports whether more endpoints of the service of s than maxAffectedShare,
+// and more than one, are affected.
+func (e *Engine) isWidespread(s *endpointState, affected func(f *failures) bool) bool {
+	list := e.directory.byService[s.Service]
+	n := 0
+	for _, o := range list {
+		if affected(&o.failures) {
+			n++
 		}
 	}
-	return float64(affected) > max(1, maxOverdueShare*float64(all))
+	return float64(n) > max(1, maxAffectedShare*float64(len(list)))
 }
 
 // exceedsLatency reports whether a request has waited for at least factor times the
--- a/steering/query.go
+++ b/steering/query.go
@@ -121,6 +121,7 @@
 	if s.silence.ended() {
 		return
 	}
+	e.recordOwnFailure(now, s)
 	if e.addUnanswered(now, s, requestAt) {
 		s.failures.tallyPending = true
 		s.failures.tally.UnansweredAges = append(s.failures.tally.UnansweredAges, requestAt)
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -35,10 +35,12 @@
 	Confirm        bool               `yaml:"confirm"`  // the store confirms all records now
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
 	Packet         string             `yaml:"packet"`
-	ProbeResult    string             `yaml:"probe"`  // "ID RESULT" of a probe
-	FaultReport    string             `yaml:"report"` // "ID INSTANCE hung" (or refused, failing, trial): a fault that another instance reports
-	FlowQuery      string             `yaml:"asked"`  // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
-	FlowReport     string             `yaml:"seen"`   // "CONSUMER ACK [ROUTE]": a flow progressed at another instance
+	Answers        string             `yaml:"answers"` // "CONSUMER ID COUNT SIZE [ROUTE]": requests on a flow, each answered at once
+	ProbeResult    string             `yaml:"probe"`   // "ID RESULT" of a probe
+	FaultReport    string             `yaml:"report"`  // "ID INSTANCE hung" (or refused, failing, trial): a fault that another instance reports
+	Tally          string             `yaml:"counts"`  // "INSTANCE ID normal=N small=N overdue=N unanswered=AGE": a tally of another instance
+	FlowQuery      string             `yaml:"asked"`   // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
+	FlowReport     string             `yaml:"seen"`    // "CONSUMER ACK [ROUTE]": a flow progressed at another instance
 	Stalled        bool               `yaml:"woke"`
 	TickDelay      clock.Millis       `yaml:"late"` // how late the tick is
 	Tick           bool               `yaml:"tick"`
@@ -99,6 +101,10 @@
 		s.steer(t, e, name, now)
 		collect(e.TakeActions())
 	}
+	if s.Answers != "" {
+		s.steerAnswers(t, e, name, now)
+		collect(e.TakeActions())
+	}
 	if s.WantActions != nil {
 		require.ElementsMatch(t, s.WantActions, got, name)
 	}
@@ -138,6 +144,7 @@
 		f := EndpointFault{Endpoint: "i-" + words[0], Incarnation: 1, Refused: words[2] == "refused", Failing: probation || words[2] == "failing", Probation: probation}
 		return FaultReported{Sender: words[1], EndpointFault: f}
 	})
+	add(s.Tally != "", func() Event { return parseTally(t, s.Tally) })
 	add(s.FlowQuery != "", func() Event {
 		sender, flow, _ := strings.Cut(s.FlowQuery, " ")
 		return FlowsQueried{Sender: sender, Flows: []FlowProgress{parseFlow(t, flow)}}
@@ -171,6 +178,26 @@
 	}
 }
 
+// steerAnswers sends the packets of the consumer for the answers of a step.
+func (s *step) steerAnswers(t *testing.T, e *Engine, name string, now clock.Millis) {
+	t.Helper()
+	words := append(strings.Fields(s.Answers), "")
+	count, err := strconv.Atoi(words[2])
+	require.NoError(t, err, "answers %q", s.Answers)
+	size, err := strconv.ParseUint(words[3], 10, 32)
+	require.NoError(t, err, "answers %q", s.Answers)
+	p := parsePacket(t, fmt.Sprintf("%s data token=%s route=%s", words[0], words[1], words[4]))
+	if w := e.flows.byKey[p.key()]; w != nil {
+		p.Sequence, p.Ack = w.endSequence, w.ack
+	}
+	for range count {
+		p.Length = 10
+		require.Equal(t, Forward, e.Steer(now, &p).Verdict, name)
+		p.Sequence, p.Ack, p.Length = p.Sequence+10, p.Ack+uint32(size), 0
+		require.Equal(t, Forward, e.Steer(now, &p).Verdict, name)
+	}
+}
+
 func configurationEvent(t *testing.T, e *Engine, c *configurationStep) Event {
 	n := &Configuration{Version: c.Version, Revision: c.Revision, IdleTimeout: 15000, Routes: map[AddrPort]Route{}}
 	for name, weights := range c.Routes {
@@ -257,6 +284,29 @@
 	return v
 }
 
+func parseTally(t *testing.T, text string) TalliesReported {
+	words := strings.Fields(text)
+	v := Tally{Token: Token(parseEndpoint(t, words[1:2]).Number)}
+	for _, w := range words[2:] {
+		name, value, _ := strings.Cut(w, "=")
+		n, err := strconv.Atoi(value)
+		require.NoError(t, err)
+		switch name {
+		case "normal":
+			v.Normal = n
+		case "small":
+			v.Small = n
+		case "overdue":
+			v.Overdue = n
+		case "unanswered":
+			v.UnansweredAges = append(v.UnansweredAges, clock.Millis(n))
+		default:
+			require.Fail(t, "tally", "field %q does not exist", name)
+		}
+	}
+	return TalliesReported{Sender: words[0], Tallies: []Tally{v}}
+}
+
 func describeFlows(flows []FlowProgress) string {
 	var words []string
 	for _, s := range flows {
@@ -334,8 +384,11 @@
 	case EndpointSilent:
 		return short(v.Endpoint) + " silent"
 	case ReportFault:
-		if v.Refused {
+		switch {
+		case v.Refused:
 			return "report " + short(v.Endpoint) + " refused"
+		case v.Failing:
+			return "report " + short(v.Endpoint) + " failing"
 		}
 		return "report " + short(v.Endpoint) + " hung"
 	case QueryFlows:
--- a/steering/tally.go
+++ b/steering/tally.go
@@ -36,8 +36,8 @@
 }
 
 // applyTallies adds the counts of another instance.
-func (e *Engine) applyTallies(now clock.Millis, tallies []Tally) []Action {
-	for _, t := range tallies {
+func (e *Engine) applyTallies(now clock.Millis, v TalliesReported) []Action {
+	for _, t := range v.Tallies {
 		same := e.directory.byToken[t.Token]
 		if len(same) != 1 {
 			continue
@@ -47,7 +47,7 @@
 			s.failures.recordNormal(now, t.Normal)
 		}
 		if t.Small > 0 {
-			e.recordSmall(now, s, t.Small)
+			e.recordSmall(now, s, t.Small, v.Sender)
 		}
 		if t.Overdue > 0 {
 			e.addOverdue(now, s, t.Overdue)
