--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -54,6 +54,7 @@
 	entryChangedAt  clock.Millis // when the entry was written or removed
 	removedRevision uint64       // revision at which the entry was removed; entries up to it are outdated
 	warmedUpAt      clock.Millis // end of the warm-up
+	knownSince      clock.Millis // when this incarnation at this address became known
 
 	load     load
 	silence  silence
@@ -90,11 +91,12 @@
 		return false
 	}
 	if s == nil {
-		s = &endpointState{}
+		s = &endpointState{knownSince: now}
 		d.byID[p.ID] = s
 	} else if p.Incarnation != s.Incarnation || p.Address != s.Address {
 		// A new process or address: nothing seen of the earlier one applies.
 		s.load, s.silence, s.failures = load{}, silence{}, failures{}
+		s.knownSince = now
 	}
 	if s.entryState != listed {
 		s.silence = silence{}
--- a/steering/query.go
+++ b/steering/query.go
@@ -55,8 +55,9 @@
 func (e *Engine) checkSuspectedLost(now clock.Millis, k key, w *flow) {
 	// After a stall, packets from the socket buffer are old, and their consumers may have
 	// been answered or left since. Flows to another data centre mostly belong to its own
-	// consumers, whose packets return to its instances, and those aren't queried.
-	if w.requestAt < e.stalledUntil || w.endpoint.Centre != e.settings.Centre {
+	// consumers, whose packets return to its instances, and those aren't queried. Requests to
+	// an earlier incarnation show nothing of the present one.
+	if w.requestAt < e.stalledUntil || w.requestAt < w.endpoint.knownSince || w.endpoint.Centre != e.settings.Centre {
 		return
 	}
 	if w.queriedAt == 0 {
@@ -133,8 +134,12 @@
 
 // addUnanswered counts an unanswered request, of this or another instance, and ejects the
 // endpoint at unansweredToEject. A request sent at about the same time as a counted one is
-// ignored. It reports whether the request was counted.
+// ignored, and so is one sent to an earlier incarnation. It reports whether the request was
+// counted.
 func (e *Engine) addUnanswered(now clock.Millis, s *endpointState, requestAt clock.Millis) bool {
+	if requestAt < s.knownSince {
+		return false
+	}
 	f := &s.failures
 	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > overdueWindow+minOverdueTime })
 	gap := max(minUnansweredGap, clock.Millis(unansweredGapFactor*e.expectedLatency(s)))
