--- a/steering/query.go
+++ b/steering/query.go
@@ -72,8 +72,10 @@
 	}
 	w.suspectedLost = true
 	s := w.endpoint
+	// A request that ejects the endpoint on probation is too little evidence to reset its flow.
+	ejected := s.failures.ejected(now)
 	e.recordUnanswered(now, s, w.requestAt)
-	if e.flows.byKey[k] == w && s.failures.ejected(now) && e.idempotent(k.destination) {
+	if e.flows.byKey[k] == w && ejected && e.idempotent(k.destination) {
 		e.resetFlow(k, w)
 	}
 }
