--- a/steering/flow.go
+++ b/steering/flow.go
@@ -67,8 +67,11 @@
 	return w
 }
 
-// remove deletes a flow from the table.
+// remove deletes a flow from the table, unless it was deleted before.
 func (f *flows) remove(k key, w *flow) {
+	if f.byKey[k] != w {
+		return
+	}
 	w.detach()
 	delete(f.byKey, k)
 	if len(f.free) < maxFreeFlows {
