--- a/steering/established.go
+++ b/steering/established.go
@@ -120,37 +120,49 @@
 	}
 }
 
-// trackData updates the state of a flow from the sequence numbers of a packet.
+// trackData updates the state of a flow from the sequence numbers of a packet. A request
+// that came with the acknowledgement of an answer is pending when the answer is recorded,
+// which may reset idle flows.
 func (e *Engine) trackData(now clock.Millis, p *Packet, w *flow, s *endpointState) {
+	answered, latency, size := false, clock.Millis(0), int(p.Ack-w.requestAck)
 	if p.Flags.Has(Acknowledge) && sequenceAfter(p.Ack, w.ack) {
 		w.ack = p.Ack
 		s.silence.recordAnswer(now)
 		if w.requestAt != 0 && w.counted {
-			latency := w.endRequest(now)
-			e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[p.Destination].Name, Latency: latency})
-			// Small answers are excluded: errors are fast, and would make the failing
-			// endpoint the preferred one.
-			if e.classifyAnswer(now, p.Destination, w, s, int(p.Ack-w.requestAck)) {
-				e.recordLatency(s, latency)
-			}
+			answered, latency = true, w.endRequest(now)
 		}
 	}
-	if p.Length == 0 {
-		if !p.Flags.Has(Finish) {
-			e.resetIfFailing(now, p.key(), w)
-		}
-		return
-	}
 	end := p.Sequence + uint32(p.Length)
-	if sequenceAfter(end, w.endSequence) {
+	isNew := p.Length > 0 && sequenceAfter(end, w.endSequence)
+	if isNew {
 		w.endSequence = end
 		if w.counted {
 			w.startRequest(now)
 		}
-		return
 	}
-	w.retransmits++
-	if w.requestAt != 0 {
-		e.handleMiss(now, s, w.requestAt)
+	if answered {
+		e.recordAnswer(now, p.Destination, w, s, latency, size)
+	}
+	switch {
+	case p.Length == 0:
+		if !p.Flags.Has(Finish) {
+			e.resetIfFailing(now, p.key(), w)
+		}
+	case !isNew:
+		w.retransmits++
+		if w.requestAt != 0 {
+			e.handleMiss(now, s, w.requestAt)
+		}
+	}
+}
+
+// recordAnswer records an answered request in the metrics and the evidence about its
+// endpoint.
+func (e *Engine) recordAnswer(now clock.Millis, destination AddrPort, w *flow, s *endpointState, latency clock.Millis, size int) {
+	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
+	// Small answers are excluded from the latency: errors are fast, and would make the
+	// failing endpoint the preferred one.
+	if e.classifyAnswer(now, destination, w, s, size) {
+		e.recordLatency(s, latency)
 	}
 }
