--- a/steering/ejection.go
+++ b/steering/ejection.go
@@ -43,11 +43,12 @@
 		return
 	}
 	onProbation := f.onProbation(now)
+	evidence := e.evidence(now, s, cause)
 	reset := 0
 	if onProbation {
 		f.endStreak()
 	} else {
-		reset = e.resetFailing(now, s)
+		reset = e.resetFailing(now, s, cause)
 	}
 	f.ejectionTime = min(max(2*f.ejectionTime, minEjectionTime), maxEjectionTime)
 	f.ejectedUntil = now + f.ejectionTime
@@ -55,10 +56,11 @@
 	f.nextProbationAt = f.ejectedUntil + clock.Millis(e.random.Int64N(int64(probationSpread)))
 	f.answersNeeded = probationAnswers
 	f.overdueAt, f.unansweredAt = nil, nil
+	s.startResets(now, cause, reset)
 	if cause != causeReported && (cause == causeSmall || onProbation) {
 		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Failing: true, Probation: onProbation}})
 	}
-	e.pendingActions = append(e.pendingActions, EndpointEjected{Endpoint: s.ID, Service: s.Service, Cause: cause, EjectionTime: f.ejectionTime, ResetFlows: reset})
+	e.pendingActions = append(e.pendingActions, EndpointEjected{Endpoint: s.ID, Service: s.Service, Cause: cause, EjectionTime: f.ejectionTime, ResetFlows: reset, Evidence: evidence})
 }
 
 // resetFailing resets flows of an endpoint that was found to fail, and returns their
@@ -67,13 +69,13 @@
 // or if the endpoint is proven to answer with errors; others only if they show the failure
 // themselves. Pending requests that aren't suspected lost are kept, because some are
 // answered.
-func (e *Engine) resetFailing(now clock.Millis, s *endpointState) (reset int) {
+func (e *Engine) resetFailing(now clock.Millis, s *endpointState, cause string) (reset int) {
 	f := &s.failures
 	errors := e.provesErrors(now, s)
 	idle := errors || f.ownFailureAt != 0 && now-f.ownFailureAt <= overdueWindow
 	for k, w := range e.flows.byKey {
 		if w.endpoint == s && w.established && !w.consumerDone && (idle && w.requestAt == 0 || e.showsFailure(now, k, w)) {
-			e.resetFlow(k, w)
+			e.resetFlow(k, w, cause)
 			reset++
 		}
 	}
@@ -83,13 +85,20 @@
 	return reset
 }
 
+// resetMore resets flows of an endpoint that is ejected already, for new evidence.
+func (e *Engine) resetMore(now clock.Millis, s *endpointState, cause string) {
+	for range e.resetFailing(now, s, cause) {
+		s.addReset(now, cause)
+	}
+}
+
 // recordOwnFailure handles an overdue or unanswered request that this instance saw. If the
 // endpoint is ejected already, its idle flows are reset.
-func (e *Engine) recordOwnFailure(now clock.Millis, s *endpointState) {
+func (e *Engine) recordOwnFailure(now clock.Millis, s *endpointState, cause string) {
 	f := &s.failures
 	f.ownFailureAt = now
 	if f.ejected(now) && !f.ejectedOnProbation {
-		e.resetFailing(now, s)
+		e.resetMore(now, s, cause)
 	}
 }
 
@@ -111,12 +120,13 @@
 // resetIfFailing resets an idle flow of an ejected endpoint if it shows errors.
 func (e *Engine) resetIfFailing(now clock.Millis, k key, w *flow) {
 	if e.flows.byKey[k] == w && w.endpoint.failures.ejected(now) && w.requestAt == 0 && w.showsErrors(now) {
-		e.resetFlow(k, w)
+		e.resetFlow(k, w, causeSmall)
+		w.endpoint.addReset(now, causeSmall)
 	}
 }
 
 // resetFlow forgets a flow and asks the daemon to send its consumer a reset.
-func (e *Engine) resetFlow(k key, w *flow) {
-	e.pendingActions = append(e.pendingActions, ResetFlow{Consumer: k.consumer, Destination: k.destination, Ack: w.ack, Endpoint: w.endpoint.ID})
+func (e *Engine) resetFlow(k key, w *flow, cause string) {
+	e.pendingActions = append(e.pendingActions, ResetFlow{Consumer: k.consumer, Destination: k.destination, Ack: w.ack, Endpoint: w.endpoint.ID, Cause: cause})
 	e.flows.remove(k, w)
 }
--- a/steering/established.go
+++ b/steering/established.go
@@ -30,6 +30,7 @@
 		if p.Flags.Has(Abort) {
 			return Decision{Verdict: Drop, Reason: reason, Service: s.Service}
 		}
+		s.recordPacketReset(now, reason)
 		return Decision{Verdict: Reset, Reason: reason, Endpoint: s.target(), Service: s.Service}
 	}
 	d.NewlyEstablished = e.trackPacket(now, p, s)
@@ -90,6 +91,9 @@
 		w.attach(s)
 	} else if !w.established || w.endpoint != s {
 		newlyEstablished = !w.established
+		if newlyEstablished {
+			e.compareAnswer(now, s, w.openedAt, false)
+		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
 		if w.endpoint != s {
@@ -124,12 +128,13 @@
 // that came with the acknowledgement of an answer is pending when the answer is recorded,
 // which may reset idle flows.
 func (e *Engine) trackData(now clock.Millis, p *Packet, w *flow, s *endpointState) {
-	answered, latency, size := false, clock.Millis(0), int(p.Ack-w.requestAck)
+	answered, requestAt, size := false, clock.Millis(0), int(p.Ack-w.requestAck)
 	if p.Flags.Has(Acknowledge) && sequenceAfter(p.Ack, w.ack) {
 		w.ack = p.Ack
 		s.silence.recordAnswer(now)
 		if w.requestAt != 0 && w.counted {
-			answered, latency = true, w.endRequest(now)
+			answered, requestAt = true, w.requestAt
+			w.endRequest()
 		}
 	}
 	end := p.Sequence + uint32(p.Length)
@@ -141,7 +146,7 @@
 		}
 	}
 	if answered {
-		e.recordAnswer(now, p.Destination, w, s, latency, size)
+		e.recordAnswer(now, p.Destination, w, s, requestAt, size)
 	}
 	switch {
 	case p.Length == 0:
@@ -156,13 +161,16 @@
 	}
 }
 
-// recordAnswer records an answered request in the metrics and the evidence about its
+// recordAnswer records the answer to a request in the metrics and the evidence about its
 // endpoint.
-func (e *Engine) recordAnswer(now clock.Millis, destination AddrPort, w *flow, s *endpointState, latency clock.Millis, size int) {
+func (e *Engine) recordAnswer(now clock.Millis, destination AddrPort, w *flow, s *endpointState, requestAt clock.Millis, size int) {
+	latency := now - requestAt
 	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
 	// Small answers are excluded from the latency: errors are fast, and would make the
 	// failing endpoint the preferred one.
-	if e.classifyAnswer(now, destination, w, s, size) {
+	normal := e.classifyAnswer(now, destination, w, s, size)
+	if normal {
 		e.recordLatency(s, latency)
 	}
+	e.compareAnswer(now, s, requestAt, normal)
 }
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -140,12 +140,10 @@
 	}
 }
 
-// endRequest marks the pending request as answered, and returns its latency.
-func (w *flow) endRequest(now clock.Millis) clock.Millis {
-	latency := now - w.requestAt
+// endRequest marks the pending request as answered.
+func (w *flow) endRequest() {
 	w.requestAt, w.retransmits = 0, 0
 	w.endpoint.load.pendingRequests--
-	return latency
 }
 
 // sequenceAfter reports whether sequence number a is after b, with wrap-around.
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -114,6 +114,7 @@
 		w.streakNumber, w.smallAnswers = s.failures.streakNumber, 0
 	}
 	if w.smallAnswers++; w.smallAnswers <= maxSmallAnswersPerFlow {
+		s.observed.small.add(now)
 		s.failures.tally.Small++
 		s.failures.tallyPending = true
 		e.recordSmall(now, s, 1, "")
@@ -153,6 +154,7 @@
 // maxStreakGap ends, so that a single small answer much later doesn't continue it.
 func (e *Engine) recordSmall(now clock.Millis, s *endpointState, n int, instance string) {
 	f := &s.failures
+	s.resets.recordFailure()
 	if now-f.streakGrewAt > maxStreakGap {
 		f.endStreak()
 	}
@@ -173,7 +175,7 @@
 	switch {
 	case f.ejected(now):
 		if e.provesErrors(now, s) {
-			e.resetFailing(now, s)
+			e.resetMore(now, s, causeSmall)
 		}
 	case f.completeStreak(now) || f.onProbation(now):
 		e.eject(now, s, causeSmall)
@@ -210,7 +212,8 @@
 	}
 	s.failures.tallyPending = true
 	s.failures.tally.Overdue++
-	e.recordOwnFailure(now, s)
+	s.observed.overdue.add(now)
+	e.recordOwnFailure(now, s, causeOverdue)
 	e.addOverdue(now, s, 1)
 }
 
@@ -218,6 +221,7 @@
 // endpoint at overdueToEject.
 func (e *Engine) addOverdue(now clock.Millis, s *endpointState, n int) {
 	f := &s.failures
+	s.resets.recordFailure()
 	for range min(n, overdueToEject) {
 		f.overdueAt = append(f.overdueAt, now)
 	}
--- a/steering/query.go
+++ b/steering/query.go
@@ -76,7 +76,8 @@
 	ejected := s.failures.ejected(now)
 	e.recordUnanswered(now, s, w.requestAt)
 	if e.flows.byKey[k] == w && ejected && e.idempotent(k.destination) {
-		e.resetFlow(k, w)
+		e.resetFlow(k, w, causeUnanswered)
+		s.addReset(now, causeUnanswered)
 	}
 }
 
@@ -124,7 +125,8 @@
 	if s.silence.ended() {
 		return
 	}
-	e.recordOwnFailure(now, s)
+	s.observed.unanswered.add(requestAt)
+	e.recordOwnFailure(now, s, causeUnanswered)
 	if e.addUnanswered(now, s, requestAt) {
 		s.failures.tallyPending = true
 		s.failures.tally.UnansweredAges = append(s.failures.tally.UnansweredAges, requestAt)
@@ -143,6 +145,7 @@
 		return false
 	}
 	f := &s.failures
+	s.resets.recordFailure()
 	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > overdueWindow+minOverdueTime })
 	gap := max(minUnansweredGap, clock.Millis(unansweredGapFactor*e.expectedLatency(s)))
 	if slices.ContainsFunc(f.unansweredAt, func(at clock.Millis) bool { return max(at-requestAt, requestAt-at) < gap }) {
