--- a/steering/engine.go
+++ b/steering/engine.go
@@ -34,6 +34,7 @@
 	flowsToQuery             []FlowProgress   // flows for the next query
 	queriedAt                clock.Millis     // time of the last query
 	reprobedAt               clock.Millis     // last run of reprobeEnded
+	wasIsolated              bool             // isolated at the latest tick
 	sendTallies              bool             // the next tick sends the tallies
 	contradicted             []*endpointState // endpoints whose contradiction may not be reported yet
 
@@ -327,6 +328,7 @@
 }
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
+	e.wasIsolated = e.isolated(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -207,7 +207,7 @@
 
 // recordOverdue counts an overdue request that this instance saw.
 func (e *Engine) recordOverdue(now clock.Millis, s *endpointState) {
-	if now < e.stalledUntil || s.silence.ended() {
+	if now < e.stalledUntil || e.isolated(now) || s.silence.ended() {
 		return
 	}
 	s.failures.tallyPending = true
--- a/steering/query.go
+++ b/steering/query.go
@@ -67,7 +67,7 @@
 		}
 		return
 	}
-	if now-w.queriedAt < queryInterval+queryTimeout {
+	if now-w.queriedAt < queryInterval+queryTimeout || e.wasIsolated {
 		return
 	}
 	w.suspectedLost = true
