--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -55,6 +55,7 @@
 	removedRevision uint64       // revision at which the entry was removed; entries up to it are outdated
 	warmedUpAt      clock.Millis // end of the warm-up
 	removal         removal      // valid while the endpoint is gone
+	knownSince      clock.Millis // when this incarnation at this address became known
 
 	load     load
 	silence  silence
@@ -93,7 +94,7 @@
 		return false
 	}
 	if s == nil {
-		s = &endpointState{}
+		s = &endpointState{knownSince: now}
 		d.byID[p.ID] = s
 	} else if p.Incarnation != s.Incarnation || p.Address != s.Address {
 		// A new process or address: nothing seen of the earlier one applies. The counts of
@@ -101,6 +102,7 @@
 		s.load.latency, s.load.shedAt = 0, 0
 		s.silence, s.failures = silence{}, failures{}
 		s.resets, s.observed = resetSeries{}, observed{}
+		s.knownSince = now
 	}
 	if s.entryState != listed {
 		s.silence = silence{}
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -37,6 +37,7 @@
 	queriedAt                clock.Millis     // time of the last query
 	reprobedAt               clock.Millis     // last run of reprobe
 	lastProbe                uint64           // number of the last probe
+	wasIsolated              bool             // isolated at the latest tick
 	sendTallies              bool             // the next tick sends the tallies
 	contradicted             []*endpointState // endpoints whose contradiction may not be reported yet
 
@@ -135,7 +136,7 @@
 		e.directory.storeRecoveredAt = max(e.directory.storeRecoveredAt, v.StoreRecoveredAt)
 		e.directory.confirm(v.EndpointsAt, e.settings.StaleAfter)
 	case TalliesReported:
-		return e.applyTallies(now, v.Tallies)
+		return e.applyTallies(now, v)
 	case FlowsQueried:
 		return e.reportFlows(v)
 	case FlowsReported:
@@ -349,6 +350,7 @@
 }
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
+	e.wasIsolated = e.isolated(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.byID {
 		e.checkRefused(now, s)
--- a/steering/query.go
+++ b/steering/query.go
@@ -55,8 +55,9 @@
 func (e *Engine) checkSuspectedLost(now clock.Millis, k key, w *flow) {
 	// After a stall, packets from the socket buffer are old, and their consumers may have
 	// been answered or left since. Flows to another data centre mostly belong to its own
-	// consumers, whose packets return to its instances, and those aren't queried.
-	if w.requestAt < e.stalledUntil || w.endpoint.Centre != e.settings.Centre {
+	// consumers, whose packets return to its instances, and those aren't queried. Requests to
+	// an earlier incarnation show nothing of the present one.
+	if w.requestAt < e.stalledUntil || w.requestAt < w.endpoint.knownSince || w.endpoint.Centre != e.settings.Centre {
 		return
 	}
 	if w.queriedAt == 0 {
@@ -66,13 +67,15 @@
 		}
 		return
 	}
-	if now-w.queriedAt < queryInterval+queryTimeout {
+	if now-w.queriedAt < queryInterval+queryTimeout || e.wasIsolated {
 		return
 	}
 	w.suspectedLost = true
 	s := w.endpoint
+	// A request that ejects the endpoint on probation is too little evidence to reset its flow.
+	ejected := s.failures.ejected(now)
 	e.recordUnanswered(now, s, w.requestAt)
-	if e.flows.byKey[k] == w && s.failures.ejected(now) && e.idempotent(k.destination) {
+	if e.flows.byKey[k] == w && ejected && e.idempotent(k.destination) {
 		e.resetFlow(k, w, causeUnanswered)
 		s.addReset(now, causeUnanswered)
 	}
@@ -123,6 +126,7 @@
 		return
 	}
 	s.observed.unanswered.add(requestAt)
+	e.recordOwnFailure(now, s, causeUnanswered)
 	if e.addUnanswered(now, s, requestAt) {
 		s.failures.tallyPending = true
 		s.failures.tally.UnansweredAges = append(s.failures.tally.UnansweredAges, requestAt)
@@ -134,8 +138,12 @@
 
 // addUnanswered counts an unanswered request, of this or another instance, and ejects the
 // endpoint at unansweredToEject. A request sent at about the same time as a counted one is
-// ignored. It reports whether the request was counted.
+// ignored, and so is one sent to an earlier incarnation. It reports whether the request was
+// counted.
 func (e *Engine) addUnanswered(now clock.Millis, s *endpointState, requestAt clock.Millis) bool {
+	if requestAt < s.knownSince {
+		return false
+	}
 	f := &s.failures
 	s.resets.recordFailure()
 	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > overdueWindow+minOverdueTime })
