--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,33 +12,76 @@
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
-// probeTimeout is the time for a probe, in ms: 100 times the round-trip time within a
-// region, and a fifth of the time in which consumers expect the answer to a request.
-const probeTimeout = 300 * clock.Millisecond
+const (
+	// probeTimeout is the time for a probe: 100 times the round-trip time within a region,
+	// and a fifth of the time in which consumers expect the answer to a request.
+	probeTimeout = 300 * clock.Millisecond
+	// A probe without an answer opens another connection at this interval. A lost packet, or
+	// one that a full queue of new connections dropped, is retransmitted only after a second.
+	probeAttemptInterval = 100 * clock.Millisecond
+	probeAttempts        = int(probeTimeout / probeAttemptInterval)
+)
 
 // probe tests whether a process listens at an endpoint's address, and passes the result to
-// the engine. The control endpoint is probed at the same time: if neither answers, the
-// cause may be this instance's network, and the result is inconclusive.
+// the engine. The control endpoint is probed at the same time: unless something comes back
+// from it, the cause may be this instance's network, and a timeout is inconclusive.
 func (d *Daemon) probe(v steering.Probe) {
+	stalls := newStallDetector()
 	controlAnswered := make(chan bool, 1)
 	go func() {
-		controlAnswered <- v.Control == steering.AddrPort{} || d.probeAddress(v.Control) == steering.ProbeAnswered
+		if v.Control == (steering.AddrPort{}) {
+			controlAnswered <- false
+			return
+		}
+		result, _ := d.probeAddress(v.Control)
+		controlAnswered <- result == steering.ProbeAnswered || result == steering.ProbeRefused
 	}()
 	start := clock.Now()
-	result := d.probeAddress(v.Address)
+	result, delay := d.probeAddress(v.Address)
 	took := clock.Now() - start
 	if result == steering.ProbeTimedOut && !<-controlAnswered {
 		result = steering.ProbeInconclusive
 	}
+	delay = max(delay, stalls.check())
 	d.log.infoLimited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", result.String(),
-		"control", v.Control.String(), "took_ms", int64(took))
-	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Incarnation: v.Incarnation, Result: result})
+		"control", v.Control.String(), "took_ms", int64(took), "late_ms", int64(delay))
+	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result, Delay: delay})
 }
 
-// probeAddress opens a TCP connection to an address and closes it.
-func (d *Daemon) probeAddress(to steering.AddrPort) steering.ProbeResult {
+// probeAddress opens TCP connections to an address until one is accepted or refused, and
+// closes them. It also returns how late its timers were at most.
+func (d *Daemon) probeAddress(to steering.AddrPort) (result steering.ProbeResult, delay clock.Millis) {
 	d.metrics.probes.Inc(1)
-	c, err := net.DialTimeout("tcp4", to.String(), probeTimeout.Duration())
+	start := clock.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	defer cancel()
+	results := make(chan steering.ProbeResult, probeAttempts)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	attempts, timeouts := 0, 0
+	for timeouts < probeAttempts {
+		select {
+		case <-timer.C:
+			delay = max(delay, clock.Now()-start-clock.Millis(attempts)*probeAttemptInterval)
+			go func() { results <- dialAddress(ctx, to) }()
+			if attempts++; attempts < probeAttempts {
+				timer.Reset((clock.Millis(attempts)*probeAttemptInterval - (clock.Now() - start)).Duration())
+			}
+		case result = <-results:
+			if result != steering.ProbeTimedOut {
+				return result, delay
+			}
+			timeouts++
+		}
+	}
+	return steering.ProbeTimedOut, max(delay, clock.Now()-start-probeTimeout)
+}
+
+// dialAddress opens a TCP connection to an address and closes it.
+func dialAddress(ctx context.Context, to steering.AddrPort) steering.ProbeResult {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp4", to.String())
+	var netError net.Error
 	switch {
 	case err == nil:
 		_ = c.Close() // no data was sent
@@ -45,6 +90,8 @@
 		return steering.ProbeAnswered // a reset shows that a process listens, too
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return steering.ProbeRefused
+	case errors.As(err, &netError) && netError.Timeout():
+		return steering.ProbeTimedOut
 	}
-	return steering.ProbeTimedOut
+	return steering.ProbeInconclusive // a local fault, such as too few descriptors
 }
--- a/steering/established.go
+++ b/steering/established.go
@@ -24,9 +24,7 @@
 	}
 	d := Decision{Verdict: Forward, Reason: ReasonToken, Endpoint: s.target(), Service: s.Service}
 	if mustEnd, reason := e.mustEnd(now, p, s); mustEnd {
-		if w := e.flows.byKey[p.key()]; w != nil {
-			e.flows.remove(p.key(), w)
-		}
+		e.closeFlow(now, p.key(), reason)
 		if p.Flags.Has(Abort) {
 			return Decision{Verdict: Drop, Reason: reason, Service: s.Service}
 		}
@@ -55,12 +53,14 @@
 
 // mustEnd reports whether a flow must be reset, and the reason.
 func (e *Engine) mustEnd(now clock.Millis, p *Packet, s *endpointState) (bool, Reason) {
-	if e.removedRoutes[p.Destination] {
+	if e.removedRoutes[p.Destination] && e.openedBeforeRemoval(now, p.key()) {
 		return true, ReasonRouteRemoved
 	}
-	// An endpoint that lost only its connection to the store still answers its flows.
-	if s.entryState == gone && s.silence.answeredAt < s.entryChangedAt {
-		return true, ReasonEndpointGone
+	if s.entryState == gone {
+		e.checkEnded(now, s)
+		if s.removal.endedRecently(now) && !s.answeredSinceRemoval() {
+			return true, ReasonEndpointGone
+		}
 	}
 	// Requests that aren't idempotent are forwarded to a silent endpoint all the same, since
 	// they may arrive.
@@ -70,6 +70,29 @@
 	return false, ReasonToken
 }
 
+// openedBeforeRemoval reports whether a flow was opened before its route was removed, as
+// far as this instance knows. Another instance may have opened it by a newer configuration
+// that has the route again, unless the store confirmed this one since the flow was first
+// seen here. After a stall, messages that confirm it may be old.
+func (e *Engine) openedBeforeRemoval(now clock.Millis, k key) bool {
+	w := e.flows.byKey[k]
+	return w != nil && e.configurationConfirmedAt > w.openedAt && now >= e.stalledUntil
+}
+
+// closeFlow handles a flow that is reset in reply to a packet. It forgets the flow, except
+// when the route was removed: the flow's later packets still have to be recognized.
+func (e *Engine) closeFlow(now clock.Millis, k key, reason Reason) {
+	w := e.flows.byKey[k]
+	switch {
+	case w == nil:
+	case reason == ReasonRouteRemoved:
+		w.established, w.consumerDone, w.lastPacketAt = true, true, now
+		w.detach()
+	default:
+		e.flows.remove(k, w)
+	}
+}
+
 // trackPacket updates the state of a flow from a packet, and reports whether the packet
 // is the first one after the flow's opening packets.
 func (e *Engine) trackPacket(now clock.Millis, p *Packet, s *endpointState) bool {
@@ -96,7 +119,7 @@
 		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
-		if w.endpoint != s {
+		if w.endpoint != s || !w.counted {
 			w.attach(s)
 		}
 		s.silence.recordAnswer(now)
@@ -114,7 +137,7 @@
 // handleConsumerLeft handles a flow that its consumer finished or aborted. If a request
 // has been pending for long, the consumer gave it up, and it counts as overdue.
 func (e *Engine) handleConsumerLeft(now clock.Millis, w *flow, s *endpointState) {
-	if waited := now - w.requestAt; w.requestAt != 0 && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
+	if waited := now - w.requestAt; w.requestAt != 0 && w.requestAt >= s.knownSince && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
 		e.recordOverdue(now, s)
 	}
 	// The flow is kept for closingTimeout, because other instances may query it.
@@ -124,37 +147,56 @@
 	}
 }
 
-// trackData updates the state of a flow from the sequence numbers of a packet.
+// trackData updates the state of a flow from the sequence numbers of a packet. A request
+// that came with the acknowledgement of an answer is pending when the answer is recorded,
+// which may reset idle flows.
 func (e *Engine) trackData(now clock.Millis, p *Packet, w *flow, s *endpointState) {
+	answered, requestAt, size := false, clock.Millis(0), int(p.Ack-w.requestAck)
 	if p.Flags.Has(Acknowledge) && sequenceAfter(p.Ack, w.ack) {
 		w.ack = p.Ack
+		if !w.counted && !w.consumerDone {
+			w.attach(s)
+		}
 		s.silence.recordAnswer(now)
 		if w.requestAt != 0 && w.counted {
-			requestAt := w.requestAt
-			latency := w.endRequest(now)
-			e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[p.Destination].Name, Latency: latency})
-			// Small answers are excluded: errors are fast, and would make the failing
-			// endpoint the preferred one.
-			normal := e.classifyAnswer(now, p.Destination, w, s, int(p.Ack-w.requestAck))
-			if normal {
-				e.recordLatency(s, latency)
-			}
-			e.compareAnswer(now, s, requestAt, normal)
+			answered, requestAt = true, w.requestAt
+			w.endRequest()
 		}
 	}
-	if p.Length == 0 {
-		return
-	}
 	end := p.Sequence + uint32(p.Length)
-	if sequenceAfter(end, w.endSequence) {
+	isNew := p.Length > 0 && sequenceAfter(end, w.endSequence)
+	if isNew {
 		w.endSequence = end
 		if w.counted {
 			w.startRequest(now)
 		}
-		return
 	}
-	w.retransmits++
-	if w.requestAt != 0 {
-		e.handleMiss(now, s, w.requestAt)
+	if answered {
+		e.recordAnswer(now, p.Destination, w, s, requestAt, size)
 	}
+	switch {
+	case p.Length == 0:
+		if !p.Flags.Has(Finish) {
+			e.resetIfFailing(now, p.key(), w)
+		}
+	case !isNew:
+		w.retransmits++
+		if w.requestAt != 0 {
+			e.handleMiss(now, s, w.requestAt)
+		}
+	}
+}
+
+// recordAnswer records the answer to a request in the metrics and the evidence about its
+// endpoint.
+func (e *Engine) recordAnswer(now clock.Millis, destination AddrPort, w *flow, s *endpointState, requestAt clock.Millis, size int) {
+	latency := now - requestAt
+	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
+	// Small answers are excluded from the latency: errors are fast, and would make the
+	// failing endpoint the preferred one.
+	normal := e.classifyAnswer(now, destination, w, s, size)
+	if normal {
+		e.recordLatency(s, latency)
+	}
+	e.compareAnswer(now, s, requestAt, normal)
 }
--- a/steering/event.go
+++ b/steering/event.go
@@ -56,8 +56,9 @@
 }
 
 // FaultReported is emitted when another instance reported a fault. The engine probes an
-// endpoint that refuses connections. It ejects a failing one, or counts a vote for a probe
-// that timed out, unless the endpoint answered this instance just before.
+// endpoint that refuses connections. It ejects a failing one, and for a probe that timed
+// out it counts a vote and probes the endpoint too, unless the endpoint answered this
+// instance just before.
 type FaultReported struct {
 	Sender string // name of the other instance
 	EndpointFault
@@ -65,7 +66,10 @@
 
 // TalliesReported is emitted when another instance sent its tallies. The engine adds them
 // to its own counts.
-type TalliesReported struct{ Tallies []Tally }
+type TalliesReported struct {
+	Sender  string // name of the other instance
+	Tallies []Tally
+}
 
 // FlowsQueried is emitted when another instance asks which of its flows progressed here.
 // The engine answers with ReportFlows.
@@ -85,8 +89,10 @@
 // ProbeEnded carries the result of a Probe.
 type ProbeEnded struct {
 	Endpoint    string
+	Number      uint64 // of the Probe
 	Incarnation clock.Millis
 	Result      ProbeResult
+	Delay       clock.Millis // how late the timers of the probe were, or how long it was suspended
 }
 
 // ProbeResult is the result of a probe.
@@ -94,10 +100,10 @@
 
 // The results of probes.
 const (
-	ProbeTimedOut     ProbeResult = iota // no answer in time, but the control address, if any, answered
+	ProbeTimedOut     ProbeResult = iota // no answer in time, but one from the control address
 	ProbeAnswered                        // the connection was accepted or reset
 	ProbeRefused                         // the connection was refused
-	ProbeInconclusive                    // neither the endpoint nor the control address answered
+	ProbeInconclusive                    // no answer in time, and none from the control address, or the connection failed locally
 )
 
 var probeResultNames = map[ProbeResult]string{ProbeTimedOut: "hung", ProbeAnswered: "answered", ProbeRefused: "refused", ProbeInconclusive: "unclear"}
@@ -131,10 +137,12 @@
 // ProbeEnded.
 type Probe struct {
 	Endpoint    string
+	Number      uint64 // distinguishes the probes of an endpoint
 	Incarnation clock.Millis
 	Address     AddrPort
 	// Address of an endpoint that answered recently, probed at the same time. If it doesn't
-	// answer either, the network of this instance is faulty. Zero if there is none.
+	// answer either, the network of this instance is faulty. Zero if there is none, which
+	// makes a timeout inconclusive.
 	Control AddrPort
 }
 
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -67,8 +67,11 @@
 	return w
 }
 
-// remove deletes a flow from the table.
+// remove deletes a flow from the table, unless it was deleted before.
 func (f *flows) remove(k key, w *flow) {
+	if f.byKey[k] != w {
+		return
+	}
 	w.detach()
 	delete(f.byKey, k)
 	if len(f.free) < maxFreeFlows {
@@ -127,6 +130,16 @@
 	}
 }
 
+// detachAll detaches the flows of an endpoint that was replaced by a new process. Most of
+// them have ended, so they are neither load nor evidence until the endpoint answers them.
+func (f *flows) detachAll(s *endpointState) {
+	for _, w := range f.byKey {
+		if w.endpoint == s {
+			w.detach()
+		}
+	}
+}
+
 // startRequest marks a request as pending, unless one is pending already.
 func (w *flow) startRequest(now clock.Millis) {
 	if w.requestAt == 0 {
@@ -137,12 +150,10 @@
 	}
 }
 
-// endRequest marks the pending request as answered, and returns its latency.
-func (w *flow) endRequest(now clock.Millis) clock.Millis {
-	latency := now - w.requestAt
+// endRequest marks the pending request as answered.
+func (w *flow) endRequest() {
 	w.requestAt, w.retransmits = 0, 0
 	w.endpoint.load.pendingRequests--
-	return latency
 }
 
 // sequenceAfter reports whether sequence number a is after b, with wrap-around.
