Withdraw a refusal when a gone endpoint accepts a connection

Callers would see resets by endpoint_silent for up to 2 s at an endpoint that had refused connections, left the store and then accepted a connection.

--- a/steering/removal.go
+++ b/steering/removal.go
@@ -82,7 +82,8 @@
 		e.recordEnd(now, s)
 	case ProbeAnswered:
 		s.removal = removal{running: true}
-		s.silence.refused, s.silence.lost = false, false
+		s.silence.withdrawRefusal()
+		s.silence.lost = false
 	case ProbeInconclusive:
 	}
 }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -87,7 +87,7 @@
 }
 
 // withdrawRefusal withdraws the finding that the address refuses connections, when the
-// endpoint turns out to be draining.
+// endpoint turns out to be draining, or running without an entry.
 func (s *silence) withdrawRefusal() { s.refused, s.notDraining = false, false }
 
 // avoided reports whether new flows should go to other endpoints.
