--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -54,6 +54,8 @@
 	entryChangedAt  clock.Millis // when the entry was written or removed
 	removedRevision uint64       // revision at which the entry was removed; entries up to it are outdated
 	warmedUpAt      clock.Millis // end of the warm-up
+	removal         removal      // valid while the endpoint is gone
+	knownSince      clock.Millis // when this incarnation at this address became known
 
 	load     load
 	silence  silence
@@ -92,21 +94,27 @@
 		return false
 	}
 	if s == nil {
-		s = &endpointState{}
+		s = &endpointState{knownSince: now}
 		d.byID[p.ID] = s
 	} else if p.Incarnation != s.Incarnation || p.Address != s.Address {
-		// A new process or address: nothing seen of the earlier one applies.
-		s.load, s.silence, s.failures = load{}, silence{}, failures{}
+		// A new process or address: nothing seen of the earlier one applies. The counts of
+		// the load go down as the engine detaches its flows.
+		s.load.latency, s.load.shedAt = 0, 0
+		s.silence, s.failures = silence{}, failures{}
 		s.resets, s.observed = resetSeries{}, observed{}
+		s.knownSince = now
 	}
 	if s.entryState != listed {
 		s.silence = silence{}
 	}
-	if p.Draining && !s.Draining {
-		s.silence.lost = false // it has written its entry, so it runs
+	if p.Draining {
+		s.silence.withdrawRefusal()
+		if !s.Draining {
+			s.silence.lost = false // it has written its entry, so it runs
+		}
 	}
 	d.unindex(s)
-	s.Endpoint, s.entryState, s.entryChangedAt = p, listed, now
+	s.Endpoint, s.entryState, s.entryChangedAt, s.removal = p, listed, now, removal{}
 	s.warmedUpAt = now + p.Warmup
 	s.token = p.token()
 	d.index(s)
@@ -158,6 +166,7 @@
 	}
 	s.Revision, s.entryChangedAt = revision, now
 	s.Draining = true
+	s.silence.withdrawRefusal()
 	d.reindex(s)
 	return true
 }
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -37,6 +37,7 @@
 	queriedAt                clock.Millis     // time of the last query
 	reprobedAt               clock.Millis     // last run of reprobe
 	lastProbe                uint64           // number of the last probe
+	wasIsolated              bool             // isolated at the latest tick
 	sendTallies              bool             // the next tick sends the tallies
 	contradicted             []*endpointState // endpoints whose contradiction may not be reported yet
 
@@ -135,7 +136,7 @@
 		e.directory.storeRecoveredAt = max(e.directory.storeRecoveredAt, v.StoreRecoveredAt)
 		e.directory.confirm(v.EndpointsAt, e.settings.StaleAfter)
 	case TalliesReported:
-		return e.applyTallies(now, v.Tallies)
+		return e.applyTallies(now, v)
 	case FlowsQueried:
 		return e.reportFlows(v)
 	case FlowsReported:
@@ -255,7 +256,7 @@
 func (e *Engine) applyPage(now clock.Millis, v EndpointsPageRead) {
 	e.directory.partlyListed = true
 	for _, p := range v.Endpoints {
-		e.directory.put(now, p)
+		e.put(now, p, nil)
 	}
 }
 
@@ -303,10 +304,14 @@
 
 func (e *Engine) put(now clock.Millis, p Endpoint, actions []Action) []Action {
 	old := e.directory.byID[p.ID]
-	unchanged := old != nil && old.entryState == listed && old.Draining == p.Draining && old.Incarnation == p.Incarnation && old.Address == p.Address
+	sameProcess := old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address
+	unchanged := sameProcess && old.entryState == listed && old.Draining == p.Draining
 	if !e.directory.put(now, p) {
 		return actions
 	}
+	if old != nil && !sameProcess {
+		e.flows.detachAll(old)
+	}
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
 		return actions
@@ -345,11 +350,15 @@
 }
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
+	e.wasIsolated = e.isolated(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
+	for _, s := range e.directory.byID {
+		e.checkRefused(now, s)
+	}
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
-		if s.silence.answeredAt < s.entryChangedAt {
-			e.resetFlows(now, s, causeGone)
+		if s.load.flows > 0 {
+			e.checkEnded(now, s)
 		}
 	}
 	e.reprobe(now)
--- a/steering/evidence_test.go
+++ b/steering/evidence_test.go
@@ -19,6 +19,13 @@
 	return e
 }
 
+// steerSmallAnswers makes the flow at i-a1 get small answers, on a route with normal ones.
+func steerSmallAnswers(t *testing.T, e *Engine, now clock.Millis) {
+	for _, answers := range []string{"c9 a2 20 900", "c1 a1 3 100"} {
+		(&step{Answers: answers}).steerAnswers(t, e, answers, now)
+	}
+}
+
 func steerAll(t *testing.T, e *Engine, now clock.Millis, packets ...string) {
 	for _, text := range packets {
 		p := parsePacket(t, text)
@@ -60,9 +67,10 @@
 
 func TestEvidenceNamesReporter(t *testing.T) {
 	e := evidenceEngine(t)
+	steerSmallAnswers(t, e, startTime+4900)
 	actions := e.Handle(startTime+5000, FaultReported{Sender: "east", EndpointFault: EndpointFault{Endpoint: "i-a1", Incarnation: 1, Failing: true}})
 	require.Contains(t, actions, EndpointEjected{Endpoint: "i-a1", Service: "desk", Cause: causeReported, EjectionTime: minEjectionTime, ResetFlows: 1, Evidence: Evidence{
-		ProbeAge: -1, Reporter: "east", ReportAge: 0, AnswerAge: -1, EntryAge: 5000, RecordsAge: 5000,
+		ProbeAge: -1, Reporter: "east", ReportAge: 0, AnswerAge: 100, EntryAge: 5000, RecordsAge: 5000,
 	}})
 }
 
@@ -71,6 +79,7 @@
 func TestContradictionByTallies(t *testing.T) {
 	e := evidenceEngine(t)
 	token := e.directory.byID["i-a1"].token
+	steerSmallAnswers(t, e, startTime+4900)
 	e.Handle(startTime+5000, FaultReported{Sender: "east", EndpointFault: EndpointFault{Endpoint: "i-a1", Incarnation: 1, Failing: true}})
 	e.Handle(startTime+5300, TalliesReported{Tallies: []Tally{{Token: token, Normal: 6}}})
 	e.Handle(startTime+8200, TalliesReported{Tallies: []Tally{{Token: token, Normal: 4}}})
@@ -86,12 +95,13 @@
 	e := evidenceEngine(t)
 	token := e.directory.byID["i-a1"].token
 	failing := EndpointFault{Endpoint: "i-a1", Incarnation: 1, Failing: true}
+	steerSmallAnswers(t, e, startTime+4900)
 	e.Handle(startTime+5000, FaultReported{Sender: "east", EndpointFault: failing})
 	e.Handle(startTime+8200, TalliesReported{Tallies: []Tally{{Token: token, Normal: 5}}})
 	failing.Probation = true
 	require.Contains(t, e.Handle(startTime+8300, FaultReported{Sender: "east", EndpointFault: failing}), EndpointEjected{
 		Endpoint: "i-a1", Service: "desk", Cause: causeReported, EjectionTime: 2 * minEjectionTime,
-		Evidence: Evidence{ProbeAge: -1, Reporter: "east", AnswerAge: -1, EntryAge: 8300, RecordsAge: 8300},
+		Evidence: Evidence{ProbeAge: -1, Reporter: "east", AnswerAge: 3400, EntryAge: 8300, RecordsAge: 8300},
 	})
 	steerAll(t, e, startTime+8600, "c3 data token=a1 length=10")
 	steerAll(t, e, startTime+8620, "c3 ack token=a1 sequence=110 ack=900")
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -63,7 +63,9 @@
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
 	probeAnsweredAt clock.Millis // last probe with an answer
 	votes           []vote       // instances that reported a probe timeout
-	refused         bool         // the address refuses connections, so the process has ended
+	refused         bool         // the address refuses connections
+	refusedAt       clock.Millis // when refused was set
+	notDraining     bool         // refused, and the store confirmed since that the endpoint isn't draining
 	lost            bool         // it answers neither flows nor probes
 	endedAt         clock.Millis // when refused or lost was set, or last confirmed by a probe
 }
@@ -78,12 +80,16 @@
 // since. Until it does, it gets no new flows.
 func (s *silence) ended() bool { return s.refused || s.lost }
 
-// endedRecently reports whether the finding that the endpoint has ended is still valid.
-// Only then are its flows reset: the cause may be a partition that is over by now.
+// endedRecently reports whether the endpoint has ended for certain and that finding is still
+// valid. Only then are its flows reset: the cause may be a partition that is over by now.
 func (s *silence) endedRecently(now clock.Millis) bool {
-	return s.ended() && now-s.endedAt <= endedValidity
+	return (s.notDraining || s.lost) && now-s.endedAt <= endedValidity
 }
 
+// withdrawRefusal withdraws the finding that the address refuses connections, when the
+// endpoint turns out to be draining.
+func (s *silence) withdrawRefusal() { s.refused, s.notDraining = false, false }
+
 // avoided reports whether new flows should go to other endpoints.
 func (s *silence) avoided(now clock.Millis) bool {
 	return s.ended() || s.suspected || s.probeTimedOut(now) || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
@@ -316,6 +322,10 @@
 	if v.Result == ProbeAnswered {
 		e.compareProbe(now, s)
 	}
+	if s.entryState == gone {
+		e.handleRemovalProbe(now, s, v.Result)
+		return e.TakeActions()
+	}
 	if s.silence.ended() {
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
@@ -332,9 +342,8 @@
 		if s.Draining {
 			break // accepts no connections, but may still answer its last requests
 		}
-		s.silence.refused, s.silence.endedAt = true, now
+		s.silence.refused, s.silence.refusedAt, s.silence.endedAt = true, now, now
 		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Refused: true}})
-		e.resetFlows(now, s, causeRefused)
 	case ProbeTimedOut:
 		if now < e.stalledUntil {
 			break
@@ -360,28 +369,48 @@
 	e.resetFlows(now, s, causeSilent)
 }
 
-// reprobe requests probes of the endpoints that were found to have ended, and of those
-// whose last probe timed out.
+// checkRefused resets the flows of an endpoint that refuses connections when the store has
+// confirmed since that it isn't draining. A draining endpoint closes its listener before it
+// has answered its last requests.
+func (e *Engine) checkRefused(now clock.Millis, s *endpointState) {
+	if !s.silence.refused || s.silence.notDraining || s.Draining || s.entryState != listed {
+		return
+	}
+	if now < e.stalledUntil || now-s.silence.endedAt > endedValidity || e.directory.confirmedAt <= s.silence.refusedAt {
+		return
+	}
+	s.silence.notDraining = true
+	e.resetFlows(now, s, causeRefused)
+}
+
+// reprobe requests probes of the endpoints that were found to have ended, of those whose
+// last probe timed out, and of gone ones with flows whose end is unconfirmed.
 func (e *Engine) reprobe(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
 		return
 	}
 	e.reprobedAt = now
 	for _, s := range e.directory.byID {
-		if (s.silence.ended() || s.silence.probeTimedOut(now)) && s.entryState != gone && s.silence.probeDue(now, reprobeInterval) {
+		switch {
+		case s.entryState == gone && s.load.flows > 0:
+			e.checkEnded(now, s)
+		case s.entryState != gone && (s.silence.ended() || s.silence.probeTimedOut(now)) && s.silence.probeDue(now, reprobeInterval):
 			e.addProbe(now, s)
 		}
 	}
 }
 
-// handleReprobe handles the result of a probe of an endpoint that was found to have ended. An endpoint that answers
-// was only unreachable, and gets new flows again.
+// handleReprobe handles the result of a probe of an endpoint that was found to have ended.
+// One that answers was only unreachable, and gets new flows again.
 func (e *Engine) handleReprobe(now clock.Millis, s *endpointState, result ProbeResult) {
 	switch result {
 	case ProbeAnswered:
 		s.silence = silence{probedAt: s.silence.probedAt, probeAnsweredAt: now}
 		e.pendingActions = append(e.pendingActions, s.stateChanged())
 	case ProbeRefused:
+		if s.Draining {
+			break
+		}
 		s.silence.endedAt = now
 	case ProbeTimedOut:
 		if now >= e.stalledUntil {
