A refused connection after the entry left shows the end without another probe

Callers saw: a request to an endpoint that has ended waits for a second probe, though this instance's connection was refused after the entry left.

A refusal that is at most endedValidity old when the endpoint becomes gone, 2.5 s after the removal, came after it, and counts like one of a probe that was sent for the removal. Later it is checked again like any other result.

--- a/steering/removal.go
+++ b/steering/removal.go
@@ -34,6 +34,9 @@
 	if s.removal.replaced || s.answeredSinceRemoval() {
 		return
 	}
+	if s.silence.refused && now-s.silence.endedAt <= endedValidity && s.removal.endedAt < s.silence.endedAt {
+		e.recordEnd(now, s, s.silence.endedAt)
+	}
 	interval := probeInterval
 	switch {
 	case s.removal.endedRecently(now):
@@ -69,7 +72,7 @@
 	}
 	switch result {
 	case ProbeRefused:
-		e.recordEnd(now, s)
+		e.recordEnd(now, s, now)
 	case ProbeTimedOut:
 		if now < e.stalledUntil || e.isolated(now) {
 			return
@@ -79,7 +82,7 @@
 			e.addProbe(s)
 			return
 		}
-		e.recordEnd(now, s)
+		e.recordEnd(now, s, now)
 	case ProbeAnswered:
 		s.removal = removal{running: true}
 		s.silence.refused, s.silence.lost = false, false
@@ -87,11 +90,11 @@
 	}
 }
 
-// recordEnd handles a probe that shows that the process of a gone endpoint has ended. It
-// resets the endpoint's flows, unless an earlier result is still valid.
-func (e *Engine) recordEnd(now clock.Millis, s *endpointState) {
+// recordEnd handles a probe that showed, at the given time, that the process of a gone
+// endpoint has ended. It resets the endpoint's flows, unless an earlier result is still valid.
+func (e *Engine) recordEnd(now clock.Millis, s *endpointState, at clock.Millis) {
 	known := s.removal.endedRecently(now)
-	s.removal.endedAt, s.removal.running = now, false
+	s.removal.endedAt, s.removal.running = at, false
 	if !known {
 		e.resetFlows(now, s, causeGone)
 	}
