--- a/steering/established.go
+++ b/steering/established.go
@@ -137,7 +137,7 @@
 // handleConsumerLeft handles a flow that its consumer finished or aborted. If a request
 // has been pending for long, the consumer gave it up, and it counts as overdue.
 func (e *Engine) handleConsumerLeft(now clock.Millis, w *flow, s *endpointState) {
-	if waited := now - w.requestAt; w.requestAt != 0 && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
+	if waited := now - w.requestAt; w.requestAt != 0 && w.requestAt >= s.knownSince && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
 		e.recordOverdue(now, s)
 	}
 	// The flow is kept for closingTimeout, because other instances may query it.
@@ -147,8 +147,11 @@
 	}
 }
 
-// trackData updates the state of a flow from the sequence numbers of a packet.
+// trackData updates the state of a flow from the sequence numbers of a packet. A request
+// that came with the acknowledgement of an answer is pending when the answer is recorded,
+// which may reset idle flows.
 func (e *Engine) trackData(now clock.Millis, p *Packet, w *flow, s *endpointState) {
+	answered, requestAt, size := false, clock.Millis(0), int(p.Ack-w.requestAck)
 	if p.Flags.Has(Acknowledge) && sequenceAfter(p.Ack, w.ack) {
 		w.ack = p.Ack
 		if !w.counted && !w.consumerDone {
@@ -156,31 +159,44 @@
 		}
 		s.silence.recordAnswer(now)
 		if w.requestAt != 0 && w.counted {
-			requestAt := w.requestAt
-			latency := w.endRequest(now)
-			e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[p.Destination].Name, Latency: latency})
-			// Small answers are excluded: errors are fast, and would make the failing
-			// endpoint the preferred one.
-			normal := e.classifyAnswer(now, p.Destination, w, s, int(p.Ack-w.requestAck))
-			if normal {
-				e.recordLatency(s, latency)
-			}
-			e.compareAnswer(now, s, requestAt, normal)
+			answered, requestAt = true, w.requestAt
+			w.endRequest()
 		}
 	}
-	if p.Length == 0 {
-		return
-	}
 	end := p.Sequence + uint32(p.Length)
-	if sequenceAfter(end, w.endSequence) {
+	isNew := p.Length > 0 && sequenceAfter(end, w.endSequence)
+	if isNew {
 		w.endSequence = end
 		if w.counted {
 			w.startRequest(now)
 		}
-		return
 	}
-	w.retransmits++
-	if w.requestAt != 0 {
-		e.handleMiss(now, s, w.requestAt)
+	if answered {
+		e.recordAnswer(now, p.Destination, w, s, requestAt, size)
 	}
+	switch {
+	case p.Length == 0:
+		if !p.Flags.Has(Finish) {
+			e.resetIfFailing(now, p.key(), w)
+		}
+	case !isNew:
+		w.retransmits++
+		if w.requestAt != 0 {
+			e.handleMiss(now, s, w.requestAt)
+		}
+	}
+}
+
+// recordAnswer records the answer to a request in the metrics and the evidence about its
+// endpoint.
+func (e *Engine) recordAnswer(now clock.Millis, destination AddrPort, w *flow, s *endpointState, requestAt clock.Millis, size int) {
+	latency := now - requestAt
+	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
+	// Small answers are excluded from the latency: errors are fast, and would make the
+	// failing endpoint the preferred one.
+	normal := e.classifyAnswer(now, destination, w, s, size)
+	if normal {
+		e.recordLatency(s, latency)
+	}
+	e.compareAnswer(now, s, requestAt, normal)
 }
--- a/steering/removal.go
+++ b/steering/removal.go
@@ -52,7 +52,7 @@
 		e.resetFlows(now, s, causeGone)
 		return
 	}
-	e.addProbe(s)
+	e.addProbe(now, s)
 }
 
 // addressTaken reports whether a process that started later has the endpoint's address.
@@ -79,7 +79,7 @@
 		}
 		if s.removal.timeouts++; s.removal.timeouts < removalTimeouts {
 			s.silence.probedAt = now
-			e.addProbe(s)
+			e.addProbe(now, s)
 			return
 		}
 		e.recordEnd(now, s, now)
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -17,8 +17,9 @@
 // scriptCase is a case of testdata: events and packets in order, with the expected
 // decisions and actions.
 type scriptCase struct {
-	Name  string `yaml:"name"`
-	Steps []step `yaml:"steps"`
+	Name       string       `yaml:"name"`
+	TickPeriod clock.Millis `yaml:"period"` // 0 if ticks need not come in time
+	Steps      []step       `yaml:"steps"`
 }
 
 // step is one event or packet. Endpoints are written as "ID SERVICE CENTRE", followed by
@@ -35,17 +36,20 @@
 	Confirm        bool               `yaml:"confirm"`  // the store confirms all records now
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
 	Packet         string             `yaml:"packet"`
-	ProbeResult    string             `yaml:"probe"`  // "ID RESULT" of a probe
-	FaultReport    string             `yaml:"report"` // "ID INSTANCE hung" (or refused, failing, trial): a fault that another instance reports
-	FlowQuery      string             `yaml:"asked"`  // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
-	FlowReport     string             `yaml:"seen"`   // "CONSUMER ACK [ROUTE]": a flow progressed at another instance
+	Answers        string             `yaml:"answers"` // "CONSUMER ID COUNT SIZE [ROUTE]": requests on a flow, each answered at once
+	ProbeResult    string             `yaml:"probe"`   // "ID RESULT [late=N]" of the last probe, or "ID RESULT earlier" of the one before
+	FaultReport    string             `yaml:"report"`  // "ID INSTANCE hung" (or refused, failing, trial): a fault that another instance reports
+	Tally          string             `yaml:"counts"`  // "INSTANCE ID normal=N small=N overdue=N unanswered=AGE": a tally of another instance
+	FlowQuery      string             `yaml:"asked"`   // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
+	FlowReport     string             `yaml:"seen"`    // "CONSUMER ACK [ROUTE]": a flow progressed at another instance
 	Stalled        bool               `yaml:"woke"`
 	TickDelay      clock.Millis       `yaml:"late"` // how late the tick is
 	Tick           bool               `yaml:"tick"`
 
-	Want        string   `yaml:"want"`  // "VERDICT REASON [ID]" for the packet, or a prefix of it
-	WantNot     string   `yaml:"not"`   // endpoint that the packet must not be forwarded to
-	WantActions []string `yaml:"tells"` // actions in any order, as describeAction writes them; nil for any
+	Want        string   `yaml:"want"`    // "VERDICT REASON [ID]" for the packet, or a prefix of it
+	WantNot     string   `yaml:"not"`     // endpoint that the packet must not be forwarded to
+	WantControl string   `yaml:"control"` // control endpoint of the probe that the step requests, or "none"
+	WantActions []string `yaml:"tells"`   // actions in any order, as describeAction writes them; nil for any
 }
 
 type configurationStep struct {
@@ -68,7 +72,7 @@
 		require.NotEmpty(t, cases)
 		for _, c := range cases {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml")+"/"+c.Name, func(t *testing.T) {
-				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1})
+				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1})
 				for i, s := range c.Steps {
 					runStep(t, e, fmt.Sprintf("step %d at %d", i+1, s.At), s)
 				}
@@ -87,6 +91,9 @@
 	var got []string
 	collect := func(actions []Action) {
 		for _, a := range actions {
+			if v, ok := a.(Probe); ok && s.WantControl != "" {
+				require.Equal(t, s.WantControl, describeControl(e, v), name)
+			}
 			if text := describeAction(a); text != "" {
 				got = append(got, text)
 			}
@@ -99,6 +106,10 @@
 		s.steer(t, e, name, now)
 		collect(e.TakeActions())
 	}
+	if s.Answers != "" {
+		s.steerAnswers(t, e, name, now)
+		collect(e.TakeActions())
+	}
 	if s.WantActions != nil {
 		require.ElementsMatch(t, s.WantActions, got, name)
 	}
@@ -129,8 +140,7 @@
 		return v
 	})
 	add(s.ProbeResult != "", func() Event {
-		id, result, _ := strings.Cut(s.ProbeResult, " ")
-		return ProbeEnded{Endpoint: "i-" + id, Incarnation: 1, Result: parseProbeResult(t, result)}
+		return parseProbe(t, e, s.ProbeResult)
 	})
 	add(s.FaultReport != "", func() Event {
 		words := strings.Fields(s.FaultReport)
@@ -138,6 +148,7 @@
 		f := EndpointFault{Endpoint: "i-" + words[0], Incarnation: 1, Refused: words[2] == "refused", Failing: probation || words[2] == "failing", Probation: probation}
 		return FaultReported{Sender: words[1], EndpointFault: f}
 	})
+	add(s.Tally != "", func() Event { return parseTally(t, s.Tally) })
 	add(s.FlowQuery != "", func() Event {
 		sender, flow, _ := strings.Cut(s.FlowQuery, " ")
 		return FlowsQueried{Sender: sender, Flows: []FlowProgress{parseFlow(t, flow)}}
@@ -171,6 +182,26 @@
 	}
 }
 
+// steerAnswers sends the packets of the consumer for the answers of a step.
+func (s *step) steerAnswers(t *testing.T, e *Engine, name string, now clock.Millis) {
+	t.Helper()
+	words := append(strings.Fields(s.Answers), "")
+	count, err := strconv.Atoi(words[2])
+	require.NoError(t, err, "answers %q", s.Answers)
+	size, err := strconv.ParseUint(words[3], 10, 32)
+	require.NoError(t, err, "answers %q", s.Answers)
+	p := parsePacket(t, fmt.Sprintf("%s data token=%s route=%s", words[0], words[1], words[4]))
+	if w := e.flows.byKey[p.key()]; w != nil {
+		p.Sequence, p.Ack = w.endSequence, w.ack
+	}
+	for range count {
+		p.Length = 10
+		require.Equal(t, Forward, e.Steer(now, &p).Verdict, name)
+		p.Sequence, p.Ack, p.Length = p.Sequence+10, p.Ack+uint32(size), 0
+		require.Equal(t, Forward, e.Steer(now, &p).Verdict, name)
+	}
+}
+
 func configurationEvent(t *testing.T, e *Engine, c *configurationStep) Event {
 	n := &Configuration{Version: c.Version, Revision: c.Revision, IdleTimeout: 15000, Routes: map[AddrPort]Route{}}
 	for name, weights := range c.Routes {
@@ -257,6 +288,29 @@
 	return v
 }
 
+func parseTally(t *testing.T, text string) TalliesReported {
+	words := strings.Fields(text)
+	v := Tally{Token: Token(parseEndpoint(t, words[1:2]).Number)}
+	for _, w := range words[2:] {
+		name, value, _ := strings.Cut(w, "=")
+		n, err := strconv.Atoi(value)
+		require.NoError(t, err)
+		switch name {
+		case "normal":
+			v.Normal = n
+		case "small":
+			v.Small = n
+		case "overdue":
+			v.Overdue = n
+		case "unanswered":
+			v.UnansweredAges = append(v.UnansweredAges, clock.Millis(n))
+		default:
+			require.Fail(t, "tally", "field %q does not exist", name)
+		}
+	}
+	return TalliesReported{Sender: words[0], Tallies: []Tally{v}}
+}
+
 func describeFlows(flows []FlowProgress) string {
 	var words []string
 	for _, s := range flows {
@@ -311,6 +365,19 @@
 	return p
 }
 
+func parseProbe(t *testing.T, e *Engine, text string) ProbeEnded {
+	words := append(strings.Fields(text), "late=0")
+	v := ProbeEnded{Endpoint: "i-" + words[0], Incarnation: 1, Result: parseProbeResult(t, words[1])}
+	v.Number = e.directory.byID[v.Endpoint].silence.probeNumber
+	if words[2] == "earlier" {
+		v.Number--
+		return v
+	}
+	_, err := fmt.Sscanf(words[2], "late=%d", &v.Delay)
+	require.NoError(t, err, "probe %q", text)
+	return v
+}
+
 func parseProbeResult(t *testing.T, name string) ProbeResult {
 	for result, n := range probeResultNames {
 		if n == name {
@@ -321,6 +388,16 @@
 	return ProbeTimedOut
 }
 
+// describeControl returns the endpoint that a probe uses as its control.
+func describeControl(e *Engine, v Probe) string {
+	for id, s := range e.directory.byID {
+		if s.Address == v.Control {
+			return strings.TrimPrefix(id, "i-")
+		}
+	}
+	return "none"
+}
+
 // describeAction returns an action as scripts write it, or "" for actions that they ignore.
 func describeAction(a Action) string {
 	short := func(id string) string { return strings.TrimPrefix(id, "i-") }
@@ -334,8 +411,11 @@
 	case EndpointSilent:
 		return short(v.Endpoint) + " silent"
 	case ReportFault:
-		if v.Refused {
+		switch {
+		case v.Refused:
 			return "report " + short(v.Endpoint) + " refused"
+		case v.Failing:
+			return "report " + short(v.Endpoint) + " failing"
 		}
 		return "report " + short(v.Endpoint) + " hung"
 	case QueryFlows:
