--- a/steering/ejection.go
+++ b/steering/ejection.go
@@ -72,7 +72,7 @@
 func (e *Engine) resetFailing(now clock.Millis, s *endpointState, cause string) (reset int) {
 	f := &s.failures
 	errors := e.provesErrors(now, s)
-	idle := errors || f.ownFailureAt != 0 && now-f.ownFailureAt <= overdueWindow
+	idle := errors || f.ownFailureAt != 0 && now-f.ownFailureAt <= maxFailureAge
 	for k, w := range e.flows.byKey {
 		if w.endpoint == s && w.established && !w.consumerDone && (idle && w.requestAt == 0 || e.showsFailure(now, k, w)) {
 			e.resetFlow(k, w, cause)
@@ -92,11 +92,11 @@
 	}
 }
 
-// recordOwnFailure handles an overdue or unanswered request that this instance saw. If the
-// endpoint is ejected already, its idle flows are reset.
-func (e *Engine) recordOwnFailure(now clock.Millis, s *endpointState, cause string) {
+// recordOwnFailure handles an overdue or unanswered request that this instance saw, sent at
+// the given time. If the endpoint is ejected already, its idle flows are reset.
+func (e *Engine) recordOwnFailure(now clock.Millis, s *endpointState, requestAt clock.Millis, cause string) {
 	f := &s.failures
-	f.ownFailureAt = now
+	f.ownFailureAt = max(f.ownFailureAt, requestAt)
 	if f.ejected(now) && !f.ejectedOnProbation {
 		e.resetMore(now, s, cause)
 	}
--- a/steering/evidence.go
+++ b/steering/evidence.go
@@ -80,7 +80,7 @@
 	case causeOverdue:
 		all, v.Own = len(f.overdueAt), o.overdue.countSince(now-overdueWindow)
 	case causeUnanswered:
-		all, v.Own = len(f.unansweredAt), o.unanswered.countSince(now-overdueWindow-minOverdueTime)
+		all, v.Own = len(f.unansweredAt), o.unanswered.countSince(now-maxFailureAge)
 	}
 	v.Own = min(v.Own, all)
 	v.Others = all - v.Own
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -37,10 +37,11 @@
 	warmupOverdueDelay = 1 * clock.Second
 	// Requests sent longer ago than this don't show the present state of the endpoint.
 	maxOverdueAge     = 2500 * clock.Millisecond
-	overdueToEject    = 3                       // overdue requests within overdueWindow, seen by all instances together
-	overdueWindow     = 3 * clock.Second        // how long an overdue request counts
-	maxAffectedShare  = 0.25                    // if a larger share of a service's endpoints fails requests, the cause is the service or overload
-	trustReportsAfter = 500 * clock.Millisecond // reports are ignored until this long after a normal answer
+	overdueToEject    = 3                              // overdue requests within overdueWindow, seen by all instances together
+	overdueWindow     = 3 * clock.Second               // how long an overdue request counts
+	maxFailureAge     = overdueWindow + minOverdueTime // how long a request without an answer counts since it was sent
+	maxAffectedShare  = 0.25                           // if a larger share of a service's endpoints fails requests, the cause is the service or overload
+	trustReportsAfter = 500 * clock.Millisecond        // reports are ignored until this long after a normal answer
 )
 
 // failures is the evidence that an endpoint fails requests, and its ejection.
@@ -54,9 +55,8 @@
 	longStreakAt    clock.Millis   // last time the streak had half the length that suffices to eject
 	streakNumber    uint32         // identifies the streak, for the limit per flow
 	overdueAt       []clock.Millis // when requests became overdue, within overdueWindow
-	ownFailureAt    clock.Millis   // when this instance last saw an overdue or unanswered request itself
-	// When unanswered requests were sent. Those older than overdueWindow and
-	// minOverdueTime together are removed.
+	ownFailureAt    clock.Millis   // when the latest overdue or unanswered request that this instance saw was sent
+	// When unanswered requests were sent, within maxFailureAge.
 	unansweredAt []clock.Millis
 	ejectionTime clock.Millis // length of the latest ejection
 	ejectedUntil clock.Millis // end of the latest ejection
@@ -205,15 +205,15 @@
 	return !e.isWidespread(s, func(o *failures) bool { return o.longStreakAt != 0 && now-o.longStreakAt <= overdueWindow })
 }
 
-// recordOverdue counts an overdue request that this instance saw.
-func (e *Engine) recordOverdue(now clock.Millis, s *endpointState) {
+// recordOverdue counts an overdue request that this instance saw, sent at the given time.
+func (e *Engine) recordOverdue(now clock.Millis, s *endpointState, requestAt clock.Millis) {
 	if now < e.stalledUntil || e.isolated(now) || s.silence.ended() {
 		return
 	}
 	s.failures.tallyPending = true
 	s.failures.tally.Overdue++
 	s.observed.overdue.add(now)
-	e.recordOwnFailure(now, s, causeOverdue)
+	e.recordOwnFailure(now, s, requestAt, causeOverdue)
 	e.addOverdue(now, s, 1)
 }
 
--- a/steering/query.go
+++ b/steering/query.go
@@ -126,7 +126,7 @@
 		return
 	}
 	s.observed.unanswered.add(requestAt)
-	e.recordOwnFailure(now, s, causeUnanswered)
+	e.recordOwnFailure(now, s, requestAt, causeUnanswered)
 	if e.addUnanswered(now, s, requestAt) {
 		s.failures.tallyPending = true
 		s.failures.tally.UnansweredAges = append(s.failures.tally.UnansweredAges, requestAt)
@@ -146,7 +146,7 @@
 	}
 	f := &s.failures
 	s.resets.recordFailure()
-	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > overdueWindow+minOverdueTime })
+	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > maxFailureAge })
 	gap := max(minUnansweredGap, clock.Millis(unansweredGapFactor*e.expectedLatency(s)))
 	if slices.ContainsFunc(f.unansweredAt, func(at clock.Millis) bool { return max(at-requestAt, requestAt-at) < gap }) {
 		return false
