--- a/steering/engine.go
+++ b/steering/engine.go
@@ -13,7 +13,8 @@
 	Centre string // name of the data centre
 	// Age of the last confirmation from which on the store counts as unreachable.
 	StaleAfter clock.Millis
-	Seed       uint64 // of random choices
+	TickPeriod clock.Millis // time between two Ticked events; 0 if they need not come in time
+	Seed       uint64       // of random choices
 }
 
 // Engine makes the decisions of one instance. It is not safe for concurrent use.
@@ -29,11 +30,13 @@
 	baselines                map[AddrPort]*baseline
 	latencies                map[string]*serviceLatency // by service
 	stalledUntil             clock.Millis               // end of stallRecovery; until then, missing answers are no evidence
+	tickedAt                 clock.Millis               // last Ticked event
 	recent                   [recentOpenings]recentOpening
 	recentIndex              int              // index of the oldest entry of recent
 	flowsToQuery             []FlowProgress   // flows for the next query
 	queriedAt                clock.Millis     // time of the last query
-	reprobedAt               clock.Millis     // last run of reprobeEnded
+	reprobedAt               clock.Millis     // last run of reprobe
+	lastProbe                uint64           // number of the last probe
 	wasIsolated              bool             // isolated at the latest tick
 	sendTallies              bool             // the next tick sends the tallies
 	contradicted             []*endpointState // endpoints whose contradiction may not be reported yet
@@ -66,8 +69,17 @@
 	}
 }
 
+// checkDelay notices a stall by a tick that is overdue. Packets and messages that waited
+// for the process may be handled before the tick itself.
+func (e *Engine) checkDelay(now clock.Millis) {
+	if e.settings.TickPeriod != 0 && e.tickedAt != 0 && now-e.tickedAt-e.settings.TickPeriod >= minStall {
+		e.stalledUntil = now + stallRecovery
+	}
+}
+
 // Steer decides on one packet. Actions that result from it are returned by TakeActions.
 func (e *Engine) Steer(now clock.Millis, p *Packet) Decision {
+	e.checkDelay(now)
 	var d Decision
 	if p.Opening() {
 		d = e.steerOpening(now, p)
@@ -110,6 +122,7 @@
 
 // Handle handles an event and returns the resulting actions.
 func (e *Engine) Handle(now clock.Millis, event Event) []Action {
+	e.checkDelay(now)
 	switch v := event.(type) {
 	case ConfigurationRead:
 		return e.applyConfiguration(v.Configuration)
@@ -141,9 +154,14 @@
 		e.configurationConfirmedAt = 0
 		e.stalledUntil = now + stallRecovery
 		e.directory.storeRecoveredAt = now
+		// The clock doesn't count the suspension, so evidence is older than it seems.
+		for _, s := range e.directory.byID {
+			s.silence.expire()
+		}
 	case ProbeEnded:
 		return e.handleProbeEnded(now, v)
 	case Ticked:
+		e.tickedAt = now
 		if v.Delay >= minStall {
 			e.stalledUntil = now + stallRecovery
 		}
@@ -238,7 +256,7 @@
 func (e *Engine) applyPage(now clock.Millis, v EndpointsPageRead) {
 	e.directory.partlyListed = true
 	for _, p := range v.Endpoints {
-		e.directory.put(now, p)
+		e.put(now, p, nil)
 	}
 }
 
@@ -286,10 +304,14 @@
 
 func (e *Engine) put(now clock.Millis, p Endpoint, actions []Action) []Action {
 	old := e.directory.byID[p.ID]
-	unchanged := old != nil && old.entryState == listed && old.Draining == p.Draining && old.Incarnation == p.Incarnation && old.Address == p.Address
+	sameProcess := old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address
+	unchanged := sameProcess && old.entryState == listed && old.Draining == p.Draining
 	if !e.directory.put(now, p) {
 		return actions
 	}
+	if old != nil && !sameProcess {
+		e.flows.detachAll(old)
+	}
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
 		return actions
@@ -330,13 +352,16 @@
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
 	e.wasIsolated = e.isolated(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
+	for _, s := range e.directory.byID {
+		e.checkRefused(now, s)
+	}
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
-		if s.silence.answeredAt < s.entryChangedAt {
-			e.resetFlows(now, s, causeGone)
+		if s.load.flows > 0 {
+			e.checkEnded(now, s)
 		}
 	}
-	e.reprobeEnded(now)
+	e.reprobe(now)
 	actions = append(actions, e.TakeActions()...)
 	actions = e.reportContradictions(actions)
 	if e.sendTallies {
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -17,8 +17,9 @@
 // scriptCase is a case of testdata: events and packets in order, with the expected
 // decisions and actions.
 type scriptCase struct {
-	Name  string `yaml:"name"`
-	Steps []step `yaml:"steps"`
+	Name       string       `yaml:"name"`
+	TickPeriod clock.Millis `yaml:"period"` // 0 if ticks need not come in time
+	Steps      []step       `yaml:"steps"`
 }
 
 // step is one event or packet. Endpoints are written as "ID SERVICE CENTRE", followed by
@@ -36,7 +37,7 @@
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
 	Packet         string             `yaml:"packet"`
 	Answers        string             `yaml:"answers"` // "CONSUMER ID COUNT SIZE [ROUTE]": requests on a flow, each answered at once
-	ProbeResult    string             `yaml:"probe"`   // "ID RESULT" of a probe
+	ProbeResult    string             `yaml:"probe"`   // "ID RESULT [late=N]" of the last probe, or "ID RESULT earlier" of the one before
 	FaultReport    string             `yaml:"report"`  // "ID INSTANCE hung" (or refused, failing, trial): a fault that another instance reports
 	Tally          string             `yaml:"counts"`  // "INSTANCE ID normal=N small=N overdue=N unanswered=AGE": a tally of another instance
 	FlowQuery      string             `yaml:"asked"`   // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
@@ -45,9 +46,10 @@
 	TickDelay      clock.Millis       `yaml:"late"` // how late the tick is
 	Tick           bool               `yaml:"tick"`
 
-	Want        string   `yaml:"want"`  // "VERDICT REASON [ID]" for the packet, or a prefix of it
-	WantNot     string   `yaml:"not"`   // endpoint that the packet must not be forwarded to
-	WantActions []string `yaml:"tells"` // actions in any order, as describeAction writes them; nil for any
+	Want        string   `yaml:"want"`    // "VERDICT REASON [ID]" for the packet, or a prefix of it
+	WantNot     string   `yaml:"not"`     // endpoint that the packet must not be forwarded to
+	WantControl string   `yaml:"control"` // control endpoint of the probe that the step requests, or "none"
+	WantActions []string `yaml:"tells"`   // actions in any order, as describeAction writes them; nil for any
 }
 
 type configurationStep struct {
@@ -70,7 +72,7 @@
 		require.NotEmpty(t, cases)
 		for _, c := range cases {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml")+"/"+c.Name, func(t *testing.T) {
-				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1})
+				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1})
 				for i, s := range c.Steps {
 					runStep(t, e, fmt.Sprintf("step %d at %d", i+1, s.At), s)
 				}
@@ -89,6 +91,9 @@
 	var got []string
 	collect := func(actions []Action) {
 		for _, a := range actions {
+			if v, ok := a.(Probe); ok && s.WantControl != "" {
+				require.Equal(t, s.WantControl, describeControl(e, v), name)
+			}
 			if text := describeAction(a); text != "" {
 				got = append(got, text)
 			}
@@ -135,8 +140,7 @@
 		return v
 	})
 	add(s.ProbeResult != "", func() Event {
-		id, result, _ := strings.Cut(s.ProbeResult, " ")
-		return ProbeEnded{Endpoint: "i-" + id, Incarnation: 1, Result: parseProbeResult(t, result)}
+		return parseProbe(t, e, s.ProbeResult)
 	})
 	add(s.FaultReport != "", func() Event {
 		words := strings.Fields(s.FaultReport)
@@ -361,6 +365,19 @@
 	return p
 }
 
+func parseProbe(t *testing.T, e *Engine, text string) ProbeEnded {
+	words := append(strings.Fields(text), "late=0")
+	v := ProbeEnded{Endpoint: "i-" + words[0], Incarnation: 1, Result: parseProbeResult(t, words[1])}
+	v.Number = e.directory.byID[v.Endpoint].silence.probeNumber
+	if words[2] == "earlier" {
+		v.Number--
+		return v
+	}
+	_, err := fmt.Sscanf(words[2], "late=%d", &v.Delay)
+	require.NoError(t, err, "probe %q", text)
+	return v
+}
+
 func parseProbeResult(t *testing.T, name string) ProbeResult {
 	for result, n := range probeResultNames {
 		if n == name {
@@ -371,6 +388,16 @@
 	return ProbeTimedOut
 }
 
+// describeControl returns the endpoint that a probe uses as its control.
+func describeControl(e *Engine, v Probe) string {
+	for id, s := range e.directory.byID {
+		if s.Address == v.Control {
+			return strings.TrimPrefix(id, "i-")
+		}
+	}
+	return "none"
+}
+
 // describeAction returns an action as scripts write it, or "" for actions that they ignore.
 func describeAction(a Action) string {
 	short := func(id string) string { return strings.TrimPrefix(id, "i-") }
