forwarder: the tests of probes don't depend on the load of the machine

TestProbeSurvivesDroppedOpeningPacket needed the second attempt within 210 ms of a real connection, and TestProbeShowsStallBeforeNextTick stopped the whole test process for 0.4 s and needed that to fall into a probe. Both could fail beside other work. The attempts are a type with its times and its dial function now, and the tests give it a dial function that loses the first packet, loses all, or returns late.

--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -49,24 +49,37 @@
 	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result, Delay: delay})
 }
 
-// probeAddress opens TCP connections to an address until one is accepted or refused, and
-// closes them. It also returns how late its timers were at most.
+// prober opens connections to an address until one is accepted or refused.
+type prober struct {
+	timeout  clock.Millis
+	interval clock.Millis // between two attempts
+	attempts int
+	dial     func(context.Context, steering.AddrPort) steering.ProbeResult
+}
+
+var tcpProber = prober{timeout: probeTimeout, interval: probeAttemptInterval, attempts: probeAttempts, dial: dialAddress}
+
+// probeAddress returns the result of a probe, and how late its timers were at most.
 func (d *Daemon) probeAddress(to steering.AddrPort) (result steering.ProbeResult, delay clock.Millis) {
 	d.metrics.probes.Inc(1)
+	return tcpProber.probe(to)
+}
+
+func (p *prober) probe(to steering.AddrPort) (result steering.ProbeResult, delay clock.Millis) {
 	start := clock.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), p.timeout.Duration())
 	defer cancel()
-	results := make(chan steering.ProbeResult, probeAttempts)
+	results := make(chan steering.ProbeResult, p.attempts)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	attempts, timeouts := 0, 0
-	for timeouts < probeAttempts {
+	for timeouts < p.attempts {
 		select {
 		case <-timer.C:
-			delay = max(delay, clock.Now()-start-clock.Millis(attempts)*probeAttemptInterval)
-			go func() { results <- dialAddress(ctx, to) }()
-			if attempts++; attempts < probeAttempts {
-				timer.Reset((clock.Millis(attempts)*probeAttemptInterval - (clock.Now() - start)).Duration())
+			delay = max(delay, clock.Now()-start-clock.Millis(attempts)*p.interval)
+			go func() { results <- p.dial(ctx, to) }()
+			if attempts++; attempts < p.attempts {
+				timer.Reset((clock.Millis(attempts)*p.interval - (clock.Now() - start)).Duration())
 			}
 		case result = <-results:
 			if result != steering.ProbeTimedOut {
@@ -75,7 +88,7 @@
 			timeouts++
 		}
 	}
-	return steering.ProbeTimedOut, max(delay, clock.Now()-start-probeTimeout)
+	return steering.ProbeTimedOut, max(delay, clock.Now()-start-p.timeout)
 }
 
 // dialAddress opens a TCP connection to an address and closes it.
--- a/forwarder/probe_test.go
+++ b/forwarder/probe_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"fmt"
+	"context"
 	"net"
 	"os"
-	"os/exec"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,55 +26,30 @@
 	return d
 }
 
-// listenWithFullQueue returns a listener whose queue of new connections is full, so that
-// the kernel drops further opening packets.
-func listenWithFullQueue(t *testing.T) (net.Listener, steering.AddrPort) {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
-	require.NoError(t, err)
-	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	require.NoError(t, unix.Listen(fd, 0))
-	file := os.NewFile(uintptr(fd), "listener")
-	l, err := net.FileListener(file)
-	require.NoError(t, err)
-	require.NoError(t, file.Close())
-	t.Cleanup(func() { _ = l.Close() })
-	for range 2 {
-		c, err := net.DialTimeout("tcp4", l.Addr().String(), 50*time.Millisecond)
-		if err != nil {
-			break
-		}
-		t.Cleanup(func() { _ = c.Close() })
-	}
-	to, _ := steering.AddrPortFromNetip(l.Addr().(*net.TCPAddr).AddrPort())
-	return l, to
+// dropPackets is a dial function whose opening packets get lost.
+func dropPackets(ctx context.Context, _ steering.AddrPort) steering.ProbeResult {
+	<-ctx.Done()
+	return steering.ProbeTimedOut
 }
 
 func TestProbeSurvivesDroppedOpeningPacket(t *testing.T) {
-	l, to := listenWithFullQueue(t)
-	result := make(chan steering.ProbeResult, 1)
-	go func() {
-		r, _ := newProbingDaemon().probeAddress(to)
-		result <- r
-	}()
-	time.Sleep(50 * time.Millisecond)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.Close()
+	var dials atomic.Int32
+	p := prober{timeout: 10 * clock.Second, interval: clock.Millisecond, attempts: 3, dial: func(ctx context.Context, to steering.AddrPort) steering.ProbeResult {
+		if dials.Add(1) == 1 {
+			return dropPackets(ctx, to)
 		}
-	}()
-	require.Equal(t, steering.ProbeAnswered, <-result)
+		return steering.ProbeAnswered
+	}}
+	result, _ := p.probe(steering.AddrPort{})
+	require.Equal(t, steering.ProbeAnswered, result)
 }
 
 func TestProbeTimesOutWhenNothingAnswers(t *testing.T) {
-	_, to := listenWithFullQueue(t)
+	p := prober{timeout: 20 * clock.Millisecond, interval: 5 * clock.Millisecond, attempts: 3, dial: dropPackets}
 	start := clock.Now()
-	result, _ := newProbingDaemon().probeAddress(to)
+	result, _ := p.probe(steering.AddrPort{})
 	require.Equal(t, steering.ProbeTimedOut, result)
-	require.GreaterOrEqual(t, clock.Now()-start, probeTimeout)
+	require.GreaterOrEqual(t, clock.Now()-start, p.timeout)
 }
 
 func TestProbeThatFailsLocallyIsInconclusive(t *testing.T) {
@@ -83,24 +58,44 @@
 }
 
 func TestProbeShowsStallBeforeNextTick(t *testing.T) {
-	_, to := listenWithFullQueue(t)
-	delays := make(chan clock.Millis, 1)
-	go func() {
-		_, delay := newProbingDaemon().probeAddress(to)
-		delays <- delay
-	}()
-	time.Sleep(20 * time.Millisecond)
-	stall := fmt.Sprintf("kill -STOP %d; sleep 0.4; kill -CONT %d", os.Getpid(), os.Getpid())
-	require.NoError(t, exec.Command("sh", "-c", stall).Run())
-	require.GreaterOrEqual(t, <-delays, 60*clock.Millisecond)
+	const stall = 100 * clock.Millisecond
+	p := prober{timeout: 20 * clock.Millisecond, interval: 5 * clock.Millisecond, attempts: 3, dial: func(ctx context.Context, to steering.AddrPort) steering.ProbeResult {
+		result := dropPackets(ctx, to)
+		time.Sleep(stall.Duration())
+		return result
+	}}
+	_, delay := p.probe(steering.AddrPort{})
+	require.GreaterOrEqual(t, delay, stall-clock.Millisecond) // the clock counts whole milliseconds
 }
 
 func TestProbeWithoutControlThatTimesOutIsInconclusive(t *testing.T) {
 	d := newProbingDaemon()
 	log := &bytes.Buffer{}
 	d.log = newEventLog(log)
-	_, to := listenWithFullQueue(t)
-	d.probe(steering.Probe{Endpoint: "i-1", Incarnation: 1, Address: to})
+	d.probe(steering.Probe{Endpoint: "i-1", Incarnation: 1, Address: addressWithFullQueue(t)})
 	d.log.flush()
 	require.Contains(t, log.String(), `"end":"unclear"`)
 }
+
+// addressWithFullQueue returns the address of a listener whose queue of new connections is
+// full, so that the kernel drops further opening packets.
+func addressWithFullQueue(t *testing.T) steering.AddrPort {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	require.NoError(t, err)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(fd, 0))
+	file := os.NewFile(uintptr(fd), "listener")
+	l, err := net.FileListener(file)
+	require.NoError(t, err)
+	require.NoError(t, file.Close())
+	t.Cleanup(func() { _ = l.Close() })
+	for range 2 {
+		c, err := net.DialTimeout("tcp4", l.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	to, _ := steering.AddrPortFromNetip(l.Addr().(*net.TCPAddr).AddrPort())
+	return to
+}
