A lost endpoint that refuses a connection may be draining

Callers would see: packets of open flows reset for 2 s and more at a draining endpoint that still answers, after a cut that hid it.

Cause: an endpoint was found lost by timeouts while it couldn't be reached.

Now such a refusal replaces the finding, and flows are reset once the store confirms that the endpoint isn't draining. New flows go elsewhere as before.

--- a/steering/silence.go
+++ b/steering/silence.go
@@ -411,6 +411,10 @@
 		if s.Draining {
 			break
 		}
+		if s.silence.lost {
+			// It can be reached again, so only the refusal still counts.
+			s.silence.lost, s.silence.refused, s.silence.refusedAt = false, true, now
+		}
 		s.silence.endedAt = now
 	case ProbeTimedOut:
 		if now >= e.stalledUntil {
