Messages and answers that waited during a stall confirm no later records

Callers would see: open flows reset at an endpoint that drains. Flows at an endpoint that refuses connections are reset when the store confirms afterwards that it isn't draining, and an entry counts as gone when the store confirms it for long enough.

Cause: a member counts the age of records from when it handles a heartbeat, an answer of the store or the records of another member. After a stall these may have waited since its start, so old records look confirmed. A member that watches then sends that age to all others, which weren't stalled and believe it. The steering engine of the stalled instance ignores much for a second, but the time of the confirmation stays.

Now a member whose tick is overdue counts them, until it has caught up, as sent before the stall. Before, in the new test:

fleet_test.go:486: expected: 9900, actual: 15900 Messages: heartbeat that is read before the first tick

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -28,6 +28,10 @@
 	// Greatest age of records in messages, also of those that were never confirmed. It takes
 	// as many bytes as that of an outage of minutes.
 	maxRecordAge = 24 * clock.Hour
+	// This time without a tick counts as a stall of the process. Messages and answers of the
+	// store that are handled until stallRecovery has passed may have waited since its start.
+	minStall      = 500 * clock.Millisecond
+	stallRecovery = 1 * clock.Second
 )
 
 // Engine decides when its member watches the store, and what it sends to other members.
@@ -37,6 +41,9 @@
 	peers    peerList
 
 	startedAt                clock.Millis
+	tickedAt                 clock.Millis // last Ticked event; 0 before the first
+	stalledAt                clock.Millis // last Ticked event before the latest stall
+	stalledUntil             clock.Millis // end of stallRecovery
 	state                    RecordState
 	configurationConfirmedAt clock.Millis // when the store last confirmed the configuration; 0 if it hasn't
 	endpointsConfirmedAt     clock.Millis // when the store last confirmed the endpoints; 0 if it hasn't
@@ -84,6 +91,7 @@
 
 // Handle processes an event and returns the actions to perform, in order.
 func (e *Engine) Handle(now clock.Millis, event Event) []Action {
+	e.checkDelay(now)
 	switch v := event.(type) {
 	case MembersListed:
 		return e.handleMembersListed(now, v)
@@ -106,11 +114,32 @@
 	case Stopping:
 		return e.handleStopping(now)
 	case Ticked:
+		e.tickedAt = now
 		return e.handleTick(now)
 	}
 	return nil
 }
 
+// checkDelay notices a stall by a tick that is overdue.
+func (e *Engine) checkDelay(now clock.Millis) {
+	if e.tickedAt == 0 || now-e.tickedAt < minStall {
+		return
+	}
+	if now >= e.stalledUntil {
+		e.stalledAt = e.tickedAt
+	}
+	e.stalledUntil = now + stallRecovery
+}
+
+// sentAt returns when a message or an answer of the store that is handled now was sent at
+// the latest, as far as is certain.
+func (e *Engine) sentAt(now clock.Millis) clock.Millis {
+	if now < e.stalledUntil {
+		return e.stalledAt
+	}
+	return now
+}
+
 // broadcast sends a message to all other members of the data centre.
 func (e *Engine) broadcast(m Message) []Action {
 	if len(e.peers.list) == 0 {
@@ -204,12 +233,12 @@
 	}
 	if s.ConfigurationRevision == e.state.ConfigurationRevision {
 		e.state.ConfirmedRevision = max(e.state.ConfirmedRevision, s.ConfirmedRevision)
-		e.configurationConfirmedAt = max(e.configurationConfirmedAt, now-s.ConfigurationAge)
+		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.sentAt(now)-s.ConfigurationAge)
 	}
 	if e.state.EndpointsRevision >= s.ChangeRevision && s.EndpointsRevision >= e.state.EndpointsRevision {
 		e.state.EndpointsRevision = s.EndpointsRevision
 		e.state.ChangeRevision = max(e.state.ChangeRevision, s.ChangeRevision)
-		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, now-s.EndpointsAge)
+		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.sentAt(now)-s.EndpointsAge)
 	}
 	actions := append([]Action{NotifySteering{Event: e.Confirmation()}}, e.updateWatching(now)...)
 	if s.ConfigurationRevision <= e.state.ConfigurationRevision && s.ChangeRevision <= e.state.EndpointsRevision {
@@ -284,9 +313,9 @@
 		e.recoveredAt = now
 	}
 	if v.IsConfiguration {
-		e.configurationConfirmedAt = now
+		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.sentAt(now))
 	} else {
-		e.endpointsConfirmedAt = now
+		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.sentAt(now))
 	}
 	actions := e.updateWatching(now)
 	if !e.watching {
@@ -304,11 +333,11 @@
 func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) {
 	if v.State.ConfigurationRevision >= e.state.ConfigurationRevision {
 		e.state.ConfigurationRevision = v.State.ConfigurationRevision
-		e.configurationConfirmedAt = max(e.configurationConfirmedAt, now-v.State.ConfigurationAge)
+		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.sentAt(now)-v.State.ConfigurationAge)
 	}
 	if v.State.EndpointsRevision >= e.state.EndpointsRevision {
 		e.state.EndpointsRevision, e.state.ChangeRevision = v.State.EndpointsRevision, max(v.State.ChangeRevision, e.state.ChangeRevision)
-		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, now-v.State.EndpointsAge)
+		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.sentAt(now)-v.State.EndpointsAge)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -462,3 +462,39 @@
 	require.EqualValues(t, 10_000, old.Confirmation().ConfigurationAt, "at another member")
 	require.False(t, old.isActiveWatcher(20_100, old.peers.find("edge-2")), "the restarted member gets no answers")
 }
+
+func TestWhatWaitedDuringStallConfirmsNoLaterRecords(t *testing.T) {
+	member := func(i byte) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)}
+	}
+	state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 7, EndpointsRevision: 7, ConfigurationAge: 100, EndpointsAge: 100}
+	heartbeat := MessageReceived{From: member(1), Message: Heartbeat{State: state}}
+	e := NewEngine(Settings{Self: member(2), RecordBound: 3000}, 9000)
+	e.Handle(9000, MembersListed{Members: []Member{member(1)}})
+	e.Handle(9000, RecordsFetched{State: state})
+	for now := clock.Millis(9100); now <= 10_000; now += 100 {
+		e.Handle(now, Ticked{})
+	}
+	e.Handle(10_000, heartbeat)
+	requireConfirmed := func(at clock.Millis, event string) {
+		t.Helper()
+		require.Equal(t, at, e.Confirmation().ConfigurationAt, event)
+		require.Equal(t, at, e.Confirmation().EndpointsAt, event)
+	}
+	requireConfirmed(9900, "heartbeat before the stall")
+	e.Handle(16_000, heartbeat)
+	requireConfirmed(9900, "heartbeat that is read before the first tick")
+	e.Handle(16_001, Ticked{})
+	e.Handle(16_002, heartbeat)
+	requireConfirmed(9900, "heartbeat that is read after it")
+	e.Handle(16_003, RecordsFetched{State: state})
+	requireConfirmed(9900, "records of another member")
+	e.Handle(16_004, RecordsRead{IsConfiguration: true, State: state})
+	e.Handle(16_005, RecordsRead{State: state})
+	requireConfirmed(10_000, "answers of the store")
+	for now := clock.Millis(16_100); now <= 17_100; now += 100 {
+		e.Handle(now, Ticked{})
+	}
+	e.Handle(17_100, heartbeat)
+	requireConfirmed(17_000, "heartbeat after the recovery")
+}
