A flow that its consumer finished isn't reset for its small answers

Callers would see: the answer to a request that came with the end of the flow is cut off by a reset.

Such a flow isn't counted, so its request isn't pending, and the next plain acknowledgement reset it if its last answers were small and the endpoint ejected.

--- a/steering/ejection.go
+++ b/steering/ejection.go
@@ -119,7 +119,7 @@
 
 // resetIfFailing resets an idle flow of an ejected endpoint if it shows errors.
 func (e *Engine) resetIfFailing(now clock.Millis, k key, w *flow) {
-	if e.flows.byKey[k] == w && w.endpoint.failures.ejected(now) && w.requestAt == 0 && w.showsErrors(now) {
+	if e.flows.byKey[k] == w && !w.consumerDone && w.endpoint.failures.ejected(now) && w.requestAt == 0 && w.showsErrors(now) {
 		e.resetFlow(k, w, causeSmall)
 		w.endpoint.addReset(now, causeSmall)
 	}
