A suspension makes the records of a member older

The clock doesn't count a suspension, so a member that woke took its records for as recent as before it, and a watcher told all others so.

Answers and messages that are handled in the next second may have waited since before it, and confirm no later time.

Before, in the new test: age of the endpoints after 4000 ms of suspension: expected 4040, actual 40.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -113,6 +113,8 @@
 		}
 	case Stopping:
 		return e.handleStopping(now)
+	case ProcessSuspended:
+		e.handleSuspended(now, v.Duration)
 	case Ticked:
 		e.tickedAt = now
 		return e.handleTick(now)
@@ -131,6 +133,18 @@
 	e.stalledUntil = now + stallRecovery
 }
 
+// handleSuspended makes the records older by a suspension. Until stallRecovery has passed,
+// messages and answers may have waited since its start.
+func (e *Engine) handleSuspended(now, duration clock.Millis) {
+	if e.configurationConfirmedAt != 0 {
+		e.configurationConfirmedAt -= duration
+	}
+	if e.endpointsConfirmedAt != 0 {
+		e.endpointsConfirmedAt -= duration
+	}
+	e.stalledAt, e.stalledUntil = e.tickedAt-duration, now+stallRecovery
+}
+
 // sentAt returns when a message or an answer of the store that is handled now was sent at
 // the latest, as far as is certain.
 func (e *Engine) sentAt(now clock.Millis) clock.Millis {
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
@@ -60,6 +61,10 @@
 // that it stops watching.
 type Stopping struct{}
 
+// ProcessSuspended reports that the process was suspended for a time that the clock didn't
+// count. The records are that much older.
+type ProcessSuspended struct{ Duration clock.Millis }
+
 // Ticked lets the engine send what has become due. The daemon emits it at a fixed period.
 type Ticked struct{}
 
@@ -72,6 +77,7 @@
 func (FlowQueryRequested) event()   {}
 func (FlowReplyRequested) event()   {}
 func (Stopping) event()             {}
+func (ProcessSuspended) event()     {}
 func (Ticked) event()               {}
 
 // Action is an output of the engine that the daemon performs.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -498,3 +498,24 @@
 	e.Handle(17_100, heartbeat)
 	requireConfirmed(17_000, "heartbeat after the recovery")
 }
+
+func TestSuspensionMakesRecordsOlder(t *testing.T) {
+	e := NewEngine(Settings{Self: Member{Name: "edge-1", Centre: "here"}, RecordBound: 3000}, 9000)
+	e.Handle(9000, Ticked{})
+	state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 7, EndpointsRevision: 7}
+	for _, isConfiguration := range []bool{true, false} {
+		e.Handle(9010, RecordsRead{IsConfiguration: isConfiguration, State: state})
+	}
+	e.Handle(9050, ProcessSuspended{Duration: 4000}) // the clock doesn't count the suspension
+	require.EqualValues(t, 4040, e.RecordState(9050).EndpointsAge)
+	require.EqualValues(t, 4040, e.RecordState(9050).ConfigurationAge)
+	require.EqualValues(t, 5010, e.Confirmation().EndpointsAt)
+	// An answer that waited in the socket since before the suspension.
+	e.Handle(9060, RecordsRead{State: state})
+	require.EqualValues(t, 5010, e.Confirmation().EndpointsAt)
+	for now := clock.Millis(9100); now <= 9050+stallRecovery; now += 100 {
+		e.Handle(now, Ticked{})
+	}
+	e.Handle(9050+stallRecovery, RecordsRead{State: state})
+	require.EqualValues(t, 9050+stallRecovery, e.Confirmation().EndpointsAt)
+}
