A suspended process confirms no records by what it knew before

Callers would see: a refused opening for a route that was added while the instance's host was suspended, and records of before the suspension that count as confirmed just now at all instances of the data centre.

Cause: the clock doesn't count a suspension. The steering engine forgets then that the configuration was confirmed, but the fleet engine wasn't told: with the next heartbeat it confirmed the old time again, and told it to the others.

Now the fleet engine forgets both confirmations too, and takes none from what waited, until it has caught up as after a stall.

Before, with the event but without its handling, the new test:

fleet_test.go:515: Should be zero, but was 9000

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -113,6 +113,10 @@
 		}
 	case Stopping:
 		return e.handleStopping(now)
+	case Suspended:
+		e.configurationConfirmedAt, e.endpointsConfirmedAt = 0, 0
+		e.stalledAt, e.stalledUntil = 0, now+stallRecovery
+		return e.updateWatching(now)
 	case Ticked:
 		e.tickedAt = now
 		return e.handleTick(now)
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -60,6 +60,10 @@
 // that it stops watching.
 type Stopping struct{}
 
+// Suspended reports that the process was suspended for a time that the clock doesn't count.
+// The records may have changed since, and messages may have waited.
+type Suspended struct{}
+
 // Ticked lets the engine send what has become due. The daemon emits it at a fixed period.
 type Ticked struct{}
 
@@ -72,6 +76,7 @@
 func (FlowQueryRequested) event()   {}
 func (FlowReplyRequested) event()   {}
 func (Stopping) event()             {}
+func (Suspended) event()            {}
 func (Ticked) event()               {}
 
 // Action is an output of the engine that the daemon performs.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -498,3 +498,27 @@
 	e.Handle(17_100, heartbeat)
 	requireConfirmed(17_000, "heartbeat after the recovery")
 }
+
+func TestSuspensionLeavesNoRecordsConfirmed(t *testing.T) {
+	member := func(i byte) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)}
+	}
+	state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 7, EndpointsRevision: 7}
+	e := NewEngine(Settings{Self: member(2), RecordBound: 3000}, 9000)
+	e.Handle(9000, MembersListed{Members: []Member{member(1)}})
+	e.Handle(9000, RecordsFetched{State: state})
+	require.EqualValues(t, 9000, e.Confirmation().EndpointsAt)
+	e.Handle(9100, Suspended{})
+	heartbeat := MessageReceived{From: member(1), Message: Heartbeat{State: state}}
+	for _, event := range []Event{Ticked{}, heartbeat} {
+		e.Handle(9101, event)
+		require.Zero(t, e.Confirmation().ConfigurationAt)
+		require.Zero(t, e.Confirmation().EndpointsAt)
+	}
+	for now := clock.Millis(9201); now <= 10_101; now += 100 {
+		e.Handle(now, Ticked{})
+	}
+	e.Handle(10_101, heartbeat)
+	require.EqualValues(t, 10_101, e.Confirmation().ConfigurationAt)
+	require.EqualValues(t, 10_101, e.Confirmation().EndpointsAt)
+}
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -302,6 +302,7 @@
 		}
 		if stalled := detector.check(); stalled > 0 {
 			d.log.info("woke", "slept_ms", stalled)
+			d.handleFleet(fleet.Suspended{})
 			d.handle(steering.ProcessStalled{})
 		}
 		now := clock.Now()
