Records that take long to read are confirmed as of their request

Callers would see: open flows reset at an endpoint that drains, by an instance that has just read all records.

They counted as confirmed when the last byte arrived, though a drain may have been accepted in the meantime. Flows at an endpoint that refuses connections are reset on a confirmation after the refusal.

Now both count as confirmed when they were requested. The answer of a watch still counts when it arrives, since the store waits for changes until then.

Before, with the new field but without its use, the new test:

fleet_test.go:530: expected: 2500, actual: 5000, list of the store

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -144,6 +144,14 @@
 	return now
 }
 
+// readSince returns the time since when records that are handled now may have been read.
+func (e *Engine) readSince(now, requestedAt clock.Millis) clock.Millis {
+	if requestedAt == 0 {
+		return e.sentAt(now)
+	}
+	return min(e.sentAt(now), requestedAt)
+}
+
 // broadcast sends a message to all other members of the data centre.
 func (e *Engine) broadcast(m Message) []Action {
 	if len(e.peers.list) == 0 {
@@ -317,9 +325,9 @@
 		e.recoveredAt = now
 	}
 	if v.IsConfiguration {
-		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.sentAt(now))
+		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.readSince(now, v.RequestedAt))
 	} else {
-		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.sentAt(now))
+		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.readSince(now, v.RequestedAt))
 	}
 	actions := e.updateWatching(now)
 	if !e.watching {
@@ -337,11 +345,11 @@
 func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) {
 	if v.State.ConfigurationRevision >= e.state.ConfigurationRevision {
 		e.state.ConfigurationRevision = v.State.ConfigurationRevision
-		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.sentAt(now)-v.State.ConfigurationAge)
+		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.ConfigurationAge)
 	}
 	if v.State.EndpointsRevision >= e.state.EndpointsRevision {
 		e.state.EndpointsRevision, e.state.ChangeRevision = v.State.EndpointsRevision, max(v.State.ChangeRevision, e.state.ChangeRevision)
-		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.sentAt(now)-v.State.EndpointsAge)
+		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.EndpointsAge)
 	}
 }
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
@@ -29,11 +30,13 @@
 	FullList        bool                      // all endpoints were listed, so changes are not known one by one
 	Delta           *steering.Delta           // change of the configuration; nil if there was none
 	StoreRecovered  bool                      // the store had not answered the previous call
+	RequestedAt     clock.Millis              // when the records were requested, if they may be as old as that; 0 if they are current
 }
 
 // RecordsFetched reports that this member fetched all records from another member.
 type RecordsFetched struct {
-	State RecordState // of the other member when it answered
+	State       RecordState  // of the other member when it answered
+	RequestedAt clock.Millis // since when it may have answered; 0 if it answered now
 }
 
 // EndpointFaultFound reports a fault of an endpoint that steering found at this instance.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -522,3 +522,14 @@
 	require.EqualValues(t, 10_101, e.Confirmation().ConfigurationAt)
 	require.EqualValues(t, 10_101, e.Confirmation().EndpointsAt)
 }
+
+func TestRecordsThatTakeLongToReadAreConfirmedWhenRequested(t *testing.T) {
+	state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 7, EndpointsRevision: 7}
+	e := NewEngine(Settings{RecordBound: 3000}, 1000)
+	e.Handle(5000, RecordsRead{FullList: true, State: state, RequestedAt: 2500})
+	require.EqualValues(t, 2500, e.Confirmation().EndpointsAt, "list of the store")
+	state.EndpointsAge, state.ConfigurationAge = 100, 100
+	e.Handle(9000, RecordsFetched{State: state, RequestedAt: 7000})
+	require.EqualValues(t, 6900, e.Confirmation().EndpointsAt, "records of another member")
+	require.EqualValues(t, 6900, e.Confirmation().ConfigurationAt, "records of another member")
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -230,6 +230,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	start := clock.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
@@ -249,18 +250,18 @@
 	if r.Configuration == nil {
 		return errors.New("records have no configuration")
 	}
-	d.applyPeerRecords(&r)
+	d.applyPeerRecords(&r, start)
 	return nil
 }
 
-// applyPeerRecords passes the records of a peer to both engines, and forwards queued
-// packets.
-func (d *Daemon) applyPeerRecords(r *peerRecords) {
+// applyPeerRecords passes the records of a peer, requested at the given time, to both
+// engines, and forwards queued packets.
+func (d *Daemon) applyPeerRecords(r *peerRecords, requestedAt clock.Millis) {
 	d.mu.Lock()
 	now := clock.Now()
 	actions := d.engine.Handle(now, steering.ConfigurationRead{Configuration: r.Configuration})
 	actions = append(actions, d.engine.Handle(now, steering.EndpointsListed{Endpoints: r.Endpoints, Revision: r.State.EndpointsRevision})...)
-	d.fleet.Handle(now, fleet.RecordsFetched{State: r.State})
+	d.fleet.Handle(now, fleet.RecordsFetched{State: r.State, RequestedAt: requestedAt})
 	d.engine.Handle(now, d.fleet.Confirmation())
 	d.peerRecordsRead = true
 	d.mu.Unlock()
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -92,12 +92,13 @@
 }
 
 func (d *Daemon) listEndpoints(ctx context.Context) error {
+	start := clock.Now()
 	l, err := d.store.Load().Endpoints(ctx, d.applyEndpointsPage)
 	if err != nil {
 		return err
 	}
 	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
-		read := fleet.RecordsRead{FullList: true, State: d.fleet.RecordState(now)}
+		read := fleet.RecordsRead{FullList: true, State: d.fleet.RecordState(now), RequestedAt: start}
 		read.State.EndpointsRevision = max(read.State.EndpointsRevision, l.Revision)
 		read.State.ChangeRevision = read.State.EndpointsRevision
 		return d.engine.Handle(now, l), read
