A relay that stalled doesn't make a watcher's heartbeats younger

Callers would see: open flows reset at an endpoint that drains, at instances that weren't stalled.

Cause: in a data centre with more than 26 other instances, some relay the heartbeats of the watcher, with the ages of the records as they were sent. A relay that was stalled passes on those that waited meanwhile. During an outage of the store, its receivers take the old age for a later confirmation.

Now a relay adds the time for which a heartbeat may have waited.

Before, the new test:

fleet_test.go:561: expected: 6100, actual: 100, after a stall

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -277,7 +277,7 @@
 	}
 	actions := e.handleWatcherState(now, p, m.State, m.Leaving)
 	if m.Relay {
-		actions = append(actions, e.relayHeartbeat(p, m.State)...)
+		actions = append(actions, e.relayHeartbeat(now, p, m.State)...)
 	}
 	return actions
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -533,3 +533,30 @@
 	require.EqualValues(t, 6900, e.Confirmation().EndpointsAt, "records of another member")
 	require.EqualValues(t, 6900, e.Confirmation().ConfigurationAt, "records of another member")
 }
+
+func TestRelayThatStalledDoesNotMakeHeartbeatsYounger(t *testing.T) {
+	var members []Member
+	for i := range byte(40) {
+		members = append(members, Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i + 1}), 1)})
+	}
+	watcher := NewEngine(Settings{Self: members[0], RecordBound: 3000}, 9000)
+	watcher.Handle(9000, MembersListed{Members: members})
+	relay := watcher.peers.orderAfter(members[0].Name)[0].Member
+	e := NewEngine(Settings{Self: relay, RecordBound: 3000}, 9000)
+	e.Handle(9000, MembersListed{Members: members})
+	e.Handle(10_000, Ticked{})
+	heartbeat := MessageReceived{From: members[0], Message: Heartbeat{Relay: true, State: RecordState{ConfigurationAge: 100, EndpointsAge: 100}}}
+	relayedAge := func(now clock.Millis) clock.Millis {
+		for _, a := range e.Handle(now, heartbeat) {
+			if s, ok := a.(Send); ok {
+				m := s.Message.(RelayedHeartbeat)
+				require.Equal(t, m.State.ConfigurationAge, m.State.EndpointsAge)
+				return m.State.EndpointsAge
+			}
+		}
+		require.Fail(t, "no heartbeat was relayed")
+		return 0
+	}
+	require.EqualValues(t, 100, relayedAge(10_050))
+	require.EqualValues(t, 6100, relayedAge(16_000), "after a stall")
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -46,7 +46,7 @@
 // relayHeartbeat relays a watcher's heartbeat to the members that this one serves. If
 // members know different lists of members, a heartbeat may reach a member twice or not at
 // all; a member that misses heartbeats asks the watcher to send them directly.
-func (e *Engine) relayHeartbeat(watcher *peer, s RecordState) []Action {
+func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, s RecordState) []Action {
 	order := e.peers.orderAfter(watcher.Name)
 	// The list lacks this member itself. Find its position in the watcher's list.
 	self := &peer{Member: e.settings.Self, rank: rank(e.settings.Self.Name)}
@@ -65,6 +65,8 @@
 	if len(to) == 0 {
 		return nil
 	}
+	delay := now - e.sentAt(now)
+	s.ConfigurationAge, s.EndpointsAge = min(s.ConfigurationAge+delay, maxRecordAge), min(s.EndpointsAge+delay, maxRecordAge)
 	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s}}}
 }
 
