--- a/steering/established.go
+++ b/steering/established.go
@@ -137,7 +137,7 @@
 // handleConsumerLeft handles a flow that its consumer finished or aborted. If a request
 // has been pending for long, the consumer gave it up, and it counts as overdue.
 func (e *Engine) handleConsumerLeft(now clock.Millis, w *flow, s *endpointState) {
-	if waited := now - w.requestAt; w.requestAt != 0 && w.requestAt >= s.knownSince && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
+	if waited := now - w.requestAt; w.requestAt != 0 && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
 		e.recordOverdue(now, s, w.requestAt)
 	}
 	// The flow is kept for closingTimeout, because other instances may query it.
--- a/steering/query.go
+++ b/steering/query.go
@@ -55,9 +55,8 @@
 func (e *Engine) checkSuspectedLost(now clock.Millis, k key, w *flow) {
 	// After a stall, packets from the socket buffer are old, and their consumers may have
 	// been answered or left since. Flows to another data centre mostly belong to its own
-	// consumers, whose packets return to its instances, and those aren't queried. Requests to
-	// an earlier incarnation show nothing of the present one.
-	if w.requestAt < e.stalledUntil || w.requestAt < w.endpoint.knownSince || w.endpoint.Centre != e.settings.Centre {
+	// consumers, whose packets return to its instances, and those aren't queried.
+	if w.requestAt < e.stalledUntil || w.endpoint.Centre != e.settings.Centre {
 		return
 	}
 	if w.queriedAt == 0 {
