--- a/steering/silence.go
+++ b/steering/silence.go
@@ -28,10 +28,9 @@
 	minBackoff        = 1 * clock.Second // first pause without new flows, doubled each time
 	maxBackoff        = 8 * clock.Second
 	probeInterval     = 500 * clock.Millisecond // minimum time between two probes of an endpoint
-	// The same after another instance reported that the endpoint refuses connections, and
-	// that its probe timed out.
+	// The same after another instance reported that the endpoint refuses connections.
 	refusedProbeInterval = 50 * clock.Millisecond
-	votedProbeInterval   = minSilentTime
+	votedProbeInterval   = minSilentTime    // the same after another instance's probe timed out
 	probeValidity        = 3 * clock.Second // how long a probe result is used
 	// Time without any answer after which an endpoint may count as lost. A host accepts
 	// connections at once even under load, and on a healthy path some answer arrives
@@ -279,11 +278,11 @@
 	if s == nil || s.Incarnation != v.Incarnation || s.silence.ended() {
 		return nil
 	}
-	// A recent answer to this instance outweighs a report of a failing or lost endpoint.
-	// Refused connections are verified by a probe instead.
 	if v.Failing || v.Refused {
 		s.observed.reporter, s.observed.reportedAt = v.Sender, now
 	}
+	// A recent answer to this instance outweighs a report of a failing endpoint. Refused and
+	// timed-out connections are verified by a probe.
 	if v.Failing {
 		known := !v.Probation || s.failures.onProbation(now)
 		if known && now-s.failures.normalAt >= trustReportsAfter {
