Objects of the store are decoded one by one, within limits

Cause: the answer to a list or a watch was decoded as a whole, so one entry of another writer that is nested too deeply, has an odd revision or isn't an object made every instance fail the same call for as long as the entry stayed. A restarted instance never became ready, a watch never advanced, and the log blamed the store. A capacity of 1e9 was accepted and took all new flows of its service. A message with a route without services ended the process with the next packet of that route (index out of range in Route.choose).

Change: items, events, routes, members and reports are decoded on their own; the domain types check their limits where they are decoded, from the store and from other instances. An unreadable entry is logged (endpoint unreadable, configuration unreadable), counted (records.unreadable) and reported as a condition. A panic ends only the packet, message or call that caused it (counter panics). The store's stand-in serves such objects.

An odd entry that replaces a good one names no endpoint to use, so it gets no new flows; its flows stay, as the endpoint's process didn't end. A route that can't be decoded keeps its earlier definition by name, as leaving it out would reset its flows.

The case 'an invalid configuration is rejected as a whole' is replaced: it let one odd route cost all others. The new cases check each route, each limit, and that the watch goes on.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	$(FUZZ) -fuzz '^FuzzDecodeEnvelope$$' ./packet
 	$(FUZZ) -fuzz '^FuzzDecodeObject$$' ./record
 	$(FUZZ) -fuzz '^FuzzDecodePacket$$' ./platform
+	$(FUZZ) -fuzz '^FuzzDecodeAnswer$$' ./platform
 	$(FUZZ) -fuzz '^FuzzDecode$$' ./fleet
 	$(FUZZ) -fuzz '^FuzzOpen$$' ./token
 
--- a/command/reports.go
+++ b/command/reports.go
@@ -20,10 +20,13 @@
 	if err != nil {
 		return err
 	}
-	list, err := platform.NewStore(client).Reports(ctx)
+	list, unreadable, err := platform.NewStore(client).Reports(ctx)
 	if err != nil {
 		return errors.Wrap(err, "list reports")
 	}
+	for _, e := range unreadable {
+		fmt.Fprintf(i.Err, "left out: %v\n", e)
+	}
 	switch format {
 	case "table":
 		err = printReports(i, list)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -9,8 +9,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/steering"
 )
 
+// maxNameBytes limits the names of members and data centres, so that each message has room
+// for its sender.
+const maxNameBytes = 128
+
 // ErrMember reports a member without a valid name, data centre or address.
 var ErrMember = errors.New("member is invalid")
 
@@ -27,10 +32,12 @@
 // Check returns an error for the first invalid field.
 func (m *Member) Check() error {
 	switch {
-	case m.Name == "":
-		return errors.Wrapf(ErrMember, "field %q: is empty", "name")
-	case m.Centre == "":
-		return errors.Wrapf(ErrMember, "member %q: field %q: is empty", m.Name, "centre")
+	case m.Name == "" || len(m.Name) > maxNameBytes:
+		return errors.Wrapf(ErrMember, "field %q: is not 1 to %d bytes", "name", maxNameBytes)
+	case m.Centre == "" || len(m.Centre) > maxNameBytes:
+		return errors.Wrapf(ErrMember, "member %q: field %q: is not 1 to %d bytes", m.Name, "centre", maxNameBytes)
+	case m.StartedAt < 0 || m.StartedAt > steering.MaxIncarnation:
+		return errors.Wrapf(ErrMember, "member %q: field %q: %d is not within 0 to %d", m.Name, "boot", m.StartedAt, steering.MaxIncarnation)
 	case !m.Address.IsValid() || m.Address.Port() == 0:
 		return errors.Wrapf(ErrMember, "member %q: field %q: %q is not an IP address and port", m.Name, "address", m.Address)
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -159,6 +159,78 @@
 	return data, nil
 }
 
+// maxRevision is the greatest revision of the store in messages.
+const maxRevision = 1 << 62
+
+// Check returns ErrMessage if a revision or an age exceeds its limits. An age below 0 would
+// make records look confirmed in the future.
+func (s *RecordState) Check() error {
+	for _, r := range []uint64{s.ConfigurationRevision, s.ConfirmedRevision, s.ChangeRevision, s.EndpointsRevision} {
+		if r > maxRevision {
+			return errors.Wrapf(ErrMessage, "revision %d is greater than %d", r, uint64(maxRevision))
+		}
+	}
+	for _, age := range []clock.Millis{s.ConfigurationAge, s.EndpointsAge} {
+		if age < 0 || age > maxRecordAge {
+			return errors.Wrapf(ErrMessage, "age of %d ms is not within 0 to %d", age, maxRecordAge)
+		}
+	}
+	if s.RecoveredAge < 0 {
+		return errors.Wrapf(ErrMessage, "age of %d ms is negative", s.RecoveredAge)
+	}
+	return nil
+}
+
+// check returns an error for the first field of the message that exceeds its limits. Invalid
+// endpoints in EndpointChanges cost no other: they become unreadable entries.
+func (e *envelope) check() error {
+	for _, s := range e.recordStates() {
+		if err := s.Check(); err != nil {
+			return err
+		}
+	}
+	switch {
+	case e.RelayedHeartbeat != nil:
+		return e.RelayedHeartbeat.Watcher.Check()
+	case e.EndpointChanges != nil:
+		for i := range e.EndpointChanges.Changes {
+			c := &e.EndpointChanges.Changes[i]
+			if c.Endpoint.Revision > maxRevision {
+				return errors.Wrapf(ErrMessage, "revision %d is greater than %d", c.Endpoint.Revision, uint64(maxRevision))
+			}
+			if err := c.Endpoint.Check(); err != nil && !c.Removed && !c.Unreadable {
+				*c = c.Endpoint.Unreadable(err)
+			}
+		}
+	case e.ConfigurationChange != nil:
+		return e.ConfigurationChange.Delta.Check()
+	case e.EndpointTallies != nil:
+		for i := range e.EndpointTallies.Tallies {
+			if err := e.EndpointTallies.Tallies[i].Check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// recordStates returns the record states of the message.
+func (e *envelope) recordStates() (list []*RecordState) {
+	if e.Heartbeat != nil {
+		list = append(list, &e.Heartbeat.State)
+	}
+	if e.RelayedHeartbeat != nil {
+		list = append(list, &e.RelayedHeartbeat.State)
+	}
+	if e.EndpointChanges != nil {
+		list = append(list, &e.EndpointChanges.State)
+	}
+	if e.ConfigurationChange != nil {
+		list = append(list, &e.ConfigurationChange.State)
+	}
+	return list
+}
+
 // Decode returns the sender and the message of a datagram, or ErrMessage if it isn't valid.
 func Decode(data []byte) (Member, Message, error) {
 	var e envelope
@@ -168,6 +240,9 @@
 	if err := e.From.Check(); err != nil {
 		return Member{}, nil, errors.Wrapf(ErrMessage, "%v", err)
 	}
+	if err := e.check(); err != nil {
+		return Member{}, nil, errors.Wrapf(ErrMessage, "message of %q: %v", e.From.Name, err)
+	}
 	switch {
 	case e.Hello != nil:
 		return e.From, *e.Hello, nil
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -212,9 +212,8 @@
 
 // handle passes an event to the steering engine and carries out the actions it returns.
 func (d *Daemon) handle(e steering.Event) {
-	d.mu.Lock()
-	actions := d.engine.Handle(clock.Now(), e)
-	d.mu.Unlock()
+	var actions []steering.Action
+	d.locked(func() { actions = d.engine.Handle(clock.Now(), e) })
 	d.perform(actions)
 }
 
@@ -244,12 +243,18 @@
 	for _, a := range actions {
 		switch v := a.(type) {
 		case steering.Probe:
-			d.goroutines.Go(func() { d.probe(v) })
+			d.goroutines.Go(func() { d.guard("probe", func() { d.probe(v) }) })
 		case steering.ConfigurationAccepted:
 			d.metrics.configurationVersion.Update(v.Version)
 			d.log.info("configuration accepted", "version", v.Version, "revision", v.Revision, "routes", v.Routes, "removed", v.RemovedRoutes)
 		case steering.EndpointsLoaded:
 			d.log.info("endpoints listed", "count", v.Count, "revision", v.Revision)
+		case steering.EndpointUnreadable:
+			d.metrics.unreadableEntries.Inc(1)
+			d.log.infoLimited("endpoint unreadable", "endpoint", v.Endpoint, "revision", v.Revision, "why", v.Cause)
+		case steering.ConfigurationUnreadable:
+			d.metrics.unreadableEntries.Inc(1)
+			d.log.infoLimited("configuration unreadable", "route", v.Route, "revision", v.Revision, "why", v.Cause)
 		case steering.EndpointStateChanged:
 			d.log.info("endpoint "+v.State, "endpoint", v.Endpoint, "service", v.Service, "address", v.Address.String(), "revision", v.Revision)
 		case steering.EndpointSilent:
@@ -300,26 +305,16 @@
 			continue
 		case <-ticker.C:
 		}
-		if stalled := detector.check(); stalled > 0 {
-			d.log.info("woke", "slept_ms", stalled)
-			d.handleFleet(fleet.ProcessSuspended{Duration: stalled})
-			d.handle(steering.ProcessStalled{})
-		}
 		now := clock.Now()
-		d.handle(steering.Ticked{Delay: now - nextTick})
+		d.guard("tick", func() { d.tickSteering(detector, now-nextTick) })
 		nextTick = now + tickPeriod
-		d.handleFleet(fleet.Ticked{})
-		d.mu.Lock()
-		answers = d.engine.TakeAnswers(answers[:0])
-		d.mu.Unlock()
-		for _, a := range answers {
-			d.metrics.recordLatency(a)
-		}
+		d.guard("tick of the members", func() { d.handleFleet(fleet.Ticked{}) })
+		d.guard("answers", func() { answers = d.recordAnswers(answers[:0]) })
 		if now >= nextTallies {
 			nextTallies = now + tallyPeriod
-			d.sendTallies()
+			d.guard("tallies", d.sendTallies)
 		}
-		d.writeReport(ctx)
+		d.guard("report", func() { d.writeReport(ctx) })
 		if now >= nextSettingsCheck {
 			nextSettingsCheck = now + settingsCheckPeriod
 			if file.changed() {
@@ -329,11 +324,31 @@
 	}
 }
 
+// tickSteering sends a tick to the steering engine, and tells both engines of a suspension of
+// the process before it.
+func (d *Daemon) tickSteering(detector *stallDetector, delay clock.Millis) {
+	if stalled := detector.check(); stalled > 0 {
+		d.log.info("woke", "slept_ms", stalled)
+		d.handleFleet(fleet.ProcessSuspended{Duration: stalled})
+		d.handle(steering.ProcessStalled{})
+	}
+	d.handle(steering.Ticked{Delay: delay})
+}
+
+// recordAnswers adds the latencies of the answers since the last call to the metrics. It
+// uses the memory of list and returns it for the next call.
+func (d *Daemon) recordAnswers(list []steering.Answered) []steering.Answered {
+	d.locked(func() { list = d.engine.TakeAnswers(list) })
+	for _, a := range list {
+		d.metrics.recordLatency(a)
+	}
+	return list
+}
+
 // sendTallies sends this instance's counts of answers per endpoint to other instances.
 func (d *Daemon) sendTallies() {
-	d.mu.Lock()
-	tallies := d.engine.TakeTallies(clock.Now())
-	d.mu.Unlock()
+	var tallies []steering.Tally
+	d.locked(func() { tallies = d.engine.TakeTallies(clock.Now()) })
 	if len(tallies) > 0 {
 		d.handleFleet(fleet.EndpointTalliesTaken{Tallies: tallies})
 	}
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -59,6 +59,8 @@
 	"remove":           (*deployment).remove,             // ID: removes an endpoint's entry from the store
 	"store":            (*deployment).setStoreFault,      // fine, or REFUSAL [NAME...]: the store refuses calls of all or of some instances
 	"compact":          (*deployment).compact,            // the store discards its history
+	"odd":              (*deployment).writeOdd,           // KIND/NAME FAULT...: another program writes odd objects, with faults of standin.OddFaults
+	"unreadable":       (*deployment).waitUnreadable,     // COUNT WORD...: waits until the logs of so many running instances have a line about an unreadable object with the words
 	"version":          (*deployment).waitVersion,        // NUMBER: waits until this configuration is in force at all instances
 	"watchers":         (*deployment).waitWatchers,       // COUNT: waits until so many instances watch the store
 	"reported":         (*deployment).waitReport,         // CENTRE: waits until the store has the report of a data centre
@@ -331,6 +333,33 @@
 
 func (s *deployment) compact([]string) { s.store.Compact() }
 
+func (s *deployment) writeOdd(words []string) {
+	kind, name, _ := strings.Cut(words[0], "/")
+	for n, fault := range words[1:] {
+		at := name
+		if len(words) > 2 {
+			at = fmt.Sprintf("%s%d", name, n)
+		}
+		s.store.PutOdd(kind, at, fault)
+	}
+}
+
+func (s *deployment) waitUnreadable(words []string) {
+	want := s.number(words)
+	s.eventually(func() bool {
+		n := 0
+		for _, r := range s.daemons {
+			found := slices.ContainsFunc(strings.Split(r.log.String(), "\n"), func(line string) bool {
+				return strings.Contains(line, " unreadable") && !slices.ContainsFunc(words[1:], func(w string) bool { return !strings.Contains(line, w) })
+			})
+			if found && !r.stopped {
+				n++
+			}
+		}
+		return n >= want
+	})
+}
+
 func (s *deployment) waitVersion(words []string) {
 	want := int64(s.number(words))
 	s.eventually(func() bool {
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -25,8 +25,10 @@
 	registry             metrics.Registry
 	decisions            [3][]metrics.Counter // by verdict and reason
 	malformed            metrics.Counter      // packets and messages that could not be decoded
+	unreadableEntries    metrics.Counter      // entries of endpoints, configurations and routes that could not be decoded
 	unsent               metrics.Counter      // packets and messages that could not be sent
 	readErrors           metrics.Counter
+	panics               metrics.Counter // units of work that panicked
 	storeCalls           metrics.Counter
 	failedStoreCalls     metrics.Counter
 	messagesIn           metrics.Counter // from other instances
@@ -52,8 +54,10 @@
 		}
 	}
 	m.malformed = m.counter("packets.malformed")
+	m.unreadableEntries = m.counter("records.unreadable")
 	m.unsent = m.counter("packets.unsent")
 	m.readErrors = m.counter("packets.read_errors")
+	m.panics = m.counter("panics")
 	m.storeCalls = m.counter("store.calls")
 	m.failedStoreCalls = m.counter("store.unanswered")
 	m.messagesIn = m.counter("members.messages_in")
--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -72,7 +72,7 @@
 	var reset [platform.HeaderSize]byte
 	for _, v := range packets {
 		if platform.DecodePacket(v.data[platform.EndpointPrefixSize:], &p) == nil { // receive has decoded it before
-			d.forward(&p, v.data, v.receivedAt, &reset)
+			d.guard("packet", func() { d.forward(&p, v.data, v.receivedAt, &reset) })
 		}
 	}
 	if len(packets) > 0 {
@@ -101,7 +101,7 @@
 			d.log.infoLimited("packet malformed", "error", err.Error())
 			continue
 		}
-		d.forward(&p, buffer[:platform.EndpointPrefixSize+n], clock.Now(), &reset)
+		d.guard("packet", func() { d.forward(&p, buffer[:platform.EndpointPrefixSize+n], clock.Now(), &reset) })
 	}
 }
 
@@ -111,11 +111,7 @@
 func (d *Daemon) forward(p *steering.Packet, data []byte, receivedAt clock.Millis, reset *[platform.HeaderSize]byte) {
 	now := clock.Now()
 	d.lastPacketAt.Store(int64(receivedAt))
-	d.mu.Lock()
-	v := d.engine.Steer(now, p)
-	queued := v.Reason == steering.ReasonNoRecords && d.queue.add(receivedAt, data)
-	actions := d.engine.TakeActions()
-	d.mu.Unlock()
+	v, queued, actions := d.steer(now, p, data, receivedAt)
 	if queued {
 		return
 	}
@@ -139,6 +135,16 @@
 	d.perform(actions)
 }
 
+// steer returns the decision on a packet and the actions that result from it, or queues the
+// packet.
+func (d *Daemon) steer(now clock.Millis, p *steering.Packet, data []byte, receivedAt clock.Millis) (v steering.Decision, queued bool, actions []steering.Action) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v = d.engine.Steer(now, p)
+	queued = v.Reason == steering.ReasonNoRecords && d.queue.add(receivedAt, data)
+	return v, queued, d.engine.TakeActions()
+}
+
 // sendReset sends the consumer of a packet a reset of its flow. Consumers listen on the
 // same port as instances. buffer is overwritten.
 func (d *Daemon) sendReset(p *steering.Packet, buffer *[platform.HeaderSize]byte) error {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -33,9 +33,32 @@
 
 // peerRecords is the body of an answer at recordsPath: all records of a member.
 type peerRecords struct {
-	State         fleet.RecordState       `cbor:"state"`
-	Configuration *steering.Configuration `cbor:"configuration"`
-	Endpoints     []steering.Endpoint     `cbor:"endpoints"`
+	State         fleet.RecordState         `cbor:"state"`
+	Configuration *steering.Configuration   `cbor:"configuration"`
+	Endpoints     []steering.Endpoint       `cbor:"endpoints"`
+	Unreadable    []steering.EndpointChange `cbor:"unreadable,omitempty"`
+}
+
+// check returns an error if the records can't be used. An invalid endpoint costs no other: it
+// becomes an unreadable entry.
+func (r *peerRecords) check() error {
+	if err := r.State.Check(); err != nil {
+		return err
+	}
+	if err := r.Configuration.Check(); err != nil {
+		return err
+	}
+	valid := r.Endpoints[:0]
+	for i := range r.Endpoints {
+		p := &r.Endpoints[i]
+		if err := p.Check(); err != nil {
+			r.Unreadable = append(r.Unreadable, p.Unreadable(err))
+			continue
+		}
+		valid = append(valid, *p)
+	}
+	r.Endpoints = valid
+	return nil
 }
 
 // openPeerSockets opens the sockets for other members at the first internal port.
@@ -76,7 +99,7 @@
 func (d *Daemon) serveRecords(w http.ResponseWriter, _ *http.Request) {
 	d.mu.Lock()
 	complete := d.engine.Complete()
-	r := peerRecords{State: d.fleet.RecordState(clock.Now()), Configuration: d.engine.Configuration(), Endpoints: d.engine.Endpoints()}
+	r := peerRecords{State: d.fleet.RecordState(clock.Now()), Configuration: d.engine.Configuration(), Endpoints: d.engine.Endpoints(), Unreadable: d.engine.Unreadable()}
 	d.mu.Unlock()
 	if !complete {
 		http.Error(w, "no records yet", http.StatusServiceUnavailable)
@@ -100,22 +123,25 @@
 			d.log.infoLimited("message read failed", "error", err.Error())
 			continue
 		}
-		from, m, err := fleet.Decode(buffer[:n])
-		if err != nil {
-			d.metrics.malformed.Inc(1)
-			d.log.infoLimited("message malformed", "error", err.Error())
-			continue
-		}
-		d.metrics.messagesIn.Inc(1)
-		d.handleFleet(fleet.MessageReceived{From: from, Message: m})
+		d.guard("message", func() { d.receiveMessage(buffer[:n]) })
+	}
+}
+
+func (d *Daemon) receiveMessage(data []byte) {
+	from, m, err := fleet.Decode(data)
+	if err != nil {
+		d.metrics.malformed.Inc(1)
+		d.log.infoLimited("message malformed", "error", err.Error())
+		return
 	}
+	d.metrics.messagesIn.Inc(1)
+	d.handleFleet(fleet.MessageReceived{From: from, Message: m})
 }
 
 // handleFleet passes an event to the fleet engine and carries out the actions it returns.
 func (d *Daemon) handleFleet(e fleet.Event) {
-	d.mu.Lock()
-	actions := d.fleet.Handle(clock.Now(), e)
-	d.mu.Unlock()
+	var actions []fleet.Action
+	d.locked(func() { actions = d.fleet.Handle(clock.Now(), e) })
 	d.performFleet(actions)
 }
 
@@ -135,7 +161,7 @@
 		case fleet.NotifySteering:
 			d.handle(v.Event)
 		case fleet.RemoveMember:
-			d.goroutines.Go(func() { d.removeMember(v.Name) })
+			d.goroutines.Go(func() { d.guard("removal of a member", func() { d.removeMember(v.Name) }) })
 		}
 	}
 }
@@ -182,19 +208,23 @@
 		case <-ctx.Done():
 			return
 		case v := <-d.fetchRequests:
-			start := clock.Now()
-			source := "store"
-			err := d.fetchFromStore(ctx, v)
-			if err != nil && ctx.Err() == nil {
-				source = v.Peer.Name
-				err = d.fetchFromPeer(ctx, client, v.Peer)
-			}
-			d.log.infoLimited("records fetched", "source", source, "took_ms", clock.Now()-start,
-				"configuration", v.Configuration, "endpoints", v.Endpoints, "error", errorText(err))
+			d.guard("fetch", func() { d.fetch(ctx, client, v) })
 		}
 	}
 }
 
+func (d *Daemon) fetch(ctx context.Context, client *http.Client, v fleet.FetchRecords) {
+	start := clock.Now()
+	source := "store"
+	err := d.fetchFromStore(ctx, v)
+	if err != nil && ctx.Err() == nil {
+		source = v.Peer.Name
+		err = d.fetchFromPeer(ctx, client, v.Peer)
+	}
+	d.log.infoLimited("records fetched", "source", source, "took_ms", clock.Now()-start,
+		"configuration", v.Configuration, "endpoints", v.Endpoints, "error", errorText(err))
+}
+
 // errNotListed reports that there is no revision yet from which changes could be read.
 var errNotListed = errors.New("records have not been listed yet")
 
@@ -247,8 +277,8 @@
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return errors.Wrapf(err, "decode records of %d bytes", len(data))
 	}
-	if r.Configuration == nil {
-		return errors.New("records have no configuration")
+	if err := r.check(); err != nil {
+		return errors.Wrapf(err, "records of %q", p.Name)
 	}
 	d.applyPeerRecords(&r, start)
 	return nil
@@ -257,14 +287,15 @@
 // applyPeerRecords passes the records of a peer, requested at the given time, to both
 // engines, and forwards queued packets.
 func (d *Daemon) applyPeerRecords(r *peerRecords, requestedAt clock.Millis) {
-	d.mu.Lock()
-	now := clock.Now()
-	actions := d.engine.Handle(now, steering.ConfigurationRead{Configuration: r.Configuration})
-	actions = append(actions, d.engine.Handle(now, steering.EndpointsListed{Endpoints: r.Endpoints, Revision: r.State.EndpointsRevision})...)
-	d.fleet.Handle(now, fleet.RecordsFetched{State: r.State, RequestedAt: requestedAt})
-	d.engine.Handle(now, d.fleet.Confirmation())
-	d.peerRecordsRead = true
-	d.mu.Unlock()
+	var actions []steering.Action
+	d.locked(func() {
+		now := clock.Now()
+		actions = d.engine.Handle(now, steering.ConfigurationRead{Configuration: r.Configuration})
+		actions = append(actions, d.engine.Handle(now, steering.EndpointsListed{Endpoints: r.Endpoints, Unreadable: r.Unreadable, Revision: r.State.EndpointsRevision})...)
+		d.fleet.Handle(now, fleet.RecordsFetched{State: r.State, RequestedAt: requestedAt})
+		d.engine.Handle(now, d.fleet.Confirmation())
+		d.peerRecordsRead = true
+	})
 	d.perform(actions)
 	d.forwardQueued()
 }
@@ -287,7 +318,9 @@
 	b := newBackoff()
 	announced := false
 	for round := 0; ctx.Err() == nil; {
-		list, err := d.store.Load().Members(ctx)
+		var list []fleet.Member
+		err := errPanicked
+		d.guard("list of members", func() { list, err = d.store.Load().Members(ctx) })
 		d.metrics.countStoreCall(err)
 		if err == nil && !announced && !d.isListed(list) {
 			err = d.store.Load().RegisterMember(ctx, d.self)
@@ -300,7 +333,7 @@
 			continue
 		}
 		announced = true
-		d.handleFleet(fleet.MembersListed{Members: list})
+		d.guard("members", func() { d.handleFleet(fleet.MembersListed{Members: list}) })
 		delay := memberPeriod
 		if round < len(firstMemberDelays) {
 			delay = firstMemberDelays[round]
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -25,6 +25,10 @@
 	maxRetryDelay = 1 * clock.Second
 )
 
+// errPanicked reports a call to the store whose handling panicked. It is repeated like a
+// failed one.
+var errPanicked = errors.New("call ended with a panic")
+
 // recordSource reads one kind of records from the store.
 type recordSource struct {
 	name          string
@@ -56,16 +60,13 @@
 	return err
 }
 
-// applyConfiguration handles an answer of the store: a configuration, or nil if there is no
+// applyConfiguration handles an answer of the store: a configuration, or none if there is no
 // newer one, and the revision up to which that holds.
-func (d *Daemon) applyConfiguration(c *steering.Configuration, revision uint64) {
+func (d *Daemon) applyConfiguration(c steering.ConfigurationRead, revision uint64) {
 	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
 		read := fleet.RecordsRead{IsConfiguration: true, State: d.fleet.RecordState(now)}
-		var actions []steering.Action
 		before := d.engine.Configuration()
-		if c != nil {
-			actions = d.engine.Handle(now, steering.ConfigurationRead{Configuration: c})
-		}
+		actions := d.engine.Handle(now, c)
 		if after := d.engine.Configuration(); after != before {
 			delta := after.DeltaFrom(before)
 			read.Delta = &delta
@@ -129,13 +130,16 @@
 // the fleet engine; it runs under the lock.
 func (d *Daemon) applyStoreRead(apply func(clock.Millis) ([]steering.Action, fleet.RecordsRead)) {
 	recovered := d.storeHealth.callSucceeded(d)
-	d.mu.Lock()
-	now := clock.Now()
-	actions, read := apply(now)
-	read.StoreRecovered = recovered
-	fleetActions := d.fleet.Handle(now, read)
-	d.engine.Handle(now, d.fleet.Confirmation())
-	d.mu.Unlock()
+	var actions []steering.Action
+	var fleetActions []fleet.Action
+	d.locked(func() {
+		now := clock.Now()
+		var read fleet.RecordsRead
+		actions, read = apply(now)
+		read.StoreRecovered = recovered
+		fleetActions = d.fleet.Handle(now, read)
+		d.engine.Handle(now, d.fleet.Confirmation())
+	})
 	d.perform(actions)
 	d.performFleet(fleetActions)
 	d.forwardQueued()
@@ -160,13 +164,15 @@
 				return
 			}
 			callCtx, cancel = d.watchGate.ContextWhileOpen(ctx)
-			since := s.knownRevision(d.recordState())
-			call = func(ctx context.Context) error { return s.watch(ctx, since, d.watchWait()) }
+			call = func(ctx context.Context) error {
+				return s.watch(ctx, s.knownRevision(d.recordState()), d.watchWait())
+			}
 		} else if d.hasPeerRecords() {
 			listed = true // the records of a peer replace the list
 			continue
 		}
-		err := call(callCtx)
+		err := errPanicked // unless the call returns
+		d.guard("records of "+s.name, func() { err = call(callCtx) })
 		cancelled := callCtx.Err() != nil
 		cancel()
 		if cancelled {
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -54,6 +54,7 @@
 // The users' platform, for forwarders:
 //
 //	metastore.go       metadata store: objects, watches, faults
+//	odd.go             objects of another writer that can't be decoded
 //	deployment.go      configurations, settings files of instances
 //	flow_consumer.go   consumers, routers in front of instances
 //	flow_endpoint.go   endpoints
--- a/standin/metastore.go
+++ b/standin/metastore.go
@@ -58,6 +58,20 @@
 	Meta   objectMeta      `json:"meta"`
 	Spec   json.RawMessage `json:"spec"`
 	Status json.RawMessage `json:"status"`
+
+	raw string // served verbatim in place of the object, if not empty; need not be valid
+}
+
+// text returns the object as it is served.
+func (o *metaObject) text() string {
+	if o.raw != "" {
+		return strings.ReplaceAll(o.raw, "REVISION", strconv.FormatUint(o.Meta.Revision, 10))
+	}
+	data, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // a fault of the test
+	}
+	return string(data)
 }
 
 type objectMeta struct {
@@ -150,7 +164,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[kind][name]
-	o.Meta.Name, o.Spec = name, data
+	o.Meta.Name, o.Spec, o.raw = name, data, ""
+	s.commit(kind, o)
+	return s.revision
+}
+
+// PutRaw writes an object as another writer does: its text is served verbatim, valid or
+// not, with REVISION replaced by its revision. It returns the store's revision.
+func (s *Metastore) PutRaw(kind, name, text string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.objects[kind][name]
+	o.Meta.Name, o.raw = name, text
 	s.commit(kind, o)
 	return s.revision
 }
@@ -269,7 +294,7 @@
 			http.Error(w, name+" does not exist", http.StatusNotFound)
 			return
 		}
-		writeJSON(w, o)
+		writeText(w, o.text())
 		return
 	}
 	items := []metaObject{}
@@ -280,7 +305,18 @@
 	}
 	slices.SortFunc(items, func(a, b metaObject) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
 	more := len(items) > maxMetastorePage
-	writeJSON(w, map[string]any{"items": items[:min(len(items), maxMetastorePage)], "more": more, "current_rev": s.revision})
+	texts := make([]string, 0, maxMetastorePage)
+	for i := range items[:min(len(items), maxMetastorePage)] {
+		texts = append(texts, items[i].text())
+	}
+	writeText(w, fmt.Sprintf(`{"items":[%s],"more":%t,"current_rev":%d}`, strings.Join(texts, ","), more, s.revision))
+}
+
+// writeText responds with JSON text. Objects of other writers may be invalid, so it isn't
+// encoded again.
+func writeText(w http.ResponseWriter, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, text+"\n") // the caller may have gone
 }
 
 // serveWatch waits for changes of the objects of a kind, at most for the requested
@@ -308,7 +344,7 @@
 			http.Error(w, "changes since that revision are not in the history", http.StatusGone)
 			return
 		case len(events) > 0 || expired:
-			writeJSON(w, map[string]any{"events": events, "current_rev": current})
+			writeText(w, fmt.Sprintf(`{"events":[%s],"current_rev":%d}`, strings.Join(events, ","), current))
 			return
 		}
 		select {
@@ -324,14 +360,14 @@
 
 // events returns the changes of a kind after a revision, and whether the history
 // reaches back to that revision. s.mu must be held.
-func (s *Metastore) events(kind string, since uint64) ([]map[string]any, bool) {
+func (s *Metastore) events(kind string, since uint64) ([]string, bool) {
 	if since < s.historyStart || since > s.revision {
 		return nil, false
 	}
-	events := []map[string]any{}
+	events := []string{}
 	for _, c := range s.history {
 		if c.kind == kind && c.object.Meta.Revision > since {
-			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+			events = append(events, fmt.Sprintf(`{"object":%s,"deleted":%t}`, c.object.text(), c.deleted))
 		}
 	}
 	return events, true
@@ -388,6 +424,6 @@
 	case method == http.MethodPut && string(old.Spec) == string(o.Spec):
 		return http.StatusOK, old
 	}
-	old.Meta.Name, old.Spec = name, o.Spec
+	old.Meta.Name, old.Spec, old.raw = name, o.Spec, ""
 	return http.StatusOK, s.commit(kind, old)
 }
--- a/steering/configuration.go
+++ b/steering/configuration.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -80,6 +82,68 @@
 	Weight  int    `cbor:"weight"`
 }
 
+// ErrConfiguration reports a configuration that can't be used.
+var ErrConfiguration = errors.New("configuration is invalid")
+
+// Check returns an error if c is nil or has an invalid route.
+func (c *Configuration) Check() error {
+	if c == nil || c.Routes == nil {
+		return errors.Wrap(ErrConfiguration, "it is missing, or its routes are")
+	}
+	if c.IdleTimeout < 0 || c.IdleTimeout > MaxTimeout {
+		return errors.Wrapf(ErrConfiguration, "idle timeout of %d ms is not within 0 to %d", c.IdleTimeout, MaxTimeout)
+	}
+	for _, r := range c.Routes {
+		if err := r.Check(); err != nil {
+			return errors.Wrapf(ErrConfiguration, "route %.60q: %v", r.Name, err)
+		}
+	}
+	return nil
+}
+
+// Check returns an error if d has an invalid route.
+func (d *Delta) Check() error {
+	if d.IdleTimeout < 0 || d.IdleTimeout > MaxTimeout {
+		return errors.Wrapf(ErrConfiguration, "idle timeout of %d ms is not within 0 to %d", d.IdleTimeout, MaxTimeout)
+	}
+	for i := range d.Set {
+		if err := d.Set[i].Route.Check(); err != nil {
+			return errors.Wrapf(ErrConfiguration, "route %.60q: %v", d.Set[i].Route.Name, err)
+		}
+	}
+	return nil
+}
+
+// Limits of the fields of a configuration.
+const (
+	MaxTimeout = 24 * clock.Hour // of a flow or a request
+	MaxWeight  = 1_000_000       // of a share
+	MaxShares  = 1000            // of a route
+)
+
+// ErrRoute reports a route with a field that exceeds its limits.
+var ErrRoute = errors.New("route is invalid")
+
+// Check returns an error for the first field that exceeds its limits.
+func (r *Route) Check() error {
+	switch {
+	case len(r.Name) > MaxNameBytes:
+		return errors.Wrapf(ErrRoute, "name has more than %d bytes", MaxNameBytes)
+	case len(r.Shares) == 0 || len(r.Shares) > MaxShares:
+		return errors.Wrapf(ErrRoute, "%d shares are not within 1 to %d", len(r.Shares), MaxShares)
+	case r.LatencyGoal < 0 || r.LatencyGoal > MaxTimeout:
+		return errors.Wrapf(ErrRoute, "latency goal of %d ms is not within 0 to %d", r.LatencyGoal, MaxTimeout)
+	case r.Timeout < 0 || r.Timeout > MaxTimeout:
+		return errors.Wrapf(ErrRoute, "timeout of %d ms is not within 0 to %d", r.Timeout, MaxTimeout)
+	}
+	for _, s := range r.Shares {
+		if s.Service == "" || len(s.Service) > MaxNameBytes || s.Weight < 0 || s.Weight > MaxWeight {
+			return errors.Wrapf(ErrRoute, "share of %.60q: weight %d is not within 0 to %d, or the name is not 1 to %d bytes", s.Service, s.Weight, MaxWeight, MaxNameBytes)
+		}
+	}
+	return nil
+}
+
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && slices.Equal(r.Shares, o.Shares) && r.Idempotent == o.Idempotent &&
 		r.Priority == o.Priority && r.LatencyGoal == o.LatencyGoal && r.Timeout == o.Timeout
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -1,9 +1,12 @@
 package steering
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -21,6 +24,53 @@
 	Incarnation clock.Millis `cbor:"10,keyasint,omitempty"` // start time in Unix ms; distinguishes processes with the same ID
 }
 
+// Limits of the fields of an endpoint. Any program may write entries; the limits keep an odd
+// one from taking all flows, and its times from exceeding those of a clock.
+const (
+	MaxNameBytes   = 256                               // of names of endpoints, services, data centres and routes
+	MaxSlots       = 1000                              // of an endpoint
+	MaxWarmup      = 1 * clock.Hour                    // of an endpoint
+	MaxIncarnation = clock.Millis(253_402_300_800_000) // the end of the year 9999
+)
+
+// ErrEndpoint reports an endpoint with a field that exceeds its limits.
+var ErrEndpoint = errors.New("endpoint is invalid")
+
+// Check returns an error for the first field that exceeds its limits.
+func (p *Endpoint) Check() error {
+	address := p.Address.Netip().Addr()
+	switch {
+	case p.ID == "" || len(p.ID) > MaxNameBytes:
+		return errors.Wrapf(ErrEndpoint, "name is not a text of 1 to %d bytes", MaxNameBytes)
+	case p.Number == 0:
+		return errors.Wrap(ErrEndpoint, "number is 0")
+	case p.Service == "" || len(p.Service) > MaxNameBytes:
+		return errors.Wrapf(ErrEndpoint, "service is not a text of 1 to %d bytes", MaxNameBytes)
+	case p.Centre == "" || len(p.Centre) > MaxNameBytes:
+		return errors.Wrapf(ErrEndpoint, "data centre is not a text of 1 to %d bytes", MaxNameBytes)
+	case p.Address.Port == 0:
+		return errors.Wrapf(ErrEndpoint, "address %s has no port", p.Address.Netip())
+	case address.IsUnspecified() || address.IsMulticast() || address == broadcastAddress:
+		return errors.Wrapf(ErrEndpoint, "address %s is not that of one host", p.Address.Netip())
+	case p.Slots < 1 || p.Slots > MaxSlots:
+		return errors.Wrapf(ErrEndpoint, "%d slots are not within 1 to %d", p.Slots, MaxSlots)
+	case p.Warmup < 0 || p.Warmup > MaxWarmup:
+		return errors.Wrapf(ErrEndpoint, "warmup of %d ms is not within 0 to %d", p.Warmup, MaxWarmup)
+	case p.Incarnation < 0 || p.Incarnation > MaxIncarnation:
+		return errors.Wrapf(ErrEndpoint, "incarnation %d is not within 0 to %d", p.Incarnation, MaxIncarnation)
+	}
+	return nil
+}
+
+// Unreadable returns the entry of an endpoint that is invalid for a cause.
+func (p *Endpoint) Unreadable(cause error) EndpointChange {
+	text := cause.Error()
+	id := p.ID[:min(len(p.ID), MaxNameBytes)]
+	return EndpointChange{Endpoint: Endpoint{ID: id, Revision: p.Revision}, Unreadable: true, Cause: text[:min(len(text), MaxCause)]}
+}
+
+var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // token returns the endpoint's number, folded into 32 bits. Numbers of up to 32 bits stay
 // as they are.
 func (p *Endpoint) token() Token { return Token(uint32(p.Number) ^ uint32(p.Number>>32)) }
@@ -78,13 +128,17 @@
 	// lapseTimeout counts from then.
 	storeRecoveredAt clock.Millis
 
-	byID      map[string]*endpointState
-	byToken   map[Token][]*endpointState
-	byService map[string][]*endpointState // those that accept new flows, sorted by ID
+	byID       map[string]*endpointState
+	byToken    map[Token][]*endpointState
+	byService  map[string][]*endpointState // those that accept new flows, sorted by ID
+	unreadable unreadableEntries
 }
 
 func newDirectory() directory {
-	return directory{byID: map[string]*endpointState{}, byToken: map[Token][]*endpointState{}, byService: map[string][]*endpointState{}}
+	return directory{
+		byID: map[string]*endpointState{}, byToken: map[Token][]*endpointState{}, byService: map[string][]*endpointState{},
+		unreadable: unreadableEntries{},
+	}
 }
 
 // put stores an entry unless a newer one is known, and reports whether it did.
@@ -158,13 +212,18 @@
 }
 
 // markUnreadable marks an endpoint as draining, because its entry can't be decoded any
-// more. It gets no new flows but keeps those that it has.
+// more. It gets no new flows: the entry names no endpoint to use. It keeps those that it has:
+// whoever wrote the entry, the endpoint's process didn't end with it. Its next own entry
+// makes it ready again, and if the entry goes it lapses like any other.
 func (d *directory) markUnreadable(now clock.Millis, id string, revision uint64) bool {
 	s := d.byID[id]
-	if s == nil || s.Draining || revision <= s.Revision {
+	if s == nil || revision <= s.Revision {
 		return false
 	}
 	s.Revision, s.entryChangedAt = revision, now
+	if s.Draining {
+		return false
+	}
 	s.Draining = true
 	s.silence.withdrawRefusal()
 	d.reindex(s)
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -23,6 +23,7 @@
 	random   *rand.Rand
 
 	configuration            *Configuration
+	configurationFaults      []ConfigurationFault
 	configurationConfirmedAt clock.Millis      // when the store last confirmed the configuration
 	removedRoutes            map[AddrPort]bool // routes of earlier configurations that aren't in the present one
 	directory                directory
@@ -125,7 +126,7 @@
 	e.checkDelay(now)
 	switch v := event.(type) {
 	case ConfigurationRead:
-		return e.applyConfiguration(v.Configuration)
+		return e.readConfiguration(v)
 	case ConfigurationRevised:
 		if e.configuration == nil || e.configuration.Revision != v.Delta.From {
 			return nil
@@ -187,11 +188,14 @@
 	ConditionLapsed  = "EndpointLapsed"
 	ConditionRefused = "EndpointRefused"
 	ConditionFailing = "EndpointFailing"
+	// An entry of an endpoint, the configuration or one of its routes can't be decoded.
+	ConditionUnreadable = "Unreadable"
 )
 
-// Conditions returns the problems of all endpoints, sorted by subject.
+// Conditions returns the problems of all endpoints and of the configuration, sorted by
+// subject.
 func (e *Engine) Conditions(now clock.Millis) []Condition {
-	var list []Condition
+	list := e.unreadableConditions()
 	for id, s := range e.directory.byID {
 		c := Condition{Subject: "endpoint/" + id, Action: "it gets no new flows"}
 		switch {
@@ -210,7 +214,7 @@
 		}
 		list = append(list, c)
 	}
-	slices.SortFunc(list, func(a, b Condition) int { return strings.Compare(a.Subject, b.Subject) })
+	slices.SortStableFunc(list, func(a, b Condition) int { return strings.Compare(a.Subject, b.Subject) })
 	return list
 }
 
@@ -266,6 +270,7 @@
 	}
 	firstList := !e.directory.listed
 	present := make(map[string]bool, len(v.Endpoints))
+	e.directory.unreadable.retain(v.Unreadable)
 	for _, p := range v.Endpoints {
 		present[p.ID] = true
 		actions = e.put(now, p, actions)
@@ -282,7 +287,8 @@
 	e.directory.listed = true
 	e.directory.revision = v.Revision
 	if firstList {
-		return []Action{EndpointsLoaded{Count: len(v.Endpoints), Revision: v.Revision}}
+		actions = slices.DeleteFunc(actions, func(a Action) bool { _, ok := a.(EndpointStateChanged); return ok })
+		return append(actions, EndpointsLoaded{Count: len(v.Endpoints), Revision: v.Revision})
 	}
 	return actions
 }
@@ -312,6 +318,7 @@
 	if old != nil && !sameProcess {
 		e.flows.detachAll(old)
 	}
+	e.directory.unreadable.remove(p.ID)
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
 		return actions
@@ -320,6 +327,7 @@
 }
 
 func (e *Engine) remove(now clock.Millis, id string, revision uint64, actions []Action) []Action {
+	e.directory.unreadable.remove(id)
 	if !e.directory.remove(now, id, revision) {
 		return actions
 	}
@@ -327,6 +335,10 @@
 }
 
 func (e *Engine) markUnreadable(now clock.Millis, c EndpointChange, actions []Action) []Action {
+	if s := e.directory.byID[c.Endpoint.ID]; s != nil && c.Endpoint.Revision <= max(s.Revision, s.removedRevision) {
+		return actions // a newer entry is known
+	}
+	actions = e.directory.unreadable.add(c, actions)
 	if !e.directory.markUnreadable(now, c.Endpoint.ID, c.Endpoint.Revision) {
 		return actions
 	}
--- a/steering/event.go
+++ b/steering/event.go
@@ -9,7 +9,18 @@
 
 // ConfigurationRead is emitted when the configuration was read from the store or another
 // instance. The engine accepts it if it is newer than the present one.
-type ConfigurationRead struct{ Configuration *Configuration }
+type ConfigurationRead struct {
+	Configuration *Configuration       // nil if there is none, or if it is unreadable
+	Faults        []ConfigurationFault // what of it is unreadable
+}
+
+// ConfigurationFault is a route of a configuration that can't be decoded, or the whole
+// configuration. A route that an earlier configuration has under its name stays in force.
+type ConfigurationFault struct {
+	Revision uint64 // of the configuration
+	Route    string // name of the route; empty for the whole configuration, or if no name can be read
+	Cause    string
+}
 
 // ConfigurationRevised is emitted when another instance sent the changes of a newer
 // configuration. The engine applies them if it has the configuration that they start from.
@@ -42,9 +53,13 @@
 type EndpointChange struct {
 	Endpoint   Endpoint `cbor:"1,keyasint"` // only ID and Revision if Removed or Unreadable
 	Removed    bool     `cbor:"2,keyasint,omitempty"`
-	Unreadable bool     `cbor:"3,keyasint,omitempty"` // the entry can't be decoded
+	Unreadable bool     `cbor:"3,keyasint,omitempty"` // the entry can't be decoded; ID is empty if not even its name can be
+	Cause      string   `cbor:"4,keyasint,omitempty"` // why it is unreadable, at most MaxCause bytes
 }
 
+// MaxCause is the largest size of EndpointChange.Cause in bytes.
+const MaxCause = 160
+
 // EndpointFault is a fault of an endpoint that an instance found. Without any of the flags
 // it is a probe that timed out.
 type EndpointFault struct {
@@ -167,6 +182,16 @@
 	Revision uint64
 }
 
+// EndpointUnreadable makes the daemon log and count an entry that can't be decoded.
+type EndpointUnreadable struct {
+	Endpoint string // empty if not even the name can be read
+	Revision uint64
+	Cause    string
+}
+
+// ConfigurationUnreadable makes the daemon log and count a fault of a configuration.
+type ConfigurationUnreadable struct{ ConfigurationFault }
+
 // EndpointStateChanged makes the daemon log the new state of an endpoint.
 type EndpointStateChanged struct {
 	Endpoint string
@@ -229,15 +254,17 @@
 	Evidence   Evidence
 }
 
-func (Probe) action()                 {}
-func (ConfigurationAccepted) action() {}
-func (EndpointsLoaded) action()       {}
-func (EndpointStateChanged) action()  {}
-func (EndpointSilent) action()        {}
-func (ReportFault) action()           {}
-func (QueryFlows) action()            {}
-func (SendTallies) action()           {}
-func (ReportFlows) action()           {}
-func (ResetFlow) action()             {}
-func (EndpointEjected) action()       {}
-func (EndpointLost) action()          {}
+func (Probe) action()                   {}
+func (ConfigurationAccepted) action()   {}
+func (EndpointsLoaded) action()         {}
+func (EndpointUnreadable) action()      {}
+func (ConfigurationUnreadable) action() {}
+func (EndpointStateChanged) action()    {}
+func (EndpointSilent) action()          {}
+func (ReportFault) action()             {}
+func (QueryFlows) action()              {}
+func (SendTallies) action()             {}
+func (ReportFlows) action()             {}
+func (ResetFlow) action()               {}
+func (EndpointEjected) action()         {}
+func (EndpointLost) action()            {}
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -46,10 +46,11 @@
 	TickDelay      clock.Millis       `yaml:"late"` // how late the tick is
 	Tick           bool               `yaml:"tick"`
 
-	Want        string   `yaml:"want"`    // "VERDICT REASON [ID]" for the packet, or a prefix of it
-	WantNot     string   `yaml:"not"`     // endpoint that the packet must not be forwarded to
-	WantControl string   `yaml:"control"` // control endpoint of the probe that the step requests, or "none"
-	WantActions []string `yaml:"tells"`   // actions in any order, as describeAction writes them; nil for any
+	Want        string   `yaml:"want"`       // "VERDICT REASON [ID]" for the packet, or a prefix of it
+	WantNot     string   `yaml:"not"`        // endpoint that the packet must not be forwarded to
+	WantControl string   `yaml:"control"`    // control endpoint of the probe that the step requests, or "none"
+	WantActions []string `yaml:"tells"`      // actions in any order, as describeAction writes them; nil for any
+	Conditions  []string `yaml:"conditions"` // "TYPE SUBJECT" of each condition; nil for any
 }
 
 type configurationStep struct {
@@ -58,6 +59,7 @@
 	Routes     map[string]map[string]int `yaml:"routes"` // weights by service, by route
 	Idempotent []string                  `yaml:"safe"`   // routes with idempotent requests
 	From       uint64                    `yaml:"from"`   // if set, sent as changes since this revision
+	Faults     []string                  `yaml:"faults"` // names of unreadable routes, "all" for the whole configuration
 }
 
 var routeAddresses = map[string]AddrPort{"desk": {1, 443}, "other": {1, 80}, "third": {2, 443}, "": {1, 443}}
@@ -110,6 +112,13 @@
 		s.steerAnswers(t, e, name, now)
 		collect(e.TakeActions())
 	}
+	if s.Conditions != nil {
+		conditions := []string{}
+		for _, c := range e.Conditions(now) {
+			conditions = append(conditions, c.Type+" "+c.Subject)
+		}
+		require.Equal(t, s.Conditions, conditions, name)
+	}
 	if s.WantActions != nil {
 		require.ElementsMatch(t, s.WantActions, got, name)
 	}
@@ -219,7 +228,14 @@
 		n.Routes[at] = r
 	}
 	if c.From == 0 {
-		return ConfigurationRead{Configuration: n}
+		read := ConfigurationRead{Configuration: n}
+		for _, name := range c.Faults {
+			if name == "all" {
+				return ConfigurationRead{Faults: []ConfigurationFault{{Revision: c.Revision, Cause: "odd"}}}
+			}
+			read.Faults = append(read.Faults, ConfigurationFault{Revision: c.Revision, Route: name, Cause: "odd"})
+		}
+		return read
 	}
 	d := n.DeltaFrom(e.Configuration())
 	d.From = c.From
@@ -408,6 +424,10 @@
 		return fmt.Sprintf("configuration %d", v.Version)
 	case EndpointStateChanged:
 		return short(v.Endpoint) + " " + v.State
+	case EndpointUnreadable:
+		return strings.TrimSpace("unreadable " + short(v.Endpoint))
+	case ConfigurationUnreadable:
+		return strings.TrimSpace("configuration unreadable " + v.Route)
 	case EndpointSilent:
 		return short(v.Endpoint) + " silent"
 	case ReportFault:
--- a/steering/tally.go
+++ b/steering/tally.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"github.com/pkg/errors"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -17,6 +19,30 @@
 	UnansweredAges []clock.Millis
 }
 
+// Limits of the fields of a tally.
+const (
+	MaxTallyCount = 1_000_000
+	MaxTallyAge   = 1 * clock.Hour
+)
+
+// ErrTally reports a tally with a field that exceeds its limits.
+var ErrTally = errors.New("tally is invalid")
+
+// Check returns an error for the first field that exceeds its limits.
+func (t *Tally) Check() error {
+	for _, n := range []int{t.Normal, t.Small, t.Overdue} {
+		if n < 0 || n > MaxTallyCount {
+			return errors.Wrapf(ErrTally, "count %d is not within 0 to %d", n, MaxTallyCount)
+		}
+	}
+	for _, age := range t.UnansweredAges {
+		if age < 0 || age > MaxTallyAge {
+			return errors.Wrapf(ErrTally, "age of %d ms is not within 0 to %d", age, MaxTallyAge)
+		}
+	}
+	return nil
+}
+
 // TakeTallies returns the tallies that the other instances need, and starts new ones.
 func (e *Engine) TakeTallies(now clock.Millis) (list []Tally) {
 	for t, same := range e.directory.byToken {
