--- a/entry/datagrams.go
+++ b/entry/datagrams.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"fmt"
 	"math/bits"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -100,7 +102,7 @@
 		}
 		for i := range messages[:n] {
 			from, ok := messages[i].Addr.(*net.UDPAddr)
-			if ok && receive(unmapAddr(from.AddrPort()), buffers[i], messages[i].N) {
+			if ok && d.receiveGuarded(receive, unmapAddr(from.AddrPort()), buffers[i], messages[i].N) {
 				buffers[i] = bufferPool.Get().(*buffer)
 				messages[i].Buffers[0] = buffers[i][:]
 			}
@@ -109,6 +111,20 @@
 	}
 }
 
+// receiveGuarded calls receive, and drops a datagram that makes it panic: readers keep no state
+// that half a datagram could damage. A panic of the engine still ends the process. Half an event
+// could make it run a request twice, and other instances serve on.
+func (d *Daemon) receiveGuarded(receive func(netip.AddrPort, *buffer, int) bool, from netip.AddrPort, b *buffer, size int) (kept bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			d.metrics.readPanics.Inc(1)
+			d.logger.Info("panic", "reason", "datagram", "subject", from.String(), "detail", fmt.Sprintf("%v: %.4096s", v, debug.Stack()))
+			kept = true // what received it may hold the buffer
+		}
+	}()
+	return receive(from, b, size)
+}
+
 // samplePeriod is how often a reader leaves a packet of each owner and service to
 // the engine. The engine attaches queue state to the packet, and requests a
 // heartbeat from an owner it has not heard from.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -79,6 +79,7 @@
 	platformCalls      metrics.Counter
 	platformUnanswered metrics.Counter // platform calls without an answer of the platform
 	readErrors         metrics.Counter
+	readPanics         metrics.Counter // datagrams dropped because they made their reader panic
 	droppedLogLines    metrics.Counter // log lines dropped because the queue of the log was full
 
 	mu         sync.Mutex
@@ -101,6 +102,7 @@
 	m.platformCalls = m.newCounter("platform.calls")
 	m.platformUnanswered = m.newCounter("platform.unanswered")
 	m.readErrors = m.newCounter("sockets.read_errors")
+	m.readPanics = m.newCounter("sockets.read_panics")
 	m.droppedLogLines = m.newCounter("log.dropped")
 	return m
 }
