--- a/soak/doc.go
+++ b/soak/doc.go
@@ -11,7 +11,9 @@
 //   - connections to the store are delayed, cut in one direction, reset or silenced;
 //   - packets between consumers and instances are lost;
 //   - endpoints drain, crash, stop answering, lose their entries in the store or are added;
-//   - a route is added to the configuration or removed from it.
+//   - a route is added to the configuration or removed from it;
+//   - another program writes objects that can't be decoded among those of the deployment, and
+//     replaces entries of endpoints by such ones.
 //
 // # Usage
 //
@@ -26,5 +28,6 @@
 //	process.go     forwarder processes: start, signals, stop within the grace period
 //	proxy.go       proxies that disturb connections between an instance and the store
 //	fault.go       the faults
+//	writer.go      the other program that writes odd objects
 //	check.go       the properties that are checked, and the result of a run
 package soak
--- a/soak/run.go
+++ b/soak/run.go
@@ -40,8 +40,13 @@
 			users.Go(func() { d.runUser(c, n, stop) })
 		}
 	}
+	var writer sync.WaitGroup
+	stopWriter := make(chan struct{})
+	writer.Go(func() { d.runOtherWriter(stopWriter) })
 	r := &Result{Seed: s.Seed, Folder: s.Folder}
 	d.injectFaults(r)
+	close(stopWriter)
+	writer.Wait()
 	d.checkRecovery()
 	close(stop)
 	users.Wait()
