An endpoint that has left isn't restored by a delayed change, nor a member forgotten after a stall

Cause: an instance that started after an endpoint left knows nothing of it. A watcher that stalled before it left and broadcasts its old changes then had the entry taken for new, and the endpoint got flows again (operators' report: after a restart, a server that had left was in use again). A watcher that stalled for ten minutes removed members whose answers to its probes still waited to be read, and a member whose object was removed never wrote it again.

Change: changes up to the revision of a complete list are known and ignored, except removals, whose revision may be that of the last change. A stall makes unanswered probes void. A member that a list lacks writes its object again, once the list is surely newer than its last write.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -131,6 +131,7 @@
 		e.stalledAt = e.tickedAt
 	}
 	e.stalledUntil = now + stallRecovery
+	e.peers.forgetProbes()
 }
 
 // handleSuspended makes the records older by a suspension. Until stallRecovery has passed,
@@ -143,6 +144,7 @@
 		e.endpointsConfirmedAt -= duration
 	}
 	e.stalledAt, e.stalledUntil = e.tickedAt-duration, now+stallRecovery
+	e.peers.forgetProbes()
 }
 
 // sentAt returns when a message or an answer of the store that is handled now was sent at
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -557,3 +557,49 @@
 	require.EqualValues(t, 100, relayedAge(10_050))
 	require.EqualValues(t, 6100, relayedAge(16_000), "after a stall")
 }
+
+// A watcher that stalled for longer than probeTimeout must not remove members whose answers to
+// its probes still wait to be handled.
+func TestStallDoesNotRemoveMembers(t *testing.T) {
+	member := func(i byte) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)}
+	}
+	first, second := member(1), member(2)
+	if rank(first.Name) > rank(second.Name) {
+		first, second = second, first
+	}
+	for _, suspended := range []bool{false, true} {
+		e := NewEngine(Settings{Self: first, RecordBound: 3000}, 1000)
+		e.Handle(1000, MembersListed{Members: []Member{second}})
+		e.Handle(1000, MessageReceived{From: second, Message: Hello{}})
+		now := clock.Millis(1000)
+		for ; now < 1000+2*probePeriod; now += 50 {
+			e.Handle(now, Ticked{})
+		}
+		require.NotZero(t, e.peers.list[0].probedSince, "the member is probed")
+		if suspended {
+			e.Handle(now, ProcessSuspended{Duration: probeTimeout})
+		} else {
+			now += probeTimeout
+		}
+		for range 3 {
+			for _, a := range e.Handle(now, Ticked{}) {
+				require.NotEqual(t, RemoveMember{Name: second.Name}, a)
+			}
+			now += 50
+		}
+		require.Len(t, e.peers.list, 1)
+	}
+}
+
+// A member whose object was deleted writes it again, but not because a list is a little older
+// than its write.
+func TestRegistration(t *testing.T) {
+	var r Registration
+	require.False(t, r.Due(1000, true), "another process of it has written it")
+	require.True(t, r.Due(1000, false))
+	r.Written(1000)
+	require.False(t, r.Due(1000+listLag, false), "the list may be older than the write")
+	require.True(t, r.Due(1001+listLag, false), "the object was deleted")
+	require.False(t, r.Due(1001+listLag, true))
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -95,6 +95,14 @@
 	return p, true
 }
 
+// forgetProbes makes all unanswered probes void. After a stall, answers may still wait to be
+// handled.
+func (s *peerList) forgetProbes() {
+	for _, p := range s.list {
+		p.probedSince = 0
+	}
+}
+
 func (s *peerList) remove(name string) {
 	s.list = slices.DeleteFunc(s.list, func(p *peer) bool { return p.Name == name })
 }
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -316,15 +316,18 @@
 		return
 	}
 	b := newBackoff()
-	announced := false
+	var registration fleet.Registration
 	for round := 0; ctx.Err() == nil; {
 		var list []fleet.Member
 		err := errPanicked
 		d.guard("list of members", func() { list, err = d.store.Load().Members(ctx) })
 		d.metrics.countStoreCall(err)
-		if err == nil && !announced && !d.isListed(list) {
+		if err == nil && registration.Due(clock.Now(), d.isListed(list)) {
 			err = d.store.Load().RegisterMember(ctx, d.self)
 			d.metrics.countStoreCall(err)
+			if err == nil {
+				registration.Written(clock.Now())
+			}
 		}
 		if err != nil {
 			d.storeHealth.callFailed(d, "members", err)
@@ -332,7 +335,6 @@
 			daemon.Pause(ctx, b.Next())
 			continue
 		}
-		announced = true
 		d.guard("members", func() { d.handleFleet(fleet.MembersListed{Members: list}) })
 		delay := memberPeriod
 		if round < len(firstMemberDelays) {
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -294,10 +294,16 @@
 }
 
 func (e *Engine) applyChanges(now clock.Millis, v EndpointsChanged) (actions []Action) {
+	known := uint64(0) // changes up to this revision are known, also of endpoints that have left since
+	if e.directory.listed {
+		known = e.directory.revision
+	}
 	for _, c := range v.Changes {
 		switch {
-		case c.Removed:
+		case c.Removed: // its revision may be that of the entry's last change
 			actions = e.remove(now, c.Endpoint.ID, c.Endpoint.Revision, actions)
+		case c.Endpoint.Revision <= known:
+			continue // sent by an instance that stalled meanwhile
 		case c.Unreadable:
 			actions = e.markUnreadable(now, c, actions)
 		default:
