instance: a record that was deleted before a restart isn't restored by an older list

Cause: a restarted instance has no trace of records that were deleted before. If the list of an instance that is behind, or of a stale replica, came after the platform's, the deleted record was in force again (operators' report: after a restart, a server that had left, or a key that had been withdrawn, was in use again). The store of objects for other instances had the check already; the engine didn't. Change: unknown objects up to the revision of the platform's latest full list are ignored. TestDeletedRecordIsNotRestoredByAnOlderList fails without it.

--- a/instance/records.go
+++ b/instance/records.go
@@ -19,6 +19,7 @@
 	InForce  map[record.Key]record.Object // newest accepted revisions that aren't deleted
 	Revision uint64                       // highest revision in Objects
 	Loaded   bool                         // all records were received, from the platform or from another instance
+	listed   uint64                       // highest revision of a full list of the platform
 	decoded  map[record.Key]decoded       // decoded forms of records in InForce
 }
 
@@ -65,6 +66,9 @@
 	listed := make(map[record.Key]bool, len(ev.Objects))
 	for _, o := range ev.Objects {
 		listed[o.Key()] = true
+		if c.deletedBefore(o, ev) {
+			continue
+		}
 		if c.accept(o, ev.Source) {
 			changed = true
 		}
@@ -72,6 +76,9 @@
 	if ev.FullList && c.dropAbsent(listed, ev.Revision) {
 		changed = true
 	}
+	if ev.FullList && ev.Source == SourcePlatform {
+		c.state.Records.listed = max(c.state.Records.listed, ev.Revision)
+	}
 	if loaded := ev.FullList || (ev.Source != SourcePlatform && len(ev.Objects) > 0); loaded && !c.state.Records.Loaded {
 		c.state.Records.Loaded = true
 		changed = true
@@ -85,6 +92,15 @@
 	}
 }
 
+// deletedBefore reports whether an unknown object was deleted before the platform's latest full
+// list, which doesn't have it. An instance that started after the deletion has no other
+// trace of it.
+func (c recordController) deletedBefore(o record.Object, ev ObjectsReceived) bool {
+	r := &c.state.Records
+	_, seen := r.Objects[o.Key()]
+	return !seen && o.Revision <= r.listed && (ev.Source != SourcePlatform || ev.Revision < r.listed)
+}
+
 // accept processes one received object and reports whether the records in force changed.
 // An invalid revision is rejected, and the last accepted one stays in force.
 func (c recordController) accept(o record.Object, source string) bool {
--- a/instance/router_test.go
+++ b/instance/router_test.go
@@ -231,3 +231,29 @@
 	b.advance(4500 * clock.Millisecond)
 	require.Len(t, b.heartbeats, 66)
 }
+
+// A restarted instance knows nothing of records that were deleted before its start. The list of
+// another instance that is behind the platform's must not bring one back.
+func TestDeletedRecordIsNotRestoredByAnOlderList(t *testing.T) {
+	b := newBench(t, 0, 2)
+	object := func(name string, revision uint64) record.Object {
+		return record.Object{Kind: record.KindService, Name: name, Revision: revision, Schema: record.Schema2, Body: []byte("{}")}
+	}
+	names := func() (list []string) {
+		objects, _ := b.engine.Objects()
+		for _, o := range objects {
+			if !o.Deleted {
+				list = append(list, o.Name)
+			}
+		}
+		return list
+	}
+	b.handle(instance.ObjectsReceived{Objects: []record.Object{object("orders", 40)}, Revision: 100, FullList: true, Source: instance.SourcePlatform})
+	old := []record.Object{object("orders", 40), object("withdrawn", 45)}
+	b.handle(instance.ObjectsReceived{Objects: old, Revision: 50, FullList: true, Source: "entry-1"})
+	require.Equal(t, []string{"orders"}, names())
+	b.handle(instance.ObjectsReceived{Objects: []record.Object{object("gallery", 101)}, Revision: 101, Source: "entry-1"})
+	require.Equal(t, []string{"orders", "gallery"}, names())
+	b.handle(instance.ObjectsReceived{Objects: old, Revision: 50, FullList: true, Source: instance.SourcePlatform})
+	require.Equal(t, []string{"orders", "gallery"}, names(), "from a replica of the platform that is behind")
+}
