--- a/command/check.go
+++ b/command/check.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -20,8 +21,10 @@
 
 Checks files without writing anything to the platform: files of records, settings of
 an entry instance (YAML without a field kind), the platform's settings of a forwarder
-(TOML), and the deployment file (system.toml). Errors name file, field and value, and
-the line if it is known.`,
+(TOML), the deployment file (system.toml), and a saved list of the metadata store's
+endpoints or configuration (JSON). Errors name file, field and value, and the line if it
+is known. Of a list, they name each object that forwarders leave out, with the limit that
+it exceeds; the limits are those of docs/OPERATIONS.md.`,
 	run: func(_ context.Context, i *invocation) error {
 		if err := i.parse(1, -1); err != nil {
 			return err
@@ -50,6 +53,8 @@
 	case filepath.Base(file) == deploymentFile:
 		d, err := platform.ReadDeployment(file)
 		return fmt.Sprintf("%d roles", len(d.Roles)), err
+	case filepath.Ext(file) == ".json":
+		return checkListing(file)
 	case filepath.Ext(file) == ".toml":
 		s, err := platform.ReadSettings(file)
 		return "platform settings of instance " + s.Instance, err
@@ -68,3 +73,26 @@
 	}
 	return fmt.Sprintf("%d records", len(documents)), nil
 }
+
+// errUnreadable reports a list of the metadata store with objects that can't be decoded.
+var errUnreadable = errors.New("objects are unreadable")
+
+// checkListing checks a saved list of endpoints or of the configuration.
+func checkListing(file string) (string, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	count, unreadable, err := platform.CheckListing(data)
+	if err != nil {
+		return "", errors.Wrapf(err, "%s", file)
+	}
+	if len(unreadable) == 0 {
+		return fmt.Sprintf("%d objects", count), nil
+	}
+	text := make([]string, len(unreadable))
+	for i, e := range unreadable {
+		text[i] = "\n  " + e.Error()
+	}
+	return "", errors.Wrapf(errUnreadable, "%s: %d of %d:%s", file, len(unreadable), count, strings.Join(text, ""))
+}
