Calls to the store are counted by subject and reason

A list of several pages and a repeated write count as the calls that they are; until now each counted as one. The test compares with the store's own counts.

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -104,6 +104,7 @@
 	if old == nil || old.StoreURL != s.StoreURL {
 		client := platform.NewClient(s.StoreURL, storeTimeout)
 		client.Caller = s.Instance
+		client.Observe = d.metrics.storeCalls.observe
 		d.store.Store(platform.NewStore(client))
 	}
 }
@@ -167,6 +168,7 @@
 	case <-d.stopRequested:
 		d.drain(ctx)
 	}
+	d.logStoreCalls()
 	d.log.info("stop", "instance", s.Instance, "flows", d.flowCount(), "error", errorText(err))
 	cancel()
 	_ = readyServer.Close() // requests in progress no longer matter
@@ -295,6 +297,7 @@
 	detector := newStallDetector()
 	nextSettingsCheck := clock.Now() + settingsCheckPeriod
 	nextTallies := clock.Now() + tallyPeriod
+	nextStoreCalls := clock.Now() + storeCallsLogPeriod
 	nextTick := clock.Now() + tickPeriod
 	for {
 		select {
@@ -315,6 +318,10 @@
 			d.guard("tallies", d.sendTallies)
 		}
 		d.guard("report", func() { d.writeReport(ctx) })
+		if now >= nextStoreCalls {
+			nextStoreCalls = now + storeCallsLogPeriod
+			d.logStoreCalls()
+		}
 		if now >= nextSettingsCheck {
 			nextSettingsCheck = now + settingsCheckPeriod
 			if file.changed() {
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -29,8 +29,7 @@
 	unsent               metrics.Counter      // packets and messages that could not be sent
 	readErrors           metrics.Counter
 	panics               metrics.Counter // units of work that panicked
-	storeCalls           metrics.Counter
-	failedStoreCalls     metrics.Counter
+	storeCalls           *storeCalls
 	messagesIn           metrics.Counter // from other instances
 	messagesOut          metrics.Counter
 	probes               metrics.Counter
@@ -58,8 +57,7 @@
 	m.unsent = m.counter("packets.unsent")
 	m.readErrors = m.counter("packets.read_errors")
 	m.panics = m.counter("panics")
-	m.storeCalls = m.counter("store.calls")
-	m.failedStoreCalls = m.counter("store.unanswered")
+	m.storeCalls = &storeCalls{registry: m.registry, total: m.counter("store.calls"), failed: m.counter("store.unanswered"), counts: map[string]int64{}}
 	m.messagesIn = m.counter("members.messages_in")
 	m.messagesOut = m.counter("members.messages_out")
 	m.probes = m.counter("endpoints.probes")
@@ -109,14 +107,6 @@
 	}
 }
 
-// countStoreCall counts a call to the store that returned err.
-func (m *daemonMetrics) countStoreCall(err error) {
-	m.storeCalls.Inc(1)
-	if err != nil {
-		m.failedStoreCalls.Inc(1)
-	}
-}
-
 // recordLatency adds the time to an answer to the histogram of its service and route.
 func (m *daemonMetrics) recordLatency(a steering.Answered) {
 	m.mu.Lock()
--- a/forwarder/metrics_test.go
+++ b/forwarder/metrics_test.go
@@ -77,3 +77,32 @@
 		require.Contains(t, lines, want)
 	}
 }
+
+// Every call to the store must be counted, by subject and reason. The store's own counts tell
+// how many there were.
+func TestStoreCallsAreCounted(t *testing.T) {
+	s, d := newReadyDeployment(t, 92)
+	s.waitReport([]string{"here"})
+	require.NoError(t, d.fetchFromStore(t.Context(), fleet.FetchRecords{Configuration: true, Endpoints: true}))
+	s.eventually(func() bool { c := s.store.Counts(); return c["WATCH config"] > 0 && c["WATCH servers"] > 0 })
+	s.kill([]string{"f1"})
+	made := int64(0)
+	for _, n := range s.store.Counts() {
+		made += n
+	}
+	counted := int64(0)
+	for _, n := range d.metrics.storeCalls.counts {
+		counted += n
+	}
+	require.Equal(t, made, counted)
+	require.Equal(t, made, d.metrics.storeCalls.total.Count())
+	for _, name := range []string{
+		"configuration.start", "configuration.missed", "configuration.watch", "endpoints.start", "endpoints.missed", "endpoints.watch",
+		"members.members", "members.register", "reports.report",
+	} {
+		require.Positive(t, d.metrics.storeCalls.counts[name], name)
+	}
+	d.log.flush()
+	require.Contains(t, s.daemons["f1"].log.String(), `"msg":"store calls","configuration.missed":1,`)
+	require.Nil(t, d.metrics.storeCalls.attributes(), "nothing is new")
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -189,10 +189,9 @@
 
 // removeMember deletes the object of a member that has ended from the store.
 func (d *Daemon) removeMember(name string) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(withReason(context.Background(), callRemove), storeTimeout.Duration())
 	defer cancel()
 	err := d.store.Load().RemoveMember(ctx, name)
-	d.metrics.countStoreCall(err)
 	d.log.info("member removed", "member", name, "error", errorText(err))
 }
 
@@ -241,11 +240,9 @@
 		if !k.wanted {
 			continue
 		}
-		err := k.source.watch(ctx, k.source.knownRevision(d.recordState()), 0)
-		d.metrics.countStoreCall(err)
+		err := k.source.watch(withReason(ctx, callMissed), k.source.knownRevision(d.recordState()), 0)
 		if errors.Is(err, platform.ErrRevisionGone) {
-			err = k.source.list(ctx)
-			d.metrics.countStoreCall(err)
+			err = k.source.list(withReason(ctx, callHistory))
 		}
 		if err != nil {
 			d.storeHealth.callFailed(d, "fetch", err)
@@ -320,11 +317,9 @@
 	for round := 0; ctx.Err() == nil; {
 		var list []fleet.Member
 		err := errPanicked
-		d.guard("list of members", func() { list, err = d.store.Load().Members(ctx) })
-		d.metrics.countStoreCall(err)
+		d.guard("list of members", func() { list, err = d.store.Load().Members(withReason(ctx, callMembers)) })
 		if err == nil && registration.Due(clock.Now(), d.isListed(list)) {
-			err = d.store.Load().RegisterMember(ctx, d.self)
-			d.metrics.countStoreCall(err)
+			err = d.store.Load().RegisterMember(withReason(ctx, callRegister), d.self)
 			if err == nil {
 				registration.Written(clock.Now())
 			}
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -156,8 +156,9 @@
 func (d *Daemon) follow(ctx context.Context, s recordSource) {
 	b := newBackoff()
 	listed := false
+	listReason := callStart
 	for ctx.Err() == nil {
-		call := s.list
+		call := func(ctx context.Context) error { return s.list(withReason(ctx, listReason)) }
 		callCtx, cancel := ctx, context.CancelFunc(func() {})
 		if listed {
 			if !d.watchGate.Wait(ctx) {
@@ -165,7 +166,7 @@
 			}
 			callCtx, cancel = d.watchGate.ContextWhileOpen(ctx)
 			call = func(ctx context.Context) error {
-				return s.watch(ctx, s.knownRevision(d.recordState()), d.watchWait())
+				return s.watch(withReason(ctx, callWatch), s.knownRevision(d.recordState()), d.watchWait())
 			}
 		} else if d.hasPeerRecords() {
 			listed = true // the records of a peer replace the list
@@ -178,14 +179,13 @@
 		if cancelled {
 			continue // this instance is no longer the watcher, or the daemon stops
 		}
-		d.metrics.countStoreCall(err)
 		switch {
 		case err == nil:
 			listed = true
 			b.Reset()
 			daemon.Pause(ctx, watchPause)
 		case errors.Is(err, platform.ErrRevisionGone):
-			listed = false
+			listed, listReason = false, callHistory
 			d.log.infoLimited("history lost", "records", s.name, "error", err.Error())
 			d.mu.Lock()
 			d.peerRecordsRead = false
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -16,8 +16,7 @@
 		return
 	}
 	d.goroutines.Go(func() {
-		err := d.store.Load().WriteReport(ctx, *r)
-		d.metrics.countStoreCall(err)
+		err := d.store.Load().WriteReport(withReason(ctx, callReport), *r)
 		if err != nil {
 			d.storeHealth.callFailed(d, "report", err)
 		}
