--- a/forwarder/metrics_test.go
+++ b/forwarder/metrics_test.go
@@ -84,7 +84,7 @@
 	s, d := newReadyDeployment(t, 92)
 	s.waitReport([]string{"here"})
 	require.NoError(t, d.fetchFromStore(t.Context(), fleet.FetchRecords{Configuration: true, Endpoints: true}))
-	s.eventually(func() bool { c := s.store.Counts(); return c["WATCH config"] > 0 && c["WATCH servers"] > 0 })
+	s.eventually(func() bool { c := s.store.Counts(); return c["WATCH config"] > 1 && c["WATCH servers"] > 1 })
 	s.kill([]string{"f1"})
 	made := int64(0)
 	for _, n := range s.store.Counts() {
