--- a/forwarder/metrics_test.go
+++ b/forwarder/metrics_test.go
@@ -104,5 +104,6 @@
 	}
 	d.log.flush()
 	require.Contains(t, s.daemons["f1"].log.String(), `"msg":"store calls","configuration.missed":1,`)
+	d.metrics.storeCalls.attributes() // with the watches that ended after the line
 	require.Nil(t, d.metrics.storeCalls.attributes(), "nothing is new")
 }
