Missed changes are fetched from the member that told of them; fewer calls to the store

Change: changes of endpoints are fetched from the watcher, or from the relay that passed its heartbeat on, which waits until it has them; the store is read if that fails. A member that starts watches only once its records have aged to 0.3 of the bound. A report is written after 5 s of watching. While the store is away one call at a time probes it, less often in a large data centre.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -30,7 +30,11 @@
 	maxRecordAge = 24 * clock.Hour
 	// This time without a tick counts as a stall of the process. Messages and answers of the
 	// store that are handled until stallRecovery has passed may have waited since its start.
-	minStall      = 500 * clock.Millisecond
+	minStall = 500 * clock.Millisecond
+	// Bounds of RetryLimit, and its part for each other member.
+	minRetryLimit = 1 * clock.Second
+	maxRetryLimit = 3 * clock.Second
+	retryShare    = 100 * clock.Millisecond
 	stallRecovery = 1 * clock.Second
 )
 
@@ -50,13 +54,14 @@
 	readAt                   clock.Millis // when this member last read the store itself
 	recoveredAt              clock.Millis // when the store answered again after a failure; 0 if it never failed
 
-	watching    bool
-	leaving     bool
-	heartbeatAt clock.Millis // when this member sent its latest heartbeat
-	fetchedAt   clock.Millis // when this member requested its latest fetch
-	lastHeard   *Member      // sender of the latest message, from any data centre; nil before the first one
-	reports     reportPacer
-	probedAt    clock.Millis // when this member last probed silent members
+	watching      bool
+	watchingSince clock.Millis // when watching last changed
+	leaving       bool
+	heartbeatAt   clock.Millis // when this member sent its latest heartbeat
+	fetchedAt     clock.Millis // when this member requested its latest fetch
+	lastHeard     *Member      // sender of the latest message, from any data centre; nil before the first one
+	reports       reportPacer
+	probedAt      clock.Millis // when this member last probed silent members
 }
 
 // NewEngine returns an engine that knows no other members and has no records.
@@ -67,6 +72,13 @@
 // Watching reports whether this member watches the store.
 func (e *Engine) Watching() bool { return e.watching }
 
+// RetryLimit returns the longest pause between two attempts of this member to reach the store
+// while it doesn't answer. In a large data centre all members try, since the store may serve
+// some of them, so each tries less often: one that reaches it tells the others.
+func (e *Engine) RetryLimit() clock.Millis {
+	return min(max(clock.Millis(len(e.peers.list))*retryShare, minRetryLimit), maxRetryLimit)
+}
+
 // MemberCount returns the number of other members of the data centre that are known.
 func (e *Engine) MemberCount() int { return len(e.peers.list) }
 
@@ -208,7 +220,7 @@
 	case Heartbeat:
 		return e.handleHeartbeat(now, p, m)
 	case RelayedHeartbeat:
-		return e.handleRelayedHeartbeat(now, m)
+		return e.handleRelayedHeartbeat(now, v.From, m)
 	case HeartbeatMissed:
 		if p != nil {
 			p.directUntil = now + directPeriod
@@ -248,9 +260,10 @@
 	return []Action{Send{To: []netip.AddrPort{from.Address}, Message: reply}}
 }
 
-// handleWatcherState processes the record state that a watcher sent. It confirms records
-// that are as new as the watcher's, and requests a fetch for those that are older.
-func (e *Engine) handleWatcherState(now clock.Millis, p *peer, s RecordState, leaving bool) []Action {
+// handleWatcherState processes the record state of a watcher that the watcher or a relay sent.
+// It confirms records that are as new as the watcher's, and requests a fetch for those that are
+// older.
+func (e *Engine) handleWatcherState(now clock.Millis, p *peer, sender Member, s RecordState, leaving bool) []Action {
 	p.heartbeatAt, p.state, p.leaving = now, s, leaving
 	if s.RecoveredAge != 0 {
 		e.recoveredAt = max(e.recoveredAt, now-s.RecoveredAge)
@@ -273,7 +286,8 @@
 	}
 	e.fetchedAt = now
 	return append(actions, FetchRecords{
-		Peer: p.Member, Configuration: s.ConfigurationRevision > e.state.ConfigurationRevision, Endpoints: s.ChangeRevision > e.state.EndpointsRevision,
+		Peer: sender, Configuration: s.ConfigurationRevision > e.state.ConfigurationRevision,
+		Endpoints: s.ChangeRevision > e.state.EndpointsRevision, EndpointsRevision: s.ChangeRevision,
 	})
 }
 
@@ -287,7 +301,7 @@
 	if p == nil {
 		return nil
 	}
-	actions := e.handleWatcherState(now, p, m.State, m.Leaving)
+	actions := e.handleWatcherState(now, p, p.Member, m.State, m.Leaving)
 	if m.Relay {
 		actions = append(actions, e.relayHeartbeat(now, p, m.State)...)
 	}
@@ -295,12 +309,12 @@
 }
 
 // handleRelayedHeartbeat processes a watcher's heartbeat that another member relayed.
-func (e *Engine) handleRelayedHeartbeat(now clock.Millis, m RelayedHeartbeat) []Action {
+func (e *Engine) handleRelayedHeartbeat(now clock.Millis, relay Member, m RelayedHeartbeat) []Action {
 	if !e.isPeer(&m.Watcher) {
 		return nil
 	}
 	p, _ := e.peers.put(m.Watcher)
-	return e.handleWatcherState(now, p, m.State, false)
+	return e.handleWatcherState(now, p, relay, m.State, false)
 }
 
 func (e *Engine) handleEndpointChanges(now clock.Millis, p *peer, m EndpointChanges) []Action {
@@ -308,12 +322,12 @@
 		return nil
 	}
 	if e.state.EndpointsRevision < m.Since {
-		return e.handleWatcherState(now, p, m.State, false)
+		return e.handleWatcherState(now, p, p.Member, m.State, false)
 	}
 	actions := []Action{NotifySteering{Event: steering.EndpointsChanged{Changes: m.Changes, Revision: m.State.EndpointsRevision}}}
 	e.state.EndpointsRevision = max(e.state.EndpointsRevision, m.State.EndpointsRevision)
 	e.state.ChangeRevision = max(e.state.ChangeRevision, m.State.ChangeRevision)
-	return append(actions, e.handleWatcherState(now, p, m.State, false)...)
+	return append(actions, e.handleWatcherState(now, p, p.Member, m.State, false)...)
 }
 
 func (e *Engine) handleConfigurationChange(now clock.Millis, p *peer, m ConfigurationChange) []Action {
@@ -321,16 +335,17 @@
 		return nil
 	}
 	if e.state.ConfigurationRevision != m.Delta.From {
-		return e.handleWatcherState(now, p, m.State, false)
+		return e.handleWatcherState(now, p, p.Member, m.State, false)
 	}
 	e.state.ConfigurationRevision = m.Delta.Revision
 	actions := []Action{NotifySteering{Event: steering.ConfigurationRevised{Delta: m.Delta}}}
-	return append(actions, e.handleWatcherState(now, p, m.State, false)...)
+	return append(actions, e.handleWatcherState(now, p, p.Member, m.State, false)...)
 }
 
 // handleRecordsRead processes records read from the store. The watcher broadcasts the
 // changes to the other members.
 func (e *Engine) handleRecordsRead(now clock.Millis, v RecordsRead) []Action {
+	stale := e.recordsStale(now)
 	e.state = v.State
 	e.readAt = now
 	if v.StoreRecovered {
@@ -345,6 +360,10 @@
 	if !e.watching {
 		return actions
 	}
+	if stale && !e.recordsStale(now) {
+		// The members of lower rank are about to watch the store as well.
+		actions = append(actions, e.sendHeartbeat(now)...)
+	}
 	if v.Delta != nil {
 		return append(actions, e.broadcast(ConfigurationChange{Delta: *v.Delta, State: e.RecordState(now)})...)
 	}
@@ -355,7 +374,7 @@
 }
 
 func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) {
-	if v.State.ConfigurationRevision >= e.state.ConfigurationRevision {
+	if !v.EndpointsOnly && v.State.ConfigurationRevision >= e.state.ConfigurationRevision {
 		e.state.ConfigurationRevision = v.State.ConfigurationRevision
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.ConfigurationAge)
 	}
@@ -381,7 +400,7 @@
 	if watching == e.watching {
 		return nil
 	}
-	e.watching = watching
+	e.watching, e.watchingSince = watching, now
 	return []Action{SetWatching{On: watching}}
 }
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -33,10 +33,12 @@
 	RequestedAt     clock.Millis              // when the records were requested, if they may be as old as that; 0 if they are current
 }
 
-// RecordsFetched reports that this member fetched all records from another member.
+// RecordsFetched reports that this member fetched records from another member: all of them, or
+// the changes of endpoints.
 type RecordsFetched struct {
-	State       RecordState  // of the other member when it answered
-	RequestedAt clock.Millis // since when it may have answered; 0 if it answered now
+	State         RecordState  // of the other member when it answered
+	RequestedAt   clock.Millis // since when it may have answered; 0 if it answered now
+	EndpointsOnly bool
 }
 
 // EndpointFaultFound reports a fault of an endpoint that steering found at this instance.
@@ -94,12 +96,16 @@
 // SetWatching starts or stops watching the store.
 type SetWatching struct{ On bool }
 
-// FetchRecords reads records from the store, or from a peer if that fails. The peer comes
-// second because many members may lack the same records at once, and its link is small.
+// FetchRecords reads records that this member lacks: changes of endpoints from the peer, or
+// from the store if that fails, and the configuration from the store, or all records from the
+// peer if that fails. The peer is the member that told of the records. In a large data centre
+// that is a relay, so that neither the watcher's link nor the store has to serve everybody.
+// Configurations are too large for the links of members.
 type FetchRecords struct {
-	Peer          Member
-	Configuration bool // the configuration is outdated
-	Endpoints     bool // the endpoints are outdated
+	Peer              Member
+	Configuration     bool   // the configuration is outdated
+	Endpoints         bool   // the endpoints are outdated
+	EndpointsRevision uint64 // revision that the changes of endpoints have to reach
 }
 
 // NotifySteering passes an event to the steering engine.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -38,15 +38,16 @@
 	DropMessages    []int        `yaml:"deaf"` // receive no messages until delivered again
 	DeliverMessages []int        `yaml:"hear"`
 	LoseChanges     bool         `yaml:"lose"`   // EndpointChanges messages of this step are lost
-	Change          bool         `yaml:"change"` // the configuration and an endpoint change in the store
+	Change          string       `yaml:"change"` // "true": the configuration and an endpoint change in the store; or "only endpoints"
 	ListMembers     bool         `yaml:"meet"`   // all members receive the store's list of members
 
-	Watchers          []int        `yaml:"watch"` // members that watch at the end; nil for any
-	MaxWatchers       int          `yaml:"most"`  // highest number of watchers at any time of the step; 0 for any
-	MaxAge            clock.Millis `yaml:"age"`   // highest age of records at running members that can read the store; 0 for any
-	MaxCalls          int          `yaml:"calls"` // highest number of reads of the store in the step; 0 for any
-	ChangesKnown      bool         `yaml:"known"` // all running members know the latest change
-	MaxBytesPerSecond int          `yaml:"bytes"` // highest average that a member sent in the step; 0 for any
+	Watchers          []int        `yaml:"watch"`  // members that watch at the end; nil for any
+	MaxWatchers       int          `yaml:"most"`   // highest number of watchers at any time of the step; 0 for any
+	MaxAge            clock.Millis `yaml:"age"`    // highest age of records at running members that can read the store; 0 for any
+	MaxCalls          int          `yaml:"calls"`  // highest number of reads of the store in the step; 0 for any
+	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
+	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
+	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
 }
 
 func TestScenarios(t *testing.T) {
@@ -74,20 +75,22 @@
 	nextReadAt   clock.Millis // when its next watch call ends without a change
 	inbox        []MessageReceived
 	bytesSent    int // in this step
+	served       int // fetches by other members in this step
 }
 
 // simulation runs members on a simulated clock.
 type simulation struct {
-	t              *testing.T
-	now            clock.Millis
-	bound          clock.Millis
-	members        []*testMember
-	revision       uint64
-	changeRevision uint64 // revision of the latest change
-	loseChanges    bool
-	calls          int
-	maxWatchers    int
-	maxAge         clock.Millis
+	t                     *testing.T
+	now                   clock.Millis
+	bound                 clock.Millis
+	members               []*testMember
+	revision              uint64
+	changeRevision        uint64 // revision of the latest change of endpoints
+	configurationRevision uint64
+	loseChanges           bool
+	calls                 int
+	maxWatchers           int
+	maxAge                clock.Millis
 }
 
 // Times of the simulation, in ms. readPause is the forwarder's pause between watch calls.
@@ -97,7 +100,7 @@
 )
 
 func newSimulation(t *testing.T, c scenario) *simulation {
-	sm := &simulation{t: t, now: 1_000_000, bound: c.Bound, revision: 10, changeRevision: 10}
+	sm := &simulation{t: t, now: 1_000_000, bound: c.Bound, revision: 10, changeRevision: 10, configurationRevision: 10}
 	if sm.bound == 0 {
 		sm.bound = 3000
 	}
@@ -146,10 +149,10 @@
 	s := n.engine.RecordState(sm.now)
 	from := s.EndpointsRevision
 	read := RecordsRead{IsConfiguration: true}
-	if s.ConfigurationRevision != sm.changeRevision {
-		read.Delta = &steering.Delta{From: s.ConfigurationRevision, Revision: sm.changeRevision}
+	if s.ConfigurationRevision != sm.configurationRevision {
+		read.Delta = &steering.Delta{From: s.ConfigurationRevision, Revision: sm.configurationRevision}
 	}
-	s.ConfigurationRevision, s.ConfirmedRevision = sm.changeRevision, sm.revision
+	s.ConfigurationRevision, s.ConfirmedRevision = sm.configurationRevision, sm.revision
 	read.State = s
 	sm.perform(n, n.engine.Handle(sm.now, read))
 	s = n.engine.RecordState(sm.now)
@@ -172,22 +175,30 @@
 				sm.deliver(to, data)
 			}
 		case FetchRecords:
+			if v.Endpoints && sm.fetchFrom(n, v.Peer, v.EndpointsRevision) && !v.Configuration {
+				continue
+			}
 			sm.calls++
 			if sm.readStore(n); n.storeDenied {
-				sm.fetchFrom(n, v.Peer)
+				sm.fetchFrom(n, v.Peer, 0)
 			}
 		case SetWatching, NotifySteering, RemoveMember:
 		}
 	}
 }
 
-// fetchFrom lets a member fetch the records of another member.
-func (sm *simulation) fetchFrom(n *testMember, from Member) {
+// fetchFrom lets a member fetch the changes of endpoints that another member knows, if they
+// reach a revision, or all its records if the revision is 0. It reports whether it did.
+func (sm *simulation) fetchFrom(n *testMember, from Member, revision uint64) bool {
 	for _, p := range sm.members {
-		if p.Name == from.Name && p.live && !p.stalled {
-			sm.perform(n, n.engine.Handle(sm.now, RecordsFetched{State: p.engine.RecordState(sm.now)}))
+		if p.Name != from.Name || !p.live || p.stalled || p.engine.state.EndpointsRevision < revision {
+			continue
 		}
+		p.served++
+		sm.perform(n, n.engine.Handle(sm.now, RecordsFetched{State: p.engine.RecordState(sm.now), EndpointsOnly: revision != 0}))
+		return true
 	}
+	return false
 }
 
 func (sm *simulation) deliver(to netip.AddrPort, data []byte) {
@@ -213,7 +224,7 @@
 	sm.t.Helper()
 	sm.calls, sm.maxWatchers, sm.maxAge = 0, 0, 0
 	for _, n := range sm.members {
-		n.bytesSent = 0
+		n.bytesSent, n.served = 0, 0
 	}
 	sm.each(s.Kill, func(n *testMember) { n.live, n.inbox = false, nil })
 	sm.each(s.Stop, func(n *testMember) {
@@ -231,10 +242,13 @@
 		sm.listMembers()
 	}
 	sm.loseChanges = s.LoseChanges
-	if s.Change {
+	if s.Change != "" {
 		sm.revision += 3
 		sm.changeRevision = sm.revision
 	}
+	if s.Change == "true" {
+		sm.configurationRevision = sm.revision
+	}
 	for end := sm.now + s.Duration; sm.now < end; {
 		sm.now += tickPeriod
 		sm.tick()
@@ -296,6 +310,9 @@
 		require.LessOrEqual(sm.t, sm.calls, s.MaxCalls, name)
 	}
 	for i, n := range sm.members {
+		if s.MaxServed > 0 {
+			require.LessOrEqual(sm.t, n.served, s.MaxServed, "%s: fetches that member %d served", name, i)
+		}
 		if s.MaxBytesPerSecond > 0 {
 			require.LessOrEqual(sm.t, n.bytesSent*1000/int(s.Duration), s.MaxBytesPerSecond, "%s: bytes per second of member %d", name, i)
 		}
@@ -304,7 +321,7 @@
 		for i, n := range sm.members {
 			if n.live && !n.stalled {
 				require.GreaterOrEqual(sm.t, n.engine.state.EndpointsRevision, sm.changeRevision, "%s: member %d", name, i)
-				require.Equal(sm.t, sm.changeRevision, n.engine.state.ConfigurationRevision, "%s: member %d", name, i)
+				require.Equal(sm.t, sm.configurationRevision, n.engine.state.ConfigurationRevision, "%s: member %d", name, i)
 			}
 		}
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -198,9 +198,7 @@
 			if c.Endpoint.Revision > maxRevision {
 				return errors.Wrapf(ErrMessage, "revision %d is greater than %d", c.Endpoint.Revision, uint64(maxRevision))
 			}
-			if err := c.Endpoint.Check(); err != nil && !c.Removed && !c.Unreadable {
-				*c = c.Endpoint.Unreadable(err)
-			}
+			c.CheckEndpoint()
 		}
 	case e.ConfigurationChange != nil:
 		return e.ConfigurationChange.Delta.Check()
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -22,6 +22,7 @@
 // Each report costs a call to the store, so they are limited.
 const (
 	minReportInterval     = 10 * clock.Second // between reports that differ
+	reportDelay           = 5 * clock.Second  // from the start of watching; many members watch for a moment only
 	reportRefreshInterval = 5 * clock.Minute  // between equal reports; a newer time shows readers that the watcher is alive
 )
 
@@ -54,7 +55,7 @@
 // Report returns the report to write now, or nil if none is due or this member isn't the
 // watcher.
 func (e *Engine) Report(now clock.Millis, version int64, endpoints int, conditions func(clock.Millis) []steering.Condition) *Report {
-	if !e.watching || e.reports.lastAt != 0 && now-e.reports.lastAt < minReportInterval {
+	if !e.watching || now-e.watchingSince < reportDelay || e.reports.lastAt != 0 && now-e.reports.lastAt < minReportInterval {
 		return nil
 	}
 	r := Report{
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -31,6 +31,9 @@
 	watchWaitFraction = 0.25
 	// Age of records at which the member of the highest rank reads the store itself.
 	staleFraction = 0.55
+	// Age of records at which the member of the highest rank does so if no member watches. A
+	// member that starts knows no other yet, and has just read the records.
+	firstFraction = 0.3
 	// Additional age at which the member of the lowest rank does so. The heartbeats of
 	// the first member that reads the store save the others the call.
 	staggerFraction = 0.2
@@ -64,6 +67,12 @@
 	return now-e.readAt > fractionOf(e.settings.RecordBound, staleFraction)
 }
 
+// recordsStale reports whether this member's records are so old that it would watch the store
+// if it had the highest rank.
+func (e *Engine) recordsStale(now clock.Millis) bool {
+	return e.recordAge(now) > fractionOf(e.settings.RecordBound, staleFraction)
+}
+
 // takeoverAge returns the age of records at which this member becomes a watcher
 // although another member should be. It grows with the member's place in the ranking.
 func (e *Engine) takeoverAge() clock.Millis {
@@ -104,7 +113,7 @@
 		return !otherWatcher || !e.storeUnreachable(now)
 	}
 	if ahead == 0 && !otherWatcher {
-		return true
+		return e.recordAge(now) > fractionOf(e.settings.RecordBound, firstFraction)
 	}
 	return e.recordAge(now) > e.takeoverAge()
 }
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
@@ -588,3 +589,40 @@
 	require.Contains(t, log.String(), `"settings kept"`)
 	require.Contains(t, log.String(), `platform.address`)
 }
+
+// An instance that missed changes of endpoints must read them from the member that told of
+// them, and from the store only if that member doesn't answer or doesn't know them.
+func TestMissedChangesAreFetchedFromMember(t *testing.T) {
+	s, d := newReadyDeployment(t, 91)
+	s.start([]string{"f2", "here"})
+	s.waitRotation([]string{"2"})
+	other := s.daemons["f2"].daemon
+	for _, m := range []*Daemon{d, other} {
+		m.mu.Lock()
+		m.watchGate.Set(false) // changes reach nobody
+		m.mu.Unlock()
+	}
+	require.NoError(t, d.fetchFromStore(t.Context(), fleet.FetchRecords{Endpoints: true})) // past the other one's list
+	before := d.metrics.storeCalls.counts["endpoints.missed"]
+	s.endpoint([]string{"a2", "desk", "here"})
+	require.NoError(t, other.fetchFromStore(t.Context(), fleet.FetchRecords{Endpoints: true}))
+	client := &http.Client{}
+	wanted := fleet.FetchRecords{Peer: other.self, Endpoints: true, EndpointsRevision: other.recordState().EndpointsRevision}
+	missed := func() int64 { return d.metrics.storeCalls.counts["endpoints.missed"] - before }
+	d.fetch(t.Context(), client, wanted)
+	require.Zero(t, missed(), "calls to the store")
+	require.EqualValues(t, 1, other.metrics.servedFetches.Count())
+	require.Equal(t, 2, s.countUsable("a2"))
+	require.Equal(t, other.recordState().EndpointsRevision, d.recordState().EndpointsRevision)
+
+	s.endpoint([]string{"a3", "desk", "here"})
+	wanted.EndpointsRevision += 10 // more than the other one knows
+	d.fetch(t.Context(), client, wanted)
+	require.EqualValues(t, 1, missed())
+	require.Equal(t, 1, s.countUsable("a3"))
+	s.kill([]string{"f2"})
+	s.endpoint([]string{"a4", "desk", "here"})
+	d.fetch(t.Context(), client, wanted)
+	require.EqualValues(t, 2, missed())
+	require.Equal(t, 1, s.countUsable("a4"))
+}
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -31,6 +31,8 @@
 	panics               metrics.Counter // units of work that panicked
 	storeCalls           *storeCalls
 	messagesIn           metrics.Counter // from other instances
+	servedFetches        metrics.Counter // changes of endpoints that other instances fetched here
+	failedFetches        metrics.Counter // fetches of this instance, from others or the store
 	messagesOut          metrics.Counter
 	probes               metrics.Counter
 	flowsGivenUp         metrics.Counter            // flows reset because their endpoint ended or fails
@@ -58,6 +60,8 @@
 	m.readErrors = m.counter("packets.read_errors")
 	m.panics = m.counter("panics")
 	m.storeCalls = &storeCalls{registry: m.registry, total: m.counter("store.calls"), failed: m.counter("store.unanswered"), counts: map[string]int64{}}
+	m.servedFetches = m.counter("members.fetches_served")
+	m.failedFetches = m.counter("records.fetches_failed")
 	m.messagesIn = m.counter("members.messages_in")
 	m.messagesOut = m.counter("members.messages_out")
 	m.probes = m.counter("endpoints.probes")
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -28,9 +28,6 @@
 	firstFetchPeriod = 500 * clock.Millisecond
 )
 
-// recordsPath is the HTTP path of a member's records.
-const recordsPath = "/records"
-
 // peerRecords is the body of an answer at recordsPath: all records of a member.
 type peerRecords struct {
 	State         fleet.RecordState         `cbor:"state"`
@@ -39,6 +36,14 @@
 	Unreadable    []steering.EndpointChange `cbor:"unreadable,omitempty"`
 }
 
+// recordsPath and changesPath are the HTTP paths of a member's records, and of the changes of
+// its endpoints after the revision since. An answer with changes waits until they reach the
+// revision until, up to maxChangesWait.
+const (
+	recordsPath = "/records"
+	changesPath = "/changes"
+)
+
 // check returns an error if the records can't be used. An invalid endpoint costs no other: it
 // becomes an unreadable entry.
 func (r *peerRecords) check() error {
@@ -87,6 +92,7 @@
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+recordsPath, d.serveRecords)
+	mux.HandleFunc("GET "+changesPath, d.serveChanges)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		if err := d.metrics.write(w); err != nil {
@@ -214,14 +220,29 @@
 
 func (d *Daemon) fetch(ctx context.Context, client *http.Client, v fleet.FetchRecords) {
 	start := clock.Now()
+	if v.Endpoints && d.hasRecords() {
+		err := d.fetchChanges(ctx, client, v)
+		d.logFetch(v.Peer.Name, start, false, true, err)
+		if v.Endpoints = err != nil; !v.Endpoints && !v.Configuration {
+			return
+		}
+		start = clock.Now()
+	}
 	source := "store"
 	err := d.fetchFromStore(ctx, v)
 	if err != nil && ctx.Err() == nil {
 		source = v.Peer.Name
 		err = d.fetchFromPeer(ctx, client, v.Peer)
 	}
+	d.logFetch(source, start, v.Configuration, v.Endpoints, err)
+}
+
+func (d *Daemon) logFetch(source string, start clock.Millis, configuration, endpoints bool, err error) {
+	if err != nil {
+		d.metrics.failedFetches.Inc(1)
+	}
 	d.log.infoLimited("records fetched", "source", source, "took_ms", clock.Now()-start,
-		"configuration", v.Configuration, "endpoints", v.Endpoints, "error", errorText(err))
+		"configuration", configuration, "endpoints", endpoints, "error", errorText(err))
 }
 
 // errNotListed reports that there is no revision yet from which changes could be read.
@@ -252,12 +273,12 @@
 	return nil
 }
 
-func (d *Daemon) fetchFromPeer(ctx context.Context, client *http.Client, p fleet.Member) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+recordsPath, http.NoBody)
+// getFromPeer reads the answer at a path of a member, and decodes it into result.
+func getFromPeer(ctx context.Context, client *http.Client, p fleet.Member, path string, result any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+path, http.NoBody)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	start := clock.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
@@ -270,10 +291,18 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	var r peerRecords
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := cbor.Unmarshal(data, result); err != nil {
 		return errors.Wrapf(err, "decode records of %d bytes", len(data))
 	}
+	return nil
+}
+
+func (d *Daemon) fetchFromPeer(ctx context.Context, client *http.Client, p fleet.Member) error {
+	start := clock.Now()
+	var r peerRecords
+	if err := getFromPeer(ctx, client, p, recordsPath, &r); err != nil {
+		return err
+	}
 	if err := r.check(); err != nil {
 		return errors.Wrapf(err, "records of %q", p.Name)
 	}
@@ -327,7 +356,7 @@
 		if err != nil {
 			d.storeHealth.callFailed(d, "members", err)
 			d.greetSeeds()
-			daemon.Pause(ctx, b.Next())
+			d.storeHealth.waitAvailable(ctx, d.retryPause(&b))
 			continue
 		}
 		d.guard("members", func() { d.handleFleet(fleet.MembersListed{Members: list}) })
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -32,6 +33,7 @@
 // recordSource reads one kind of records from the store.
 type recordSource struct {
 	name          string
+	probes        bool                           // its calls find out when the store is available again; the other source waits for that
 	knownRevision func(fleet.RecordState) uint64 // revision up to which this instance's records are known
 	list          func(context.Context) error
 	watch         func(ctx context.Context, since uint64, wait clock.Millis) error
@@ -80,6 +82,7 @@
 func (d *Daemon) endpointSource() recordSource {
 	return recordSource{
 		name:          "endpoints",
+		probes:        true,
 		knownRevision: func(s fleet.RecordState) uint64 { return s.EndpointsRevision },
 		list:          d.listEndpoints,
 		watch: func(ctx context.Context, since uint64, wait clock.Millis) error {
@@ -192,11 +195,22 @@
 			d.mu.Unlock()
 		default:
 			d.storeHealth.callFailed(d, s.name, err)
-			daemon.Pause(ctx, b.Next())
+			pause := d.retryPause(&b)
+			if s.probes {
+				daemon.Pause(ctx, pause)
+			} else {
+				d.storeHealth.waitAvailable(ctx, pause)
+			}
 		}
 	}
 }
 
+// retryPause returns the pause until the next attempt to reach the store.
+func (d *Daemon) retryPause(b *daemon.Backoff) clock.Millis {
+	d.locked(func() { b.Max = d.fleet.RetryLimit() })
+	return b.Next()
+}
+
 // newBackoff returns the backoff for failed calls to the store.
 func newBackoff() daemon.Backoff { return daemon.Backoff{Min: minRetryDelay, Max: maxRetryDelay} }
 
@@ -219,6 +233,30 @@
 	mu               sync.Mutex
 	unavailable      bool
 	unavailableSince clock.Millis
+	recovered        chan struct{} // closed when the store is available again; nil while it is available
+}
+
+// maxOutageWait is the longest time that calls wait for another call to reach the store, as a
+// multiple of the pause between two attempts.
+const maxOutageWait = 3
+
+// waitAvailable waits until another call reaches the store. It returns after pause if the store
+// is available, and after maxOutageWait pauses in any case.
+func (h *storeHealth) waitAvailable(ctx context.Context, pause clock.Millis) {
+	h.mu.Lock()
+	recovered := h.recovered
+	h.mu.Unlock()
+	if recovered == nil {
+		daemon.Pause(ctx, pause)
+		return
+	}
+	timer := time.NewTimer((maxOutageWait * pause).Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-recovered:
+	}
 }
 
 // callSucceeded marks the store as available, and reports whether it was unavailable before.
@@ -229,6 +267,8 @@
 		return false
 	}
 	h.unavailable = false
+	close(h.recovered)
+	h.recovered = nil
 	d.log.info("store recovered", "away_ms", clock.Now()-h.unavailableSince)
 	return true
 }
@@ -246,5 +286,6 @@
 		return
 	}
 	h.unavailable, h.unavailableSince = true, clock.Now()
+	h.recovered = make(chan struct{})
 	d.log.info("store lost", "records", name, "error", err.Error())
 }
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -69,6 +69,13 @@
 	return EndpointChange{Endpoint: Endpoint{ID: id, Revision: p.Revision}, Unreadable: true, Cause: text[:min(len(text), MaxCause)]}
 }
 
+// CheckEndpoint makes the change that of an unreadable entry if its endpoint is invalid.
+func (c *EndpointChange) CheckEndpoint() {
+	if err := c.Endpoint.Check(); err != nil && !c.Removed && !c.Unreadable {
+		*c = c.Endpoint.Unreadable(err)
+	}
+}
+
 var broadcastAddress = netip.AddrFrom4([4]byte{255, 255, 255, 255})
 
 // token returns the endpoint's number, folded into 32 bits. Numbers of up to 32 bits stay
@@ -103,6 +110,7 @@
 	entryState      entryState
 	entryChangedAt  clock.Millis // when the entry was written or removed
 	removedRevision uint64       // revision at which the entry was removed; entries up to it are outdated
+	knownRevision   uint64       // revision of the store up to which changes were read when the latest one of the entry was
 	warmedUpAt      clock.Millis // end of the warm-up
 	removal         removal      // valid while the endpoint is gone
 	knownSince      clock.Millis // when this incarnation at this address became known
@@ -128,6 +136,10 @@
 	// lapseTimeout counts from then.
 	storeRecoveredAt clock.Millis
 
+	// Greatest revision with changes of endpoints that were forgotten, or that this instance
+	// never knew.
+	forgottenRevision uint64
+
 	byID       map[string]*endpointState
 	byToken    map[Token][]*endpointState
 	byService  map[string][]*endpointState // those that accept new flows, sorted by ID
@@ -203,6 +215,7 @@
 			}
 		case gone:
 			if now-s.entryChangedAt >= goneTimeout {
+				d.forgottenRevision = max(d.forgottenRevision, s.knownRevision)
 				d.unindex(s)
 				delete(d.byID, id)
 			}
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -284,6 +284,8 @@
 			actions = e.remove(now, id, v.Revision, actions)
 		}
 	}
+	// Which entries changed since an earlier list isn't known.
+	e.directory.forgottenRevision = v.Revision
 	e.directory.listed = true
 	e.directory.revision = v.Revision
 	if firstList {
@@ -311,6 +313,7 @@
 		}
 	}
 	e.directory.revision = max(e.directory.revision, v.Revision)
+	e.directory.recordRevision(v.Changes, v.Revision)
 	return actions
 }
 
