--- a/steering/history_test.go
+++ b/steering/history_test.go
@@ -61,16 +61,26 @@
 		pupilRevision = revision
 		require.Equal(t, sortedEndpoints(teacher), sortedEndpoints(pupil), "round %d", round)
 	}
-	now += goneTimeout + lapseTimeout
-	removed := []EndpointChange{{Endpoint: Endpoint{ID: "i-1", Revision: revision + 1}, Removed: true}, {Endpoint: Endpoint{ID: "i-2", Revision: revision + 1}, Removed: true}}
+}
+
+// Changes are no longer known once an endpoint that left with them was forgotten.
+func TestForgottenChangesAreNotKnown(t *testing.T) {
+	now, revision := clock.Millis(startTime), uint64(10)
+	teacher := NewEngine(Settings{Centre: "here", StaleAfter: 1650})
+	list := []Endpoint{{ID: "i-1", Number: 1, Revision: 3, Service: "desk", Centre: "here", Slots: 2, Address: AddrPort{1, 80}}}
+	teacher.Handle(now, EndpointsListed{Endpoints: list, Revision: revision})
+	removed := []EndpointChange{{Endpoint: Endpoint{ID: "i-1", Revision: revision + 1}, Removed: true}}
 	teacher.Handle(now, EndpointsChanged{Changes: removed, Revision: revision + 1})
+	changes, known := teacher.ChangesSince(revision)
+	require.True(t, known)
+	require.Len(t, changes, 1)
 	for range 3 {
 		now += goneTimeout + lapseTimeout
 		teacher.Handle(now, RecordsConfirmed{EndpointsAt: now, ConfigurationAt: now})
 		teacher.Handle(now, Ticked{})
 	}
-	_, known = teacher.ChangesSince(pupilRevision)
-	require.False(t, known, "an endpoint that left since was forgotten")
+	_, known = teacher.ChangesSince(revision)
+	require.False(t, known)
 }
 
 func sortedEndpoints(e *Engine) []Endpoint {
