--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -309,14 +309,7 @@
 	if s.MaxCalls > 0 {
 		require.LessOrEqual(sm.t, sm.calls, s.MaxCalls, name)
 	}
-	for i, n := range sm.members {
-		if s.MaxServed > 0 {
-			require.LessOrEqual(sm.t, n.served, s.MaxServed, "%s: fetches that member %d served", name, i)
-		}
-		if s.MaxBytesPerSecond > 0 {
-			require.LessOrEqual(sm.t, n.bytesSent*1000/int(s.Duration), s.MaxBytesPerSecond, "%s: bytes per second of member %d", name, i)
-		}
-	}
+	sm.expectTraffic(name, s)
 	if s.ChangesKnown {
 		for i, n := range sm.members {
 			if n.live && !n.stalled {
@@ -327,6 +320,18 @@
 	}
 }
 
+func (sm *simulation) expectTraffic(name string, s scenarioStep) {
+	sm.t.Helper()
+	for i, n := range sm.members {
+		if s.MaxServed > 0 {
+			require.LessOrEqual(sm.t, n.served, s.MaxServed, "%s: fetches that member %d served", name, i)
+		}
+		if s.MaxBytesPerSecond > 0 {
+			require.LessOrEqual(sm.t, n.bytesSent*1000/int(s.Duration), s.MaxBytesPerSecond, "%s: bytes per second of member %d", name, i)
+		}
+	}
+}
+
 // Decoding returns the encoded message and sender. Messages that are too large, malformed,
 // empty or without a valid sender are rejected with ErrMessage.
 func TestMessageRoundTrip(t *testing.T) {
