While the store is away, one kind of records probes it, and large data centres probe less often

Change: records of the other kind wait until a probe was answered, also right after an instance took over with stale records; pauses grow with the number of members. All members still try once, since the store may serve only some.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -31,7 +31,8 @@
 	// This time without a tick counts as a stall of the process. Messages and answers of the
 	// store that are handled until stallRecovery has passed may have waited since its start.
 	minStall = 500 * clock.Millisecond
-	// Bounds of RetryLimit, and its part for each other member.
+	// Bounds of RetryPauses, and their part for each other member.
+	minRetryPause = 100 * clock.Millisecond
 	minRetryLimit = 1 * clock.Second
 	maxRetryLimit = 3 * clock.Second
 	retryShare    = 100 * clock.Millisecond
@@ -72,11 +73,13 @@
 // Watching reports whether this member watches the store.
 func (e *Engine) Watching() bool { return e.watching }
 
-// RetryLimit returns the longest pause between two attempts of this member to reach the store
-// while it doesn't answer. In a large data centre all members try, since the store may serve
-// some of them, so each tries less often: one that reaches it tells the others.
-func (e *Engine) RetryLimit() clock.Millis {
-	return min(max(clock.Millis(len(e.peers.list))*retryShare, minRetryLimit), maxRetryLimit)
+// RetryPauses returns the bounds of the pause between two attempts of this member to reach the
+// store while it doesn't answer. In a large data centre all members try, since the store may
+// serve some of them, so each tries less often: one that reaches it tells the others.
+func (e *Engine) RetryPauses() (shortest, longest clock.Millis) {
+	n := clock.Millis(len(e.peers.list))
+	longest = min(max(n*retryShare, minRetryLimit), maxRetryLimit)
+	return min(max(n*retryShare/4, minRetryPause), longest/2), longest
 }
 
 // MemberCount returns the number of other members of the data centre that are known.
@@ -401,7 +404,7 @@
 		return nil
 	}
 	e.watching, e.watchingSince = watching, now
-	return []Action{SetWatching{On: watching}}
+	return []Action{SetWatching{On: watching, Stale: watching && e.recordsStale(now)}}
 }
 
 func (e *Engine) handleTick(now clock.Millis) []Action {
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -94,7 +94,10 @@
 }
 
 // SetWatching starts or stops watching the store.
-type SetWatching struct{ On bool }
+type SetWatching struct {
+	On    bool
+	Stale bool // the records are stale, so the store may not answer
+}
 
 // FetchRecords reads records that this member lacks: changes of endpoints from the peer, or
 // from the store if that fails, and the configuration from the store, or all records from the
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -625,3 +625,23 @@
 	require.True(t, r.Due(1001+listLag, false), "the object was deleted")
 	require.False(t, r.Due(1001+listLag, true))
 }
+
+// While the store doesn't answer, the attempts of all members of a data centre together must
+// not grow with their number, and a lone member must try about once a second.
+func TestRetryPauses(t *testing.T) {
+	for _, c := range []struct {
+		members           int
+		shortest, longest clock.Millis
+	}{{1, 100, 1000}, {6, 125, 1000}, {28, 675, 2700}, {59, 1450, 3000}, {500, 1500, 3000}} {
+		e := NewEngine(Settings{Self: Member{Name: "edge-0", Centre: "here", Address: netip.MustParseAddrPort("10.0.0.1:1")}, RecordBound: 3000}, 1000)
+		var list []Member
+		for i := range c.members - 1 {
+			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(1 + i/250), byte(i % 250)}), 1)
+			list = append(list, Member{Name: fmt.Sprintf("edge-%d", i+1), Centre: "here", Address: at})
+		}
+		e.Handle(1000, MembersListed{Members: list})
+		shortest, longest := e.RetryPauses()
+		require.Equal(t, c.shortest, shortest, "%d members", c.members)
+		require.Equal(t, c.longest, longest, "%d members", c.members)
+	}
+}
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -16,6 +16,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -626,3 +627,27 @@
 	require.EqualValues(t, 2, missed())
 	require.Equal(t, 1, s.countUsable("a4"))
 }
+
+// While the store doesn't answer, only one kind of records probes it. The other one is read as
+// soon as a probe was answered.
+func TestOneCallProbesUnavailableStore(t *testing.T) {
+	s, d := newReadyDeployment(t, 90)
+	s.eventually(func() bool { return s.store.Counts()["WATCH config"] > 0 })
+	s.setStoreFault([]string{"busy"})
+	s.eventually(func() bool { return s.store.Counts()["WATCH servers"] > 1 })
+	before := s.store.Counts()
+	time.Sleep((1500 * clock.Millisecond).Duration())
+	after := s.store.Counts()
+	require.Greater(t, after["WATCH servers"], before["WATCH servers"])
+	require.LessOrEqual(t, after["WATCH config"], before["WATCH config"]+2, "one was on its way, and one waited for a second")
+	s.setStoreFault([]string{"fine"})
+	s.publish(nil)
+	s.waitVersion([]string{"4"})
+	d.storeHealth.doubt()
+	done := make(chan struct{})
+	go func() {
+		d.storeHealth.waitConfirmed(t.Context(), waitTimeout)
+		close(done)
+	}()
+	<-done // the next answer to a probe ends the doubt
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -158,6 +158,9 @@
 			d.sendMessage(v)
 		case fleet.SetWatching:
 			d.log.info("watch", "on", v.On)
+			if v.On && v.Stale {
+				d.storeHealth.doubt()
+			}
 			d.watchGate.Set(v.On)
 		case fleet.FetchRecords:
 			select {
@@ -356,7 +359,8 @@
 		if err != nil {
 			d.storeHealth.callFailed(d, "members", err)
 			d.greetSeeds()
-			d.storeHealth.waitAvailable(ctx, d.retryPause(&b))
+			daemon.Pause(ctx, d.retryPause(&b))
+			d.waitStoreConfirmed(ctx)
 			continue
 		}
 		d.guard("members", func() { d.handleFleet(fleet.MembersListed{Members: list}) })
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -167,6 +167,9 @@
 			if !d.watchGate.Wait(ctx) {
 				return
 			}
+			if !s.probes {
+				d.waitStoreConfirmed(ctx)
+			}
 			callCtx, cancel = d.watchGate.ContextWhileOpen(ctx)
 			call = func(ctx context.Context) error {
 				return s.watch(withReason(ctx, callWatch), s.knownRevision(d.recordState()), d.watchWait())
@@ -195,22 +198,25 @@
 			d.mu.Unlock()
 		default:
 			d.storeHealth.callFailed(d, s.name, err)
-			pause := d.retryPause(&b)
-			if s.probes {
-				daemon.Pause(ctx, pause)
-			} else {
-				d.storeHealth.waitAvailable(ctx, pause)
-			}
+			daemon.Pause(ctx, d.retryPause(&b))
 		}
 	}
 }
 
 // retryPause returns the pause until the next attempt to reach the store.
 func (d *Daemon) retryPause(b *daemon.Backoff) clock.Millis {
-	d.locked(func() { b.Max = d.fleet.RetryLimit() })
+	d.locked(func() { b.Min, b.Max = d.fleet.RetryPauses() })
 	return b.Next()
 }
 
+// waitStoreConfirmed waits while the store is unavailable or in doubt, at most as long as the
+// longest pause between two attempts to reach it.
+func (d *Daemon) waitStoreConfirmed(ctx context.Context) {
+	var limit clock.Millis
+	d.locked(func() { _, limit = d.fleet.RetryPauses() })
+	d.storeHealth.waitConfirmed(ctx, limit)
+}
+
 // newBackoff returns the backoff for failed calls to the store.
 func newBackoff() daemon.Backoff { return daemon.Backoff{Min: minRetryDelay, Max: maxRetryDelay} }
 
@@ -233,29 +239,35 @@
 	mu               sync.Mutex
 	unavailable      bool
 	unavailableSince clock.Millis
-	recovered        chan struct{} // closed when the store is available again; nil while it is available
+	// Closed when the store has answered, after it was unavailable or in doubt; nil while
+	// neither is the case.
+	confirmed chan struct{}
 }
 
-// maxOutageWait is the longest time that calls wait for another call to reach the store, as a
-// multiple of the pause between two attempts.
-const maxOutageWait = 3
+// doubt makes calls other than probes wait until the store has answered again.
+func (h *storeHealth) doubt() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.confirmed == nil {
+		h.confirmed = make(chan struct{})
+	}
+}
 
-// waitAvailable waits until another call reaches the store. It returns after pause if the store
-// is available, and after maxOutageWait pauses in any case.
-func (h *storeHealth) waitAvailable(ctx context.Context, pause clock.Millis) {
+// waitConfirmed waits until a probe has reached the store, if it is unavailable or in doubt, but
+// not longer than limit: probes may fail for a reason of their own.
+func (h *storeHealth) waitConfirmed(ctx context.Context, limit clock.Millis) {
 	h.mu.Lock()
-	recovered := h.recovered
+	confirmed := h.confirmed
 	h.mu.Unlock()
-	if recovered == nil {
-		daemon.Pause(ctx, pause)
+	if confirmed == nil {
 		return
 	}
-	timer := time.NewTimer((maxOutageWait * pause).Duration())
+	timer := time.NewTimer(limit.Duration())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-recovered:
+	case <-confirmed:
 	}
 }
 
@@ -263,12 +275,14 @@
 func (h *storeHealth) callSucceeded(d *Daemon) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.confirmed != nil {
+		close(h.confirmed)
+		h.confirmed = nil
+	}
 	if !h.unavailable {
 		return false
 	}
 	h.unavailable = false
-	close(h.recovered)
-	h.recovered = nil
 	d.log.info("store recovered", "away_ms", clock.Now()-h.unavailableSince)
 	return true
 }
@@ -286,6 +300,8 @@
 		return
 	}
 	h.unavailable, h.unavailableSince = true, clock.Now()
-	h.recovered = make(chan struct{})
+	if h.confirmed == nil {
+		h.confirmed = make(chan struct{})
+	}
 	d.log.info("store lost", "records", name, "error", err.Error())
 }
