--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -353,15 +353,7 @@
 	b := newBackoff()
 	var registration fleet.Registration
 	for round := 0; ctx.Err() == nil; {
-		var list []fleet.Member
-		err := errPanicked
-		d.guard("list of members", func() { list, err = d.store.Load().Members(withReason(ctx, callMembers)) })
-		if err == nil && registration.Due(clock.Now(), d.isListed(list)) {
-			err = d.store.Load().RegisterMember(withReason(ctx, callRegister), d.self)
-			if err == nil {
-				registration.Written(clock.Now())
-			}
-		}
+		list, err := d.listMembers(ctx, &registration)
 		if err != nil {
 			d.openStartGate()
 			d.storeHealth.callFailed(d, "members", err)
@@ -383,6 +375,21 @@
 	}
 }
 
+// listMembers lists the members from the store, and writes the object of this instance if it
+// is due.
+func (d *Daemon) listMembers(ctx context.Context, r *fleet.Registration) (list []fleet.Member, err error) {
+	err = errPanicked // unless the call returns
+	d.guard("list of members", func() { list, err = d.store.Load().Members(withReason(ctx, callMembers)) })
+	if err != nil || !r.Due(clock.Now(), d.isListed(list)) {
+		return list, err
+	}
+	if err := d.store.Load().RegisterMember(withReason(ctx, callRegister), d.self); err != nil {
+		return nil, err
+	}
+	r.Written(clock.Now())
+	return list, nil
+}
+
 // isListed reports whether a list of members contains this instance with its current
 // address and data centre.
 func (d *Daemon) isListed(list []fleet.Member) bool {
--- a/forwarder/start.go
+++ b/forwarder/start.go
@@ -70,7 +70,10 @@
 		return // none is asked for
 	}
 	deadline := clock.Now() + min(clock.Millis(wait), startFetchTime)
-	for !d.hasRecords() && clock.Now() < deadline && daemon.Pause(r.Context(), startPollPeriod) {
+	for !d.hasRecords() && clock.Now() < deadline {
+		if !daemon.Pause(r.Context(), startPollPeriod) {
+			return
+		}
 	}
 }
 
