Records that are passed on reach the revision that they claim; probes in doubt are answered at once

Cause 1: a change from another member moved the revision under the lock, and the endpoints under the next one. The probe now asks for an answer at once.

--- a/fleet/broadcast.go
+++ b/fleet/broadcast.go
@@ -26,20 +26,20 @@
 func (e *Engine) canPush(changes []steering.EndpointChange) bool {
 	size := 0
 	for i := range changes {
-		size += changeSize(&changes[i].Endpoint)
+		size += changeSize(&changes[i])
 	}
 	return size*len(e.peers.list) <= maxPushSize
 }
 
-func changeSize(p *steering.Endpoint) int {
-	return changeOverhead + len(p.ID) + len(p.Service) + len(p.Centre)
+func changeSize(c *steering.EndpointChange) int {
+	return changeOverhead + len(c.Endpoint.ID) + len(c.Endpoint.Service) + len(c.Endpoint.Centre) + len(c.Cause)
 }
 
 // countFitting returns the number of changes that fit into one message, at least 1.
 func countFitting(changes []steering.EndpointChange) int {
 	size := messageOverhead
 	for i := range changes {
-		size += changeSize(&changes[i].Endpoint)
+		size += changeSize(&changes[i])
 		if size > MaxMessageSize && i > 0 {
 			return i
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -676,3 +676,17 @@
 		}
 	}
 }
+
+// The same of unreadable entries, whose causes are long.
+func TestUnreadableChangesFit(t *testing.T) {
+	var m EndpointChanges
+	for range 40 {
+		p := steering.Endpoint{ID: "i-" + strings.Repeat("f", 16), Revision: 1 << 40}
+		m.Changes = append(m.Changes, steering.EndpointChange{Endpoint: p, Unreadable: true, Cause: strings.Repeat("x", steering.MaxCause)})
+	}
+	m.Changes = m.Changes[:countFitting(m.Changes)]
+	_, err := Encode(Member{
+		Name: strings.Repeat("n", 40), Centre: strings.Repeat("c", 24), Address: netip.MustParseAddrPort("255.255.255.255:65535"), StartedAt: 1 << 41,
+	}, m)
+	require.NoError(t, err)
+}
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
@@ -646,12 +647,25 @@
 	s.publish(nil)
 	s.waitVersion([]string{"4"})
 	d.storeHealth.doubt()
-	done := make(chan struct{})
-	go func() {
-		d.storeHealth.waitConfirmed(t.Context(), waitTimeout)
-		close(done)
-	}()
-	<-done // the next answer to a probe ends the doubt
+	start := clock.Now()
+	d.storeHealth.waitConfirmed(t.Context(), waitTimeout) // the next answer to a probe ends the doubt
+	require.Less(t, clock.Now()-start, waitTimeout)
+}
+
+// An instance that takes over with stale records must read both kinds at once: the probe must
+// not wait for a change, since the other kind of records waits for its answer.
+func TestProbeInDoubtIsAnsweredAtOnce(t *testing.T) {
+	s, d := newReadyDeployment(t, 88)
+	s.eventually(func() bool { return s.store.Counts()["WATCH servers"] > 0 })
+	d.watchGate.Set(false)
+	s.publish(nil)
+	before := s.store.Counts()
+	d.storeHealth.doubt()
+	start := clock.Now()
+	d.watchGate.Set(true)
+	s.eventually(func() bool { return s.store.Counts()["WATCH config"] > before["WATCH config"] })
+	require.Less(t, clock.Now()-start, d.watchWait()/2)
+	s.waitVersion([]string{"4"})
 }
 
 // When all instances of a data centre were killed, a part of them reads the store, and the others
@@ -687,3 +701,38 @@
 	s.request([]string{"c1", "desk"})
 	s.check()
 }
+
+// Records are passed on with the revision that they reach. So the revision must never be ahead of
+// the endpoints, at no moment at which another member may ask for them.
+func TestRevisionIsNeverAheadOfEndpoints(t *testing.T) {
+	s, d := newReadyDeployment(t, 87)
+	s.kill([]string{"f1"}) // only this test hands events to the engines
+	sender := fleet.Member{Name: "other", Centre: "here", Address: d.self.Address}
+	state := d.recordState()
+	first := state.EndpointsRevision
+	d.handleFleet(fleet.MembersListed{Members: []fleet.Member{sender}})
+	var done sync.WaitGroup
+	var ended atomic.Bool
+	done.Go(func() {
+		for !ended.Load() {
+			d.locked(func() {
+				known := d.fleet.RecordState(clock.Now()).EndpointsRevision
+				changes, complete := d.engine.ChangesSince(known - 1)
+				if complete && known > first {
+					assert.Len(t, changes, 1, "the change at revision %d", known)
+				}
+			})
+		}
+	})
+	for range 2000 {
+		m := fleet.EndpointChanges{Since: state.EndpointsRevision}
+		state.EndpointsRevision++
+		state.ChangeRevision = state.EndpointsRevision
+		at := steering.AddrPort{Address: uint32(state.EndpointsRevision), Port: 80}
+		p := steering.Endpoint{ID: fmt.Sprintf("i-%x", state.EndpointsRevision), Number: state.EndpointsRevision, Revision: state.EndpointsRevision, Service: "desk", Centre: "here", Slots: 2, Address: at}
+		m.Changes, m.State = []steering.EndpointChange{{Endpoint: p}}, state
+		d.handleFleet(fleet.MessageReceived{From: sender, Message: m})
+	}
+	ended.Store(true)
+	done.Wait()
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -145,10 +145,23 @@
 	d.handleFleet(fleet.MessageReceived{From: from, Message: m})
 }
 
-// handleFleet passes an event to the fleet engine and carries out the actions it returns.
+// handleFleet passes an event to the fleet engine and carries out the actions it returns. The
+// events for the steering engine are handled under the same lock, as the records of both engines
+// are passed on to other members together.
 func (d *Daemon) handleFleet(e fleet.Event) {
 	var actions []fleet.Action
-	d.locked(func() { actions = d.fleet.Handle(clock.Now(), e) })
+	var steeringActions []steering.Action
+	d.locked(func() {
+		now := clock.Now()
+		for _, a := range d.fleet.Handle(now, e) {
+			if v, ok := a.(fleet.NotifySteering); ok {
+				steeringActions = append(steeringActions, d.engine.Handle(now, v.Event)...)
+				continue
+			}
+			actions = append(actions, a)
+		}
+	})
+	d.perform(steeringActions)
 	d.performFleet(actions)
 }
 
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -170,13 +170,8 @@
 			if !d.watchGate.Wait(ctx) {
 				return
 			}
-			if !s.probes {
-				d.waitStoreConfirmed(ctx)
-			}
 			callCtx, cancel = d.watchGate.ContextWhileOpen(ctx)
-			call = func(ctx context.Context) error {
-				return s.watch(withReason(ctx, callWatch), s.knownRevision(d.recordState()), d.watchWait())
-			}
+			call = func(ctx context.Context) error { return d.watchSource(ctx, s) }
 		} else if d.hasPeerRecords() {
 			listed = true // the records of a peer replace the list
 			continue
@@ -220,6 +215,19 @@
 	d.storeHealth.waitConfirmed(ctx, limit)
 }
 
+// watchSource makes one call that watches a kind of records. In doubt whether the store answers,
+// one kind asks for an answer at once, and the other one waits for that.
+func (d *Daemon) watchSource(ctx context.Context, s recordSource) error {
+	wait := d.watchWait()
+	switch {
+	case !s.probes:
+		d.waitStoreConfirmed(ctx)
+	case d.storeHealth.inDoubt():
+		wait = 0
+	}
+	return s.watch(withReason(ctx, callWatch), s.knownRevision(d.recordState()), wait)
+}
+
 // newBackoff returns the backoff for failed calls to the store.
 func newBackoff() daemon.Backoff { return daemon.Backoff{Min: minRetryDelay, Max: maxRetryDelay} }
 
@@ -256,6 +264,13 @@
 	}
 }
 
+// inDoubt reports whether the store is unavailable or in doubt.
+func (h *storeHealth) inDoubt() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmed != nil
+}
+
 // waitConfirmed waits until a probe has reached the store, if it is unavailable or in doubt, but
 // not longer than limit: probes may fail for a reason of their own.
 func (h *storeHealth) waitConfirmed(ctx context.Context, limit clock.Millis) {
