steering: causes of unreadable entries are valid UTF-8

A cause that was cut inside a letter made members reject the whole message of changes. Endpoints that identify answers are bounded.

--- a/entry/identity.go
+++ b/entry/identity.go
@@ -14,6 +14,9 @@
 	errNoIdentity   = errors.New("response on a reused connection doesn't name its request")
 )
 
+// maxIdentifying bounds the endpoints that are remembered, as addresses change.
+const maxIdentifying = 20_000
+
 // identifyingEndpoints holds the endpoints that repeat the id of a request in their answers.
 // Only their connections are reused.
 type identifyingEndpoints struct {
@@ -34,8 +37,8 @@
 		delete(i.present, endpoint)
 		return
 	}
-	if i.present == nil {
-		i.present = map[string]bool{}
+	if i.present == nil || len(i.present) >= maxIdentifying {
+		i.present = map[string]bool{} // endpoints that are still there are learnt again
 	}
 	i.present[endpoint] = true
 }
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -64,9 +64,15 @@
 
 // Unreadable returns the entry of an endpoint that is invalid for a cause.
 func (p *Endpoint) Unreadable(cause error) EndpointChange {
+	id := strings.ToValidUTF8(p.ID[:min(len(p.ID), MaxNameBytes)], "")
+	return EndpointChange{Endpoint: Endpoint{ID: id, Revision: p.Revision}, Unreadable: true, Cause: CauseText(cause)}
+}
+
+// CauseText returns the text of an error, up to MaxCause bytes. It is valid UTF-8, as members
+// reject messages with other text.
+func CauseText(cause error) string {
 	text := cause.Error()
-	id := p.ID[:min(len(p.ID), MaxNameBytes)]
-	return EndpointChange{Endpoint: Endpoint{ID: id, Revision: p.Revision}, Unreadable: true, Cause: text[:min(len(text), MaxCause)]}
+	return strings.ToValidUTF8(text[:min(len(text), MaxCause)], "")
 }
 
 // CheckEndpoint makes the change that of an unreadable entry if its endpoint is invalid.
