--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -690,3 +690,19 @@
 	}, m)
 	require.NoError(t, err)
 }
+
+// The time of day may jump back between two starts of a member, so that the later start has the
+// earlier time. Its heartbeats must count all the same.
+func TestRestartAfterClockStep(t *testing.T) {
+	member := func(i byte, startedAt clock.Millis) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1), StartedAt: startedAt}
+	}
+	state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 7, EndpointsRevision: 7}
+	e := NewEngine(Settings{Self: member(2, 1000), RecordBound: 3000}, 10_000)
+	e.Handle(10_000, RecordsFetched{State: state})
+	e.Handle(10_100, MessageReceived{From: member(1, 9_000_000), Message: Heartbeat{State: state, Leaving: true}})
+	require.False(t, e.isActiveWatcher(10_100, e.peers.find("edge-1")), "it has stopped")
+	e.Handle(10_500, MessageReceived{From: member(1, 6_600_000), Message: Heartbeat{State: state}})
+	require.True(t, e.isActiveWatcher(10_500, e.peers.find("edge-1")), "it started again, and its clock has jumped back")
+	require.EqualValues(t, 10_500, e.Confirmation().EndpointsAt)
+}
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -42,6 +42,7 @@
 // other words.
 var verbs = map[string]func(s *deployment, words []string){
 	"route":            (*deployment).route,              // NAME SERVICE...: adds a route to the next configuration
+	"routes":           (*deployment).idleRoutes,         // COUNT SERVICE: adds routes without traffic to the next configuration
 	"unroute":          (*deployment).unroute,            // NAME: removes a route from the next configuration
 	"publish":          (*deployment).publish,            // writes the next configuration to the store
 	"endpoint":         (*deployment).endpoint,           // ID SERVICE CENTRE: starts an endpoint
@@ -197,6 +198,12 @@
 	}
 }
 
+func (s *deployment) idleRoutes(words []string) {
+	for range s.number(words) {
+		s.route([]string{fmt.Sprintf("idle-%d", len(s.routes)), words[1]})
+	}
+}
+
 func (s *deployment) unroute(words []string) { delete(s.routes, words[0]) }
 
 func (s *deployment) publish([]string) {
