--- a/entry/doc.go
+++ b/entry/doc.go
@@ -15,24 +15,25 @@
 //
 // The files:
 //
-//	command.go           the command tanagerdock-entry: flags, signals, log
+//	command.go  the command tanagerdock-entry: flags, signals, log
 //	settings.go, keys.go settings file and key file
-//	daemon.go            Daemon: start, event loop, graceful shutdown
-//	actions.go           carries out the engine's actions
-//	datagrams.go         UDP sockets, readers that forward packets or queue them
-//	sendbatch.go         sends several datagrams with one system call
-//	transport.go         HTTP transport, trace of what was sent and received
-//	backendclient.go     requests to backend servers
-//	probe.go             health probes of backend servers
-//	peerclient.go        calls to other instances: hand-overs, records
-//	controlserver.go     server for the calls of other instances
-//	objects.go           copy of the operator records for other instances
-//	platformreaders.go   records and instances from the platform
-//	writers.go           status and lease to the platform
-//	backoff.go           backoff between failed calls to the platform
-//	decisionlog.go       log of the engine's decisions
-//	metrics.go           counters and histograms
-//	status.go            HTTP server for /metrics and /health
+//	daemon.go           Daemon: start, event loop, graceful shutdown
+//	actions.go          carries out the engine's actions
+//	datagrams.go        UDP sockets, readers that forward packets or queue them
+//	sendbatch.go        sends several datagrams with one system call
+//	transport.go        HTTP transport, trace of what was sent and received
+//	backendclient.go    requests to backend servers
+//	identity.go         which request a response belongs to
+//	probe.go            health probes of backend servers
+//	peerclient.go       calls to other instances: hand-overs, records
+//	controlserver.go    server for the calls of other instances
+//	objects.go          copy of the operator records for other instances
+//	platformreaders.go  records and instances from the platform
+//	writers.go          status and lease to the platform
+//	backoff.go          backoff between failed calls to the platform
+//	decisionlog.go      log of the engine's decisions
+//	metrics.go          counters and histograms
+//	status.go           HTTP server for /metrics and /health
 //
 // # Usage
 //
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -23,12 +23,14 @@
 //
 // # Files
 //
-//	engine.go     the engine, and how it handles events and messages
-//	event.go      events and actions of the engine
-//	message.go    messages between members, and their encoding
-//	member.go     members and their ranks
-//	watcher.go    which member watches the store
-//	relay.go      heartbeats, and their relays in a large data centre
-//	broadcast.go  endpoint changes, tallies and probes of silent members
-//	report.go     the report to operators
+//	engine.go        the engine, and how it handles events and messages
+//	event.go         events and actions of the engine
+//	message.go       messages between members, and their encoding
+//	member.go        members and their ranks
+//	watcher.go       which member watches the store
+//	relay.go         heartbeats, and their relays in a large data centre
+//	start.go         who reads the store when all members start at once
+//	registration.go  when a member writes its object to the store
+//	broadcast.go     endpoint changes, tallies and probes of silent members
+//	report.go        the report to operators
 package fleet
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -18,15 +18,20 @@
 //
 // # Files
 //
-//	command.go   the command line and signals
-//	daemon.go    the daemon: start, shutdown, timers, and the actions of the steering engine
-//	packets.go   receives and forwards consumers' packets
-//	records.go   reads the configuration and the endpoints from the store
-//	peers.go     messages, members and records of the other instances
-//	probe.go     probes of endpoints
-//	report.go    status reports to the store
-//	ready.go     readiness for the platform
-//	settings.go  reloads the settings file and detects that the process was suspended
-//	log.go       the log
-//	metrics.go   the metrics
+//	command.go      the command line and signals
+//	daemon.go       the daemon: start, shutdown, timers, and the actions of the steering engine
+//	packets.go      receives and forwards consumers' packets
+//	records.go      reads the configuration and the endpoints from the store
+//	storehealth.go  whether the store answers, and who tries meanwhile
+//	storecalls.go   counts of calls to the store
+//	peers.go        messages, members and records of the other instances
+//	changes.go      changes of endpoints that other instances missed
+//	start.go        first records from another instance
+//	guard.go        panics that end one unit of work only
+//	probe.go        probes of endpoints
+//	report.go       status reports to the store
+//	ready.go        readiness for the platform
+//	settings.go     reloads the settings file and detects that the process was suspended
+//	log.go          the log
+//	metrics.go      the metrics
 package forwarder
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -19,6 +19,8 @@
 //	packet.go         packets and decisions
 //	configuration.go  routes, and deltas between configurations
 //	endpoint.go       endpoints and the directory of them
+//	history.go        changes of endpoints since a revision, for other instances
+//	unreadable.go     entries and configurations that can't be decoded
 //	removal.go        detection of the end of endpoints whose entries were removed
 //	flow.go           the flow table
 //	opening.go        decisions on opening packets
