--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -225,8 +225,7 @@
 	}}
 }
 
-// processFetches reads records on the fleet engine's requests: from the store, or from a
-// peer if that fails.
+// processFetches reads records on the fleet engine's requests.
 func (d *Daemon) processFetches(ctx context.Context) {
 	client := newPeerClient()
 	for {
@@ -239,6 +238,8 @@
 	}
 }
 
+// fetch reads changes of endpoints from a member. What that doesn't bring, and configurations,
+// it reads from the store, or from the member if the store doesn't answer.
 func (d *Daemon) fetch(ctx context.Context, client *http.Client, v fleet.FetchRecords) {
 	start := clock.Now()
 	if v.Endpoints && d.hasRecords() {
