--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -32,6 +32,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(*world, bool) (bool, error){
 	"drain-after-handover": drainAfterHandover,
+	"flow-small-answers":   flowSmallAnswers,
 }
 
 func main() {
