Review case 3: a full queue of new connections resets the open flows of a sound endpoint

Two instances whose probes hang on the same full queue declare an endpoint lost that answers all its flows.

--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(*world, bool) (bool, error){
 	"drain-after-handover": drainAfterHandover,
 	"flow-small-answers":   flowSmallAnswers,
+	"flow-full-queue":      flowFullQueue,
 }
 
 func main() {
--- a/review/_kit/small.go
+++ b/review/_kit/small.go
@@ -187,11 +187,19 @@
 
 // fetch sends one request on a flow of its own. The answer is as long as the request.
 func fetch(c *standin.FlowConsumer, route netip.AddrPort, id string, size int) error {
+	return fetchBody(c, route, id, make([]byte, size), galleryService)
+}
+
+func fetchFrom(c *standin.FlowConsumer, route netip.AddrPort, id, service string) error {
+	return fetchBody(c, route, id, []byte("a visit"), service)
+}
+
+func fetchBody(c *standin.FlowConsumer, route netip.AddrPort, id string, body []byte, service string) error {
 	f, err := c.OpenFlow(route)
 	if err != nil {
 		return err
 	}
-	if err := f.Request(id, make([]byte, size), 2000, galleryService); err != nil {
+	if err := f.Request(id, body, 2000, service); err != nil {
 		return err
 	}
 	f.Finish()
