Review case 1: an upload under way is cut by a forwarder that no longer carries its flow

After a planned restart another forwarder keeps the flow in its table and takes it for idle. When it declares the endpoint lost for a full queue of new connections, it resets the flow, although the endpoint works on an upload that must not be repeated.

--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -34,6 +34,7 @@
 	"drain-after-handover": drainAfterHandover,
 	"flow-small-answers":   flowSmallAnswers,
 	"flow-full-queue":      flowFullQueue,
+	"flow-cut-under-way":   flowCutUnderWay,
 }
 
 func main() {
