Review: answers of one length in cases 1 to 3, and their results

Short answers beside long ones can reset flows by themselves (case 4), which hid the cause that cases 1 and 3 are to show. Runs side by side reserve their addresses.

--- a/review/_kit/drain.go
+++ b/review/_kit/drain.go
@@ -26,7 +26,7 @@
 	}
 	time.Sleep((10 * clock.Second).Duration())
 	stop := make(chan struct{})
-	wait, err := w.traffic(12, 60, stop, deskService)
+	wait, err := w.traffic(12, fullAnswer, 60, stop, deskService)
 	if err != nil {
 		return false, err
 	}
--- a/review/_kit/queue.go
+++ b/review/_kit/queue.go
@@ -134,7 +134,7 @@
 // Times of the traffic and of the full queue.
 const (
 	queueFull     = 1500 * clock.Millisecond
-	queueEpisodes = 3
+	queueEpisodes = 7
 	longFlows     = 24
 	longPause     = 5 * clock.Second // between two requests on a long flow
 )
@@ -185,7 +185,7 @@
 		})
 	}
 	// Other consumers open a flow for each request.
-	wait, err := w.traffic(2, 150, stop, deskService)
+	wait, err := w.traffic(2, fullAnswer, 150, stop, deskService)
 	if err != nil {
 		return false, err
 	}
@@ -213,7 +213,7 @@
 	}
 	w.note("%d open flows were reset by a forwarder, with all endpoints sound", count)
 	for _, x := range w.instances {
-		for _, line := range append(x.lines(`"msg":"endpoint lost"`), append(x.lines(`"msg":"endpoint probed"`, `"hung"`), x.lines(`"msg":"resets contradicted"`)...)...) {
+		for _, line := range append(x.lines(`"msg":"endpoint lost"`), append(x.lines(`"msg":"endpoint failing"`), append(x.lines(`"msg":"endpoint probed"`, `"hung"`), x.lines(`"msg":"resets contradicted"`)...)...)...) {
 			w.note("log of %s: %s", x.name, line)
 		}
 	}
--- a/review/_kit/underway.go
+++ b/review/_kit/underway.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,7 +157,7 @@
 	}
 	w.note("%d uploads were cut by a forwarder while %s worked on them; %d opening packets were lost", cut, e.ID(), f.lost.Load())
 	for _, x := range w.instances {
-		for _, line := range append(x.lines(`"msg":"endpoint lost"`), append(x.lines(`"msg":"flow given up"`), x.lines(`"msg":"resets contradicted"`)...)...) {
+		for _, line := range append(x.lines(`"msg":"endpoint lost"`), append(x.lines(`"msg":"endpoint failing"`), append(x.lines(`"msg":"flow given up"`), x.lines(`"msg":"resets contradicted"`)...)...)...) {
 			w.note("log of %s: %s", x.name, line)
 		}
 	}
@@ -169,7 +168,7 @@
 func (w *world) keepOpen(flows []*standin.ConsumerFlow, quiet *atomic.Bool, stop <-chan struct{}) {
 	for i := 0; !isClosed(stop); i++ {
 		if f := flows[i%len(flows)]; !quiet.Load() && !f.Ended() {
-			_ = f.Request(fmt.Sprintf("k-%d", i), []byte("kept open"), 2000, deskService) // what counts are the uploads
+			_ = f.Request(fmt.Sprintf("k-%d", i), make([]byte, uploadBody), 2000, deskService) // what counts are the uploads
 		}
 		time.Sleep(keepPause.Duration())
 	}
@@ -180,7 +179,7 @@
 func (u *uploader) run(stop <-chan struct{}) {
 	for i := 0; !isClosed(stop) && !u.flow.Ended(); i++ {
 		id := fmt.Sprintf("%s-%d", u.name, i)
-		err := u.flow.Request(id, []byte(strings.Repeat("u", uploadBody)), 2000, deskService)
+		err := u.flow.Request(id, make([]byte, uploadBody), 2000, deskService)
 		u.mu.Lock()
 		u.acked += uploadBody
 		if err != nil {
--- a/review/_kit/world.go
+++ b/review/_kit/world.go
@@ -38,7 +38,9 @@
 	program string
 	folder  string // for settings and logs
 	start   clock.Millis
-	subnet  byte // second byte of all addresses, so that runs in series don't meet
+	subnet  byte // second byte of all addresses
+	// Held while the subnet is in use.
+	reservation net.Listener
 
 	store   *standin.Metastore
 	server  *http.Server
@@ -70,7 +72,10 @@
 	}
 	w := &world{
 		program: program, folder: folder, start: clock.Now(), record: record, lastCalls: map[string]clock.Millis{},
-		subnet: byte(64 + os.Getpid()%128), store: standin.NewMetastore(1), routers: standin.StartFlowRouters(),
+		store: standin.NewMetastore(1), routers: standin.StartFlowRouters(),
+	}
+	if err := w.reserveSubnet(); err != nil {
+		return nil, err
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -82,6 +87,17 @@
 	return w, nil
 }
 
+// reserveSubnet chooses addresses that no other case uses at the same time.
+func (w *world) reserveSubnet() (err error) {
+	for n := range 128 {
+		w.subnet = byte(64 + (os.Getpid()+n)%128)
+		if w.reservation, err = net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:8367", w.subnet)); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // serveStore passes a call to the store, and remembers who watches endpoints.
 func (w *world) serveStore(rw http.ResponseWriter, r *http.Request) {
 	isWatch := r.URL.Query().Has("watch") && strings.HasSuffix(r.URL.Path, "/servers")
@@ -276,10 +292,10 @@
 	err      error
 }
 
-// traffic starts consumers that open a flow for each request, until stop is closed. Each
-// sends the next request after pause. The result is complete when the function returned by
+// traffic starts consumers that open a flow for each request of size bytes, until stop is
+// closed. Each sends the next request after pause. The result is complete when the function returned by
 // traffic has returned.
-func (w *world) traffic(consumers int, pause clock.Millis, stop <-chan struct{}, services ...string) (wait func() []request, err error) {
+func (w *world) traffic(consumers, size int, pause clock.Millis, stop <-chan struct{}, services ...string) (wait func() []request, err error) {
 	var mu sync.Mutex
 	var all []request
 	var running sync.WaitGroup
@@ -301,7 +317,7 @@
 				r.err = err
 				if err == nil {
 					r.endpoint = f.EndpointNumber()
-					r.err = f.Request(r.id, []byte("body of "+r.id), 1500, services...)
+					r.err = f.Request(r.id, make([]byte, size), 1500, services...)
 					if r.err == nil {
 						f.Finish()
 					}
@@ -339,6 +355,7 @@
 		e.Close()
 	}
 	w.routers.Close()
+	_ = w.reservation.Close()
 	_ = w.server.Close()
 	_ = os.RemoveAll(w.folder)
 	_ = w.record.Close()
