Forwarder: measure and log how long packets waited to be read

Logs and metrics couldn't tell an instance that was behind from an endpoint that failed: the time at which a packet is read is taken for the time at which it arrived, behind a socket buffer of 1 MB, and only late ticks were noticed.

The reader now bounds the wait: a backlog starts with the first packet after a read that found the socket empty, and later packets waited no longer than it lasts. The bound needs no further system call: Go's ReadFromUDPAddrPort, too, reads until the socket is empty before it waits.

New: counters packets.waited.N_ms, gauge packets.wait_ms, lines `backlog started`, `backlog ended` and `tick late`, `waited_ms` on decisions, `flow given up`, `endpoint lost` and `endpoint failing`, and `flow_age_ms` and `request_age_ms` on `flow given up`. These two are -1 until the engine sets ResetFlow.FirstSeenAt and RequestAt.

TestResetLinesAndCounters expects the new field at the end of its line.

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -50,6 +50,7 @@
 	metrics      *daemonMetrics
 
 	packetConn      *net.UDPConn
+	reader          packetReader // of packetConn
 	readyListener   net.Listener
 	peerConn        *net.UDPConn // messages of other instances; nil without an internal port
 	peerListener    net.Listener // records and metrics; nil without an internal port
@@ -117,6 +118,9 @@
 		return errors.Wrapf(err, "listen for packets on %s", s.PacketAddress)
 	}
 	_ = d.packetConn.SetReadBuffer(socketBufferSize) // the kernel caps the size; a smaller buffer is no error
+	if err = d.reader.open(d.packetConn, d.logBacklogStart, d.logBacklogEnd); err != nil {
+		return err
+	}
 	if d.readyListener, err = net.Listen("tcp4", s.ReadyAddress.String()); err != nil {
 		return errors.Wrapf(err, "listen for readiness on %s", s.ReadyAddress)
 	}
@@ -279,9 +283,9 @@
 		case steering.EndpointEjected:
 			d.metrics.ejectedEndpoints.Inc(1)
 			d.log.info("endpoint failing", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "ban_ms", int64(v.EjectionTime), "reset", v.ResetFlows,
-				"own", v.Evidence.Own, "others", v.Evidence.Others, evidenceAttributes(&v.Evidence))
+				"own", v.Evidence.Own, "others", v.Evidence.Others, evidenceAttributes(&v.Evidence), d.waitAttribute())
 		case steering.EndpointLost:
-			d.log.info("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows, evidenceAttributes(&v.Evidence))
+			d.log.info("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows, evidenceAttributes(&v.Evidence), d.waitAttribute())
 		case steering.ResetsContradicted:
 			d.metrics.flowsContradicted[v.Cause].Inc(int64(v.ResetFlows))
 			d.log.info("resets contradicted", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows,
@@ -337,6 +341,12 @@
 // tickSteering sends a tick to the steering engine, and tells both engines of a suspension of
 // the process before it.
 func (d *Daemon) tickSteering(detector *stallDetector, delay clock.Millis) {
+	if delay > 0 {
+		d.reader.recordWait(clock.Now(), delay)
+	}
+	if delay >= lateLimit {
+		d.log.infoLimited("tick late", "late_ms", int64(delay))
+	}
 	if stalled := detector.check(); stalled > 0 {
 		d.log.info("woke", "slept_ms", stalled)
 		d.handleFleet(fleet.ProcessSuspended{Duration: stalled})
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -98,7 +98,8 @@
 }
 
 // decision logs the decision on a packet. The rate limit is per verdict and reason.
-func (l *eventLog) decision(now clock.Millis, p *steering.Packet, v *steering.Decision) {
+// recentWait is that of packetReader.
+func (l *eventLog) decision(now clock.Millis, p *steering.Packet, v *steering.Decision, recentWait clock.Millis) {
 	kind := decisionKinds[v.Verdict]
 	if !l.allowLine(kind + v.Reason.String()) {
 		return
@@ -107,7 +108,22 @@
 		slog.String("flow", p.FlowID()), slog.String("reason", v.Reason.String()), slog.Uint64("copy", earlierCopies(p)),
 		slog.String("service", v.Service), slog.String("endpoint", v.Endpoint.ID),
 		slog.Int64("configuration", v.ConfigurationVersion), slog.Int64("age_ms", int64(v.EndpointsAge)),
-		slog.Uint64("token", uint64(p.Token)), slog.Int64("at_ms", int64(now)))
+		slog.Uint64("token", uint64(p.Token)), slog.Int64("at_ms", int64(now)), slog.Int64(waitKey, int64(recentWait)))
+}
+
+// waitKey is the key of packetReader.recentWait in log lines.
+const waitKey = "waited_ms"
+
+func (d *Daemon) waitAttribute() slog.Attr {
+	return slog.Int64(waitKey, int64(d.reader.recentWait(clock.Now())))
+}
+
+func (d *Daemon) logBacklogStart(b backlog) {
+	d.log.infoLimited("backlog started", waitKey, int64(b.length), "packets", b.packets, "started_at_ms", int64(b.startedAt))
+}
+
+func (d *Daemon) logBacklogEnd(b backlog) {
+	d.log.infoLimited("backlog ended", waitKey, int64(b.length), "packets", b.packets, "late", b.late, "started_at_ms", int64(b.startedAt))
 }
 
 // evidenceAttributes returns the attributes of evidence in a log line.
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
@@ -20,6 +21,9 @@
 	maxRouteHistograms = 256
 )
 
+// waitLimits are the times that packets waited from which on they are counted.
+var waitLimits = []clock.Millis{10, 20, 50, lateLimit, 200, 500, 1000}
+
 // daemonMetrics holds all metrics of a daemon. It is safe for concurrent use.
 type daemonMetrics struct {
 	registry             metrics.Registry
@@ -28,7 +32,8 @@
 	unreadableEntries    metrics.Counter      // entries of endpoints, configurations and routes that could not be decoded
 	unsent               metrics.Counter      // packets and messages that could not be sent
 	readErrors           metrics.Counter
-	panics               metrics.Counter // units of work that panicked
+	waits                []metrics.Counter // packets that waited at least waitLimits
+	panics               metrics.Counter   // units of work that panicked
 	storeCalls           *storeCalls
 	messagesIn           metrics.Counter // from other instances
 	servedFetches        metrics.Counter // changes of endpoints that other instances fetched here
@@ -58,6 +63,10 @@
 	m.unreadableEntries = m.counter("records.unreadable")
 	m.unsent = m.counter("packets.unsent")
 	m.readErrors = m.counter("packets.read_errors")
+	for _, limit := range waitLimits {
+		m.waits = append(m.waits, m.counter(fmt.Sprintf("packets.waited.%d_ms", limit)))
+	}
+	metrics.NewRegisteredFunctionalGauge("packets.wait_ms", m.registry, func() int64 { return int64(d.reader.recentWait(clock.Now())) })
 	m.panics = m.counter("panics")
 	m.storeCalls = &storeCalls{registry: m.registry, total: m.counter("store.calls"), failed: m.counter("store.unanswered"), counts: map[string]int64{}}
 	m.servedFetches = m.counter("members.fetches_served")
@@ -111,6 +120,16 @@
 	}
 }
 
+// countWait counts how long a packet waited.
+func (m *daemonMetrics) countWait(waited clock.Millis) {
+	for i, limit := range waitLimits {
+		if waited < limit {
+			return
+		}
+		m.waits[i].Inc(1)
+	}
+}
+
 // recordLatency adds the time to an answer to the histogram of its service and route.
 func (m *daemonMetrics) recordLatency(a steering.Answered) {
 	m.mu.Lock()
--- a/forwarder/metrics_test.go
+++ b/forwarder/metrics_test.go
@@ -64,7 +64,7 @@
 	})
 	d.log.flush()
 	for _, want := range []string{
-		`"msg":"endpoint lost","endpoint":"i-1","service":"desk","why":"silent","reset":2,"probe":"answered","probe_age_ms":40,"votes":2,"voters":"east west","reporter":"","report_age_ms":-1,"missed":1,"answer_age_ms":700,"entry_age_ms":9000,"age_ms":300}`,
+		`"msg":"endpoint lost","endpoint":"i-1","service":"desk","why":"silent","reset":2,"probe":"answered","probe_age_ms":40,"votes":2,"voters":"east west","reporter":"","report_age_ms":-1,"missed":1,"answer_age_ms":700,"entry_age_ms":9000,"age_ms":300,"waited_ms":0}`,
 		`"msg":"endpoint failing","endpoint":"i-2","service":"desk","why":"reported by another instance","ban_ms":3000,"reset":4,"own":1,"others":7,"probe":"","probe_age_ms":-1,"votes":0,"voters":"","reporter":"east","report_age_ms":0,`,
 		`"msg":"resets contradicted","endpoint":"i-2","service":"desk","why":"reported by another instance","reset":4,"by":"answer","after_ms":4100,"state":"ready"}`,
 	} {
--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -32,7 +32,7 @@
 // queuedPacket is a datagram in a packetQueue.
 type queuedPacket struct {
 	data       []byte
-	receivedAt clock.Millis
+	receivedAt clock.Millis // when it was read from the socket
 }
 
 // add appends a copy of a packet unless the queue is closed or full, and reports whether it
@@ -87,7 +87,7 @@
 	var p steering.Packet
 	var reset [platform.HeaderSize]byte
 	for {
-		n, _, err := d.packetConn.ReadFromUDPAddrPort(buffer[platform.EndpointPrefixSize:])
+		n, waited, err := d.reader.read(buffer[platform.EndpointPrefixSize:])
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return nil
@@ -96,6 +96,7 @@
 			d.log.infoLimited("packet read failed", "error", err.Error())
 			continue
 		}
+		d.metrics.countWait(waited)
 		if err := platform.DecodePacket(buffer[platform.EndpointPrefixSize:platform.EndpointPrefixSize+n], &p); err != nil {
 			d.metrics.malformed.Inc(1)
 			d.log.infoLimited("packet malformed", "error", err.Error())
@@ -130,7 +131,7 @@
 		d.log.infoLimited("packet send failed", "flow", p.FlowID(), "error", err.Error())
 	}
 	if v.Verdict != steering.Forward || p.Opening() {
-		d.log.decision(now, p, &v)
+		d.log.decision(now, p, &v, d.reader.recentWait(now))
 	}
 	d.perform(actions)
 }
@@ -162,5 +163,15 @@
 	err := d.sendReset(&p, &buffer)
 	d.metrics.flowsGivenUp.Inc(1)
 	d.metrics.flowsGivenUpBy[v.Cause].Inc(1)
-	d.log.infoLimited("flow given up", "flow", p.FlowID(), "endpoint", v.Endpoint, "why", v.Cause, "error", errorText(err))
+	now := clock.Now()
+	d.log.infoLimited("flow given up", "flow", p.FlowID(), "endpoint", v.Endpoint, "why", v.Cause,
+		"flow_age_ms", int64(age(now, v.FirstSeenAt)), "request_age_ms", int64(age(now, v.RequestAt)), d.waitAttribute(), "error", errorText(err))
+}
+
+// age returns the time since an event, or -1 if there was none.
+func age(now, at clock.Millis) clock.Millis {
+	if at == 0 {
+		return -1
+	}
+	return now - at
 }
--- a/steering/event.go
+++ b/steering/event.go
@@ -231,7 +231,9 @@
 	Consumer, Destination AddrPort
 	Ack                   uint32 // next byte that the consumer expects
 	Endpoint              string
-	Cause                 string // one of ResetCauses
+	Cause                 string       // one of ResetCauses
+	FirstSeenAt           clock.Millis // when this instance saw the flow first; 0 if unknown
+	RequestAt             clock.Millis // when its pending request was sent; 0 if none is pending or it is unknown
 }
 
 // EndpointEjected makes the daemon log and count that an endpoint failed requests and gets no new
