Only proof that its endpoint's process has ended resets an open flow

What callers saw: a consumer's open flow was reset while its endpoint served it.

Cause: seven kinds of evidence reset flows, and a sound endpoint can give five of them: probes without an answer (a full queue of new connections, lost packets), short answers, late answers, requests whose acknowledgements this instance has not read, and the word of other instances. The two others could be older than the flow that they ended.

Change: steering/proof.go is the one place that resets open flows. A flow ends when the endpoint's address refused a probe that was requested after the flow was first seen, and the store confirmed after the refusal that the endpoint is listed and not draining, or that its entry is still missing; or when its entry is gone and a process that started later has its address, as confirmed after the flow was first seen. Everything else moves new flows only. `endpoint_silent` becomes `endpoint_refused`; `endpoint failing` has no `reset` any more. Requests at endpoints that were found unreachable are not queried for at other instances.

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -278,7 +278,7 @@
 			d.resetFlow(v)
 		case steering.EndpointEjected:
 			d.metrics.ejectedEndpoints.Inc(1)
-			d.log.info("endpoint failing", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "ban_ms", int64(v.EjectionTime), "reset", v.ResetFlows,
+			d.log.info("endpoint failing", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "ban_ms", int64(v.EjectionTime),
 				"own", v.Evidence.Own, "others", v.Evidence.Others, evidenceAttributes(&v.Evidence))
 		case steering.EndpointLost:
 			d.log.info("endpoint lost", "endpoint", v.Endpoint, "service", v.Service, "why", v.Cause, "reset", v.ResetFlows, evidenceAttributes(&v.Evidence))
--- a/steering/contradiction.go
+++ b/steering/contradiction.go
@@ -6,22 +6,20 @@
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
-// Causes of resets, as they appear in the log. Those of ejections are in outlier.go.
+// Causes of EndpointLost, as they appear in the log. Those of ejections are in outlier.go.
 const (
 	causeRefused = "refused"
-	causeSilent  = "silent"
+	causeSilent  = "silent" // resets no flow
 	causeGone    = "gone"
 )
 
 // ResetCauses lists the causes of ResetFlow.
-func ResetCauses() []string {
-	return []string{causeRefused, causeSilent, causeGone, causeSmall, causeOverdue, causeUnanswered, causeReported}
-}
+func ResetCauses() []string { return []string{causeRefused, causeGone} }
 
 // SeriesCauses lists the causes of ResetsContradicted: those of ResetFlow, and the reasons
 // of resets in reply to a packet.
 func SeriesCauses() []string {
-	return append(ResetCauses(), ReasonEndpointGone.String(), ReasonEndpointSilent.String())
+	return append(ResetCauses(), ReasonEndpointGone.String(), ReasonEndpointRefused.String())
 }
 
 // What contradicts resets, as it appears in the log.
@@ -34,7 +32,7 @@
 
 // Limits of a series of resets.
 const (
-	// How long after the first reset, or the end of an ejection, the endpoint is compared.
+	// How long after the first reset the endpoint is compared.
 	contradictionWindow = 5 * clock.Second
 	// Requests seen earlier after the first reset may be retransmissions whose answer was on
 	// its way then.
@@ -45,9 +43,6 @@
 	// The entry of a process that has ended is removed within this time. Until then another
 	// process may have got its address, whose entry isn't known yet, and answered a probe.
 	entryLifetime = 5 * clock.Second
-	// Normal answers in a row after which resets of a failing endpoint count as contradicted.
-	// One that fails a third of its requests gives them less than once in ten times.
-	minNormalAnswers = 6
 )
 
 // resetSeries is the latest series of resets at an endpoint, and what contradicts it.
@@ -56,7 +51,6 @@
 	flows          int          // number of flows that were reset; 0 if there is no series
 	startedAt      clock.Millis // first reset
 	until          clock.Millis // when a contradiction no longer counts
-	normalAnswers  int          // in a row, if the endpoint was failing
 	contradictedAt clock.Millis // 0 if it wasn't
 	contradictedBy string
 	reported       bool
@@ -67,32 +61,18 @@
 	return r.flows > 0 && r.contradictedAt == 0 && now <= r.until
 }
 
-// failing reports whether the cause is an ejection.
-func (r *resetSeries) failing() bool {
-	return r.cause == causeSmall || r.cause == causeOverdue || r.cause == causeUnanswered || r.cause == causeReported
-}
-
-// recordFailure ends a row of normal answers.
-func (r *resetSeries) recordFailure() { r.normalAnswers = 0 }
-
 // startResets starts a series, unless no flow was reset.
 func (s *endpointState) startResets(now clock.Millis, cause string, flows int) {
 	r := &s.resets
 	switch {
 	case flows == 0:
-		if s.failures.ejected(now) && r.failing() && r.contradictedAt == 0 {
-			*r = resetSeries{} // ejected again before it gave enough normal answers
-		}
 		return
 	case r.contradictedAt != 0 && !r.reported:
 		r.flows += flows
 		return
 	}
 	*r = resetSeries{cause: cause, flows: flows, startedAt: now, until: now + contradictionWindow}
-	switch {
-	case r.failing():
-		r.until = s.failures.ejectedUntil + contradictionWindow
-	case cause == causeGone || cause == ReasonEndpointGone.String():
+	if cause == causeGone || cause == ReasonEndpointGone.String() {
 		r.until = s.entryChangedAt + goneTimeout
 	}
 }
@@ -108,33 +88,17 @@
 
 // recordPacketReset counts a flow that was reset in reply to its packet.
 func (s *endpointState) recordPacketReset(now clock.Millis, reason Reason) {
-	if reason == ReasonEndpointGone || reason == ReasonEndpointSilent {
+	if reason == ReasonEndpointGone || reason == ReasonEndpointRefused {
 		s.addReset(now, reason.String())
 	}
 }
 
 // compareAnswer compares an answer with the resets of its endpoint. sentAt is when the
 // request or opening was seen.
-func (e *Engine) compareAnswer(now clock.Millis, s *endpointState, sentAt clock.Millis, normal bool) {
+func (e *Engine) compareAnswer(now clock.Millis, s *endpointState, sentAt clock.Millis) {
 	r := &s.resets
 	// Packets that waited during a stall may be older than the resets.
-	if !r.open(now) || sentAt < r.startedAt+minRequestDelay || now < e.stalledUntil {
-		return
-	}
-	if !r.failing() {
-		e.contradict(now, s, contradictedByAnswer)
-	} else if normal {
-		e.compareNormal(now, s, 1)
-	}
-}
-
-// compareNormal compares normal answers with an ejection.
-func (e *Engine) compareNormal(now clock.Millis, s *endpointState, n int) {
-	r := &s.resets
-	if !r.open(now) || !r.failing() {
-		return
-	}
-	if r.normalAnswers += n; r.normalAnswers >= minNormalAnswers {
+	if r.open(now) && sentAt >= r.startedAt+minRequestDelay && now >= e.stalledUntil {
 		e.contradict(now, s, contradictedByAnswer)
 	}
 }
@@ -142,7 +106,7 @@
 // compareProbe compares a probe that was answered with the resets of its endpoint.
 func (e *Engine) compareProbe(now clock.Millis, s *endpointState) {
 	r := &s.resets
-	if !r.open(now) || r.failing() || s.silence.probedAt <= r.startedAt {
+	if !r.open(now) || s.silence.probedAt <= r.startedAt {
 		return
 	}
 	e.contradict(now, s, contradictedByProbe)
@@ -167,7 +131,7 @@
 	switch r.cause {
 	case causeGone, ReasonEndpointGone.String():
 		e.contradict(now, s, contradictedByEntry)
-	case causeRefused:
+	case causeRefused, ReasonEndpointRefused.String():
 		if s.Draining {
 			e.contradict(now, s, contradictedByDraining)
 		}
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -1,6 +1,6 @@
 // Package steering decides to which endpoint each packet of a flow is forwarded. It also
 // detects endpoints that are unreachable, overloaded or failing, and places new flows
-// elsewhere.
+// elsewhere. It resets open flows only on proof that their endpoint's process has ended.
 //
 // A flow is a connection between a consumer and an endpoint, whose bytes must not be
 // modified on the way. An instance sees only the packets of consumers. An opening packet
@@ -21,12 +21,12 @@
 //	endpoint.go       endpoints and the directory of them
 //	history.go        changes of endpoints since a revision, for other instances
 //	unreadable.go     entries and configurations that can't be decoded
-//	removal.go        detection of the end of endpoints whose entries were removed
 //	flow.go           the flow table
 //	opening.go        decisions on opening packets
 //	established.go    decisions on all other packets
 //	placement.go      choice of the endpoint for a new flow
 //	silence.go        detection of endpoints that don't answer, by packets and probes
+//	proof.go          proof that the process of an endpoint has ended, and resets of its flows
 //	outlier.go        detection of endpoints that fail requests
 //	query.go          queries to other instances about unanswered requests
 //	ejection.go       ejection of failing endpoints, and probation
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -374,12 +374,12 @@
 	e.wasIsolated = e.isolated(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.byID {
-		e.checkRefused(now, s)
+		e.confirmRefusal(now, s)
 	}
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
 		if s.load.flows > 0 {
-			e.checkEnded(now, s)
+			e.checkGone(now, s)
 		}
 	}
 	e.reprobe(now)
--- a/steering/established.go
+++ b/steering/established.go
@@ -56,20 +56,26 @@
 	if e.removedRoutes[p.Destination] && e.openedBeforeRemoval(now, p.key()) {
 		return true, ReasonRouteRemoved
 	}
-	if s.entryState == gone {
-		e.checkEnded(now, s)
-		if s.removal.endedRecently(now) && !s.answeredSinceRemoval() {
-			return true, ReasonEndpointGone
+	switch {
+	case s.entryState == gone:
+		e.checkGone(now, s)
+		return e.flowEndProven(now, p.key(), s), ReasonEndpointGone
+	case s.silence.refused && p.Length > 0 && e.idempotent(p.Destination):
+		if e.flowEndProven(now, p.key(), s) {
+			return true, ReasonEndpointRefused
 		}
-	}
-	// Requests that aren't idempotent are forwarded to a silent endpoint all the same, since
-	// they may arrive.
-	if s.silence.endedRecently(now) && p.Length > 0 && e.idempotent(p.Destination) {
-		return true, ReasonEndpointSilent
+		e.requestProbe(now, s) // a refusal that is younger than the flow proves its end
 	}
 	return false, ReasonToken
 }
 
+// flowEndProven reports whether the endpoint's process has ended since this instance first
+// saw a flow.
+func (e *Engine) flowEndProven(now clock.Millis, k key, s *endpointState) bool {
+	w := e.flows.byKey[k]
+	return w != nil && w.endpoint == s && e.endProven(now, s, w.openedAt)
+}
+
 // openedBeforeRemoval reports whether a flow was opened before its route was removed, as
 // far as this instance knows. Another instance may have opened it by a newer configuration
 // that has the route again, unless the store confirmed this one since the flow was first
@@ -115,7 +121,7 @@
 	} else if !w.established || w.endpoint != s {
 		newlyEstablished = !w.established
 		if newlyEstablished {
-			e.compareAnswer(now, s, w.openedAt, false)
+			e.compareAnswer(now, s, w.openedAt)
 		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
@@ -138,7 +144,7 @@
 // has been pending for long, the consumer gave it up, and it counts as overdue.
 func (e *Engine) handleConsumerLeft(now clock.Millis, w *flow, s *endpointState) {
 	if waited := now - w.requestAt; w.requestAt != 0 && waited <= maxOverdueAge && e.exceedsLatency(now, s, waited, overdueFactor, minOverdueTime) {
-		e.recordOverdue(now, s, w.requestAt)
+		e.recordOverdue(now, s)
 	}
 	// The flow is kept for closingTimeout, because other instances may query it.
 	if !w.consumerDone {
@@ -147,9 +153,7 @@
 	}
 }
 
-// trackData updates the state of a flow from the sequence numbers of a packet. A request
-// that came with the acknowledgement of an answer is pending when the answer is recorded,
-// which may reset idle flows.
+// trackData updates the state of a flow from the sequence numbers of a packet.
 func (e *Engine) trackData(now clock.Millis, p *Packet, w *flow, s *endpointState) {
 	answered, requestAt, size := false, clock.Millis(0), int(p.Ack-w.requestAck)
 	if p.Flags.Has(Acknowledge) && sequenceAfter(p.Ack, w.ack) {
@@ -175,11 +179,8 @@
 		e.recordAnswer(now, p.Destination, w, s, requestAt, size)
 	}
 	switch {
-	case p.Length == 0:
-		if !p.Flags.Has(Finish) {
-			e.resetIfFailing(now, p.key(), w)
-		}
-	case !isNew:
+	case p.Length == 0, isNew:
+	default:
 		w.retransmits++
 		if w.requestAt != 0 {
 			e.handleMiss(now, s, w.requestAt)
@@ -194,9 +195,8 @@
 	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
 	// Small answers are excluded from the latency: errors are fast, and would make the
 	// failing endpoint the preferred one.
-	normal := e.classifyAnswer(now, destination, w, s, size)
-	if normal {
+	if e.classifyAnswer(now, destination, w, s, size) {
 		e.recordLatency(s, latency)
 	}
-	e.compareAnswer(now, s, requestAt, normal)
+	e.compareAnswer(now, s, requestAt)
 }
--- a/steering/event.go
+++ b/steering/event.go
@@ -235,22 +235,22 @@
 }
 
 // EndpointEjected makes the daemon log and count that an endpoint failed requests and gets no new
-// flows for EjectionTime.
+// flows for EjectionTime. It keeps its flows.
 type EndpointEjected struct {
 	Endpoint     string
 	Service      string
 	Cause        string
 	EjectionTime clock.Millis
-	ResetFlows   int // number of flows that were reset
 	Evidence     Evidence
 }
 
-// EndpointLost makes the daemon log that the flows of an endpoint were reset.
+// EndpointLost makes the daemon log that an endpoint can't be reached. If that proves that its
+// process has ended (causes refused and gone), its flows were reset.
 type EndpointLost struct {
 	Endpoint   string
 	Service    string
 	Cause      string // refused, silent or gone
-	ResetFlows int    // number of flows that were reset
+	ResetFlows int    // number of flows that were reset; 0 if the cause is silent
 	Evidence   Evidence
 }
 
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -133,6 +133,8 @@
 	tries int
 	done  bool
 	flow  *userFlow // of the latest try
+	// An answer was an error. The request then counts as failed, also if a further try isn't.
+	gotError bool
 }
 
 func newLoadSimulation(t *testing.T, c loadCase) *loadSimulation {
@@ -400,7 +402,16 @@
 	l.sendPacket(f, 0)
 	r.done = true
 	if isError {
-		l.failed++
+		if !r.gotError {
+			r.gotError = true
+			l.failed++
+		}
+		if !l.c.NotIdempotent && r.tries < loadMaxTries {
+			r.done = false
+			l.abortFlow(f)
+			l.openFlow(r) // each further try uses a new flow
+			return
+		}
 	} else if l.now-r.since > l.c.LateAfter {
 		l.late++
 	}
@@ -417,7 +428,9 @@
 // failRequest ends a request without an answer. Its user aborts the flow.
 func (l *loadSimulation) failRequest(r *userRequest, f *userFlow) {
 	r.done = true
-	l.failed++
+	if !r.gotError {
+		l.failed++
+	}
 	if f != nil && !f.ended {
 		l.abortFlow(f)
 	}
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -1,8 +1,6 @@
 package steering
 
 import (
-	"slices"
-
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -26,7 +24,6 @@
 	// twice a second, which ends the streak.
 	minStreakTime          = 700 * clock.Millisecond
 	maxSmallAnswersPerFlow = 3 // small answers of one flow that count in a streak
-	minStreakInstances     = 3 // instances that counted a streak, unless this one counted all of it
 	// A request is overdue when its consumer gives it up after more than overdueFactor times
 	// the expected latency and at least minOverdueTime. The longest requests on the platform
 	// take 11 times the mean, on the slowest endpoints 18 times.
@@ -50,22 +47,16 @@
 	streak          int            // consecutive small answers
 	streakStartedAt clock.Millis   // first answer of the streak
 	streakGrewAt    clock.Millis   // latest answer of the streak
-	streakOwn       int            // answers of the streak that this instance saw
-	streakInstances []string       // other instances that saw answers of the streak
-	longStreakAt    clock.Millis   // last time the streak had half the length that suffices to eject
 	streakNumber    uint32         // identifies the streak, for the limit per flow
 	overdueAt       []clock.Millis // when requests became overdue, within overdueWindow
-	ownFailureAt    clock.Millis   // when the latest overdue or unanswered request that this instance saw was sent
 	// When unanswered requests were sent, within maxFailureAge.
-	unansweredAt []clock.Millis
-	ejectionTime clock.Millis // length of the latest ejection
-	ejectedUntil clock.Millis // end of the latest ejection
-	// The latest ejection was for one bad answer on probation.
-	ejectedOnProbation bool
-	nextProbationAt    clock.Millis // when this instance may send the next flow on probation
-	answersNeeded      int          // normal answers until probation ends
-	tally              Tally        // counts since the last TakeTallies
-	tallyPending       bool         // the other instances need the tally
+	unansweredAt    []clock.Millis
+	ejectionTime    clock.Millis // length of the latest ejection
+	ejectedUntil    clock.Millis // end of the latest ejection
+	nextProbationAt clock.Millis // when this instance may send the next flow on probation
+	answersNeeded   int          // normal answers until probation ends
+	tally           Tally        // counts since the last TakeTallies
+	tallyPending    bool         // the other instances need the tally
 }
 
 // Causes of ejections, as they appear in the log.
@@ -117,7 +108,7 @@
 		s.observed.small.add(now)
 		s.failures.tally.Small++
 		s.failures.tallyPending = true
-		e.recordSmall(now, s, 1, "")
+		e.recordSmall(now, s, 1)
 	}
 	return false
 }
@@ -144,17 +135,16 @@
 // endStreak resets the streak of small answers.
 func (f *failures) endStreak() {
 	if f.streak > 0 {
-		f.streak, f.streakOwn, f.streakInstances = 0, 0, nil
+		f.streak = 0
 		f.streakNumber++
 	}
 }
 
-// recordSmall counts small answers, of this instance or of the given other one, and ejects
-// the endpoint when its streak reaches the limits. A streak without a new answer for
-// maxStreakGap ends, so that a single small answer much later doesn't continue it.
-func (e *Engine) recordSmall(now clock.Millis, s *endpointState, n int, instance string) {
+// recordSmall counts small answers, of this or another instance, and ejects the endpoint when
+// its streak reaches the limits. A streak without a new answer for maxStreakGap ends, so that
+// a single small answer much later doesn't continue it.
+func (e *Engine) recordSmall(now clock.Millis, s *endpointState, n int) {
 	f := &s.failures
-	s.resets.recordFailure()
 	if now-f.streakGrewAt > maxStreakGap {
 		f.endStreak()
 	}
@@ -163,57 +153,19 @@
 	}
 	f.streak += n
 	f.streakGrewAt = now
-	switch {
-	case instance == "":
-		f.streakOwn += n
-	case !slices.Contains(f.streakInstances, instance):
-		f.streakInstances = append(f.streakInstances, instance)
-	}
-	if f.streak >= smallAnswersToEject/2 {
-		f.longStreakAt = now
-	}
-	switch {
-	case f.ejected(now):
-		if e.provesErrors(now, s) {
-			e.resetMore(now, s, causeSmall)
-		}
-	case f.completeStreak(now) || f.onProbation(now):
+	if f.streak >= smallAnswersToEject && now-f.streakStartedAt >= minStreakTime || f.onProbation(now) {
 		e.eject(now, s, causeSmall)
 	}
 }
 
-// completeStreak reports whether the streak suffices to eject the endpoint.
-func (f *failures) completeStreak(now clock.Millis) bool {
-	return f.streak >= smallAnswersToEject && now-f.streakStartedAt >= minStreakTime
-}
-
-// provesErrors reports whether the streak is sufficient evidence to reset flows that had no
-// failure: enough instances saw the small answers, and most endpoints of the service still
-// answer as usual. Unlike missing answers, small ones can't be caused by an instance.
-func (e *Engine) provesErrors(now clock.Millis, s *endpointState) bool {
-	f := &s.failures
-	if !f.completeStreak(now) {
-		return false
-	}
-	instances := len(f.streakInstances)
-	if f.streakOwn > 0 {
-		instances++
-	}
-	if f.streakOwn < smallAnswersToEject && instances < minStreakInstances {
-		return false
-	}
-	return !e.isWidespread(s, func(o *failures) bool { return o.longStreakAt != 0 && now-o.longStreakAt <= overdueWindow })
-}
-
-// recordOverdue counts an overdue request that this instance saw, sent at the given time.
-func (e *Engine) recordOverdue(now clock.Millis, s *endpointState, requestAt clock.Millis) {
-	if now < e.stalledUntil || e.isolated(now) || s.silence.ended() {
+// recordOverdue counts an overdue request that this instance saw.
+func (e *Engine) recordOverdue(now clock.Millis, s *endpointState) {
+	if now < e.stalledUntil || e.isolated(now) || s.silence.unreachable() {
 		return
 	}
 	s.failures.tallyPending = true
 	s.failures.tally.Overdue++
 	s.observed.overdue.add(now)
-	e.recordOwnFailure(now, s, requestAt, causeOverdue)
 	e.addOverdue(now, s, 1)
 }
 
@@ -221,7 +173,6 @@
 // endpoint at overdueToEject.
 func (e *Engine) addOverdue(now clock.Millis, s *endpointState, n int) {
 	f := &s.failures
-	s.resets.recordFailure()
 	for range min(n, overdueToEject) {
 		f.overdueAt = append(f.overdueAt, now)
 	}
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -97,27 +97,27 @@
 
 // The reasons.
 const (
-	ReasonToken          Reason = iota // the token identifies the endpoint
-	ReasonPlaced                       // a new flow was placed
-	ReasonRepeated                     // a copy of an opening packet goes to the same endpoint
-	ReasonMoved                        // a copy of an opening packet goes to another endpoint
-	ReasonNoRecords                    // no configuration or no endpoints are known yet
-	ReasonNoRoute                      // the configuration has no such route
-	ReasonStaleRoute                   // no such route, but the configuration may be outdated
-	ReasonNoEndpoint                   // no endpoint can take the flow
-	ReasonRouteRemoved                 // the flow's route was removed
-	ReasonEndpointGone                 // the flow's endpoint is gone
-	ReasonEndpointSilent               // the flow's endpoint doesn't answer
-	ReasonUnknownToken                 // no known endpoint has the token
-	ReasonAmbiguous                    // several endpoints have the token
-	ReasonNoToken                      // not an opening packet, but without a token
-	ReasonForged                       // flags that only endpoints send
-	reasonCount                        // number of reasons
+	ReasonToken           Reason = iota // the token identifies the endpoint
+	ReasonPlaced                        // a new flow was placed
+	ReasonRepeated                      // a copy of an opening packet goes to the same endpoint
+	ReasonMoved                         // a copy of an opening packet goes to another endpoint
+	ReasonNoRecords                     // no configuration or no endpoints are known yet
+	ReasonNoRoute                       // the configuration has no such route
+	ReasonStaleRoute                    // no such route, but the configuration may be outdated
+	ReasonNoEndpoint                    // no endpoint can take the flow
+	ReasonRouteRemoved                  // the flow's route was removed
+	ReasonEndpointGone                  // the flow's endpoint is gone
+	ReasonEndpointRefused               // the flow's endpoint has ended: its address refuses connections
+	ReasonUnknownToken                  // no known endpoint has the token
+	ReasonAmbiguous                     // several endpoints have the token
+	ReasonNoToken                       // not an opening packet, but without a token
+	ReasonForged                        // flags that only endpoints send
+	reasonCount                         // number of reasons
 )
 
 var reasonNames = [reasonCount]string{
 	"token", "placed", "repeated", "moved", "no_records", "no_route", "stale_route", "no_endpoint",
-	"route_removed", "endpoint_gone", "endpoint_silent", "unknown_token", "ambiguous_token", "no_token", "forged",
+	"route_removed", "endpoint_gone", "endpoint_refused", "unknown_token", "ambiguous_token", "no_token", "forged",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/steering/query.go
+++ b/steering/query.go
@@ -56,7 +56,7 @@
 	// After a stall, packets from the socket buffer are old, and their consumers may have
 	// been answered or left since. Flows to another data centre mostly belong to its own
 	// consumers, whose packets return to its instances, and those aren't queried.
-	if w.requestAt < e.stalledUntil || w.endpoint.Centre != e.settings.Centre {
+	if w.requestAt < e.stalledUntil || w.endpoint.Centre != e.settings.Centre || w.endpoint.silence.unreachable() {
 		return
 	}
 	if w.queriedAt == 0 {
@@ -70,14 +70,7 @@
 		return
 	}
 	w.suspectedLost = true
-	s := w.endpoint
-	// A request that ejects the endpoint on probation is too little evidence to reset its flow.
-	ejected := s.failures.ejected(now)
-	e.recordUnanswered(now, s, w.requestAt)
-	if e.flows.byKey[k] == w && ejected && e.idempotent(k.destination) {
-		e.resetFlow(k, w, causeUnanswered)
-		s.addReset(now, causeUnanswered)
-	}
+	e.recordUnanswered(now, w.endpoint, w.requestAt)
 }
 
 // queryFlows appends the action that queries the other instances, if flows are waiting for
@@ -121,11 +114,10 @@
 // recordUnanswered counts a request that was sent at the given time and whose answer no
 // instance saw.
 func (e *Engine) recordUnanswered(now clock.Millis, s *endpointState, requestAt clock.Millis) {
-	if s.silence.ended() {
+	if s.silence.unreachable() {
 		return
 	}
 	s.observed.unanswered.add(requestAt)
-	e.recordOwnFailure(now, s, requestAt, causeUnanswered)
 	if e.addUnanswered(now, s, requestAt) {
 		s.failures.tallyPending = true
 		s.failures.tally.UnansweredAges = append(s.failures.tally.UnansweredAges, requestAt)
@@ -144,7 +136,6 @@
 		return false
 	}
 	f := &s.failures
-	s.resets.recordFailure()
 	f.unansweredAt = slices.DeleteFunc(f.unansweredAt, func(at clock.Millis) bool { return now-at > maxFailureAge })
 	gap := max(minUnansweredGap, clock.Millis(unansweredGapFactor*e.expectedLatency(s)))
 	if slices.ContainsFunc(f.unansweredAt, func(at clock.Millis) bool { return max(at-requestAt, requestAt-at) < gap }) {
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -36,12 +36,11 @@
 	// connections at once even under load, and on a healthy path some answer arrives
 	// within this time when two flows wait.
 	minLostTime = 500 * clock.Millisecond
-	// Endpoints that were found to have ended, or whose last probe timed out, are probed
-	// again at this interval, because a network partition looks the same and is temporary.
-	// The finding that an endpoint has ended is valid a little longer than the interval, so
-	// that the next probe can renew it.
+	// Endpoints that refuse connections or were lost, or whose last probe timed out, are
+	// probed again at this interval, because a network partition looks the same and is
+	// temporary. A refusal is valid a little longer, so that the next probe can renew it.
 	reprobeInterval = 1500 * clock.Millisecond
-	endedValidity   = 2 * clock.Second
+	refusalValidity = 2 * clock.Second
 	// A tick that is late by this much counts as a stall: packets may be waiting unread in
 	// the socket, so missing answers are no evidence until stallRecovery has passed. Timers
 	// of the smallest instances are late by about 10 ms under load.
@@ -62,11 +61,12 @@
 	probeTimedOutAt clock.Millis // last probe without an answer; 0 after an answer
 	probeAnsweredAt clock.Millis // last probe with an answer
 	votes           []vote       // instances that reported a probe timeout
-	refused         bool         // the address refuses connections
-	refusedAt       clock.Millis // when refused was set
-	notDraining     bool         // refused, and the store confirmed since that the endpoint isn't draining
 	lost            bool         // it answers neither flows nor probes
-	endedAt         clock.Millis // when refused or lost was set, or last confirmed by a probe
+	refused         bool         // the address refuses connections
+	refusal         refusal      // the latest refused probe
+	// The latest refused probe after which the store confirmed the entry. It proves that the
+	// process has ended.
+	confirmedRefusal refusal
 }
 
 // vote is the report of another instance that its probe of an endpoint timed out.
@@ -75,23 +75,19 @@
 	at       clock.Millis
 }
 
-// ended reports whether the endpoint was found refused or lost and has not answered
+// unreachable reports whether the endpoint was found refused or lost and has not answered
 // since. Until it does, it gets no new flows.
-func (s *silence) ended() bool { return s.refused || s.lost }
-
-// endedRecently reports whether the endpoint has ended for certain and that finding is still
-// valid. Only then are its flows reset: the cause may be a partition that is over by now.
-func (s *silence) endedRecently(now clock.Millis) bool {
-	return (s.notDraining || s.lost) && now-s.endedAt <= endedValidity
-}
+func (s *silence) unreachable() bool { return s.refused || s.lost }
 
 // withdrawRefusal withdraws the finding that the address refuses connections, when the
 // endpoint turns out to be draining, or running without an entry.
-func (s *silence) withdrawRefusal() { s.refused, s.notDraining = false, false }
+func (s *silence) withdrawRefusal() {
+	s.refused, s.refusal, s.confirmedRefusal = false, refusal{}, refusal{}
+}
 
 // avoided reports whether new flows should go to other endpoints.
 func (s *silence) avoided(now clock.Millis) bool {
-	return s.ended() || s.suspected || s.probeTimedOut(now) || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
+	return s.unreachable() || s.suspected || s.probeTimedOut(now) || s.backoff != 0 && now < s.backoffUntil || s.countVotes(now) > 0
 }
 
 // suspicious reports whether this instance has any sign that the endpoint is silent.
@@ -101,7 +97,7 @@
 
 // recordAnswer handles an answer from the endpoint. It clears all evidence of silence.
 func (s *silence) recordAnswer(now clock.Millis) {
-	if s.unansweredFlows == 0 && !s.ended() && s.probeTimedOutAt == 0 && s.votes == nil {
+	if s.unansweredFlows == 0 && !s.unreachable() && s.probeTimedOutAt == 0 && s.votes == nil {
 		s.answeredAt = now
 		return
 	}
@@ -109,9 +105,10 @@
 }
 
 // expire ends the validity of all evidence. The endpoint still gets no new flows if it was
-// found to have ended.
+// found unreachable.
 func (s *silence) expire() {
-	s.unansweredFlows, s.probeTimedOutAt, s.votes, s.endedAt = 0, 0, nil, 0
+	s.unansweredFlows, s.probeTimedOutAt, s.votes = 0, 0, nil
+	s.refusal, s.confirmedRefusal = refusal{}, refusal{}
 }
 
 // recordMiss counts a flow that got no answer, and reports whether the endpoint now
@@ -171,7 +168,7 @@
 // handleMiss handles a flow that an endpoint hasn't answered since the given time. It is
 // called when the consumer retransmits, which shows that no acknowledgement arrived.
 func (e *Engine) handleMiss(now clock.Millis, s *endpointState, since clock.Millis) {
-	if since < s.silence.answeredAt || s.silence.ended() || now-since < minRetransmitTime {
+	if since < s.silence.answeredAt || s.silence.unreachable() || now-since < minRetransmitTime {
 		return
 	}
 	if now >= e.stalledUntil && s.silence.recordMiss(now) {
@@ -189,7 +186,7 @@
 	if w.established && e.exceedsLatency(now, s, now-w.requestAt, suspectFactor, minSuspectTime) {
 		e.checkSuspectedLost(now, k, w)
 	}
-	if e.flows.byKey[k] != w || w.waitHandled || w.established && w.retransmits > 0 {
+	if w.waitHandled || w.established && w.retransmits > 0 {
 		return
 	}
 	w.waitHandled = true
@@ -197,7 +194,7 @@
 	if w.established {
 		since = w.requestAt
 	}
-	if since < s.silence.answeredAt || s.silence.ended() || now < e.stalledUntil {
+	if since < s.silence.answeredAt || s.silence.unreachable() || now < e.stalledUntil {
 		return
 	}
 	if w.established {
@@ -217,7 +214,7 @@
 			continue
 		}
 		w := e.flows.byKey[o.key]
-		if w != nil && !w.established && w.openedAt >= w.endpoint.silence.answeredAt && !w.endpoint.silence.ended() && now >= e.stalledUntil {
+		if w != nil && !w.established && w.openedAt >= w.endpoint.silence.answeredAt && !w.endpoint.silence.unreachable() && now >= e.stalledUntil {
 			e.probeSuspect(now, w.endpoint, probeInterval)
 		}
 	}
@@ -252,7 +249,7 @@
 func (e *Engine) controlAddress(now clock.Millis, s *endpointState) AddrPort {
 	var best *endpointState
 	for _, o := range e.directory.byID {
-		if o != s && o.entryState == listed && !o.silence.ended() && (best == nil || e.betterControl(now, o, best)) {
+		if o != s && o.entryState == listed && !o.silence.unreachable() && (best == nil || e.betterControl(now, o, best)) {
 			best = o
 		}
 	}
@@ -275,7 +272,7 @@
 // handleFault handles a fault that another instance reported.
 func (e *Engine) handleFault(now clock.Millis, v FaultReported) []Action {
 	s := e.directory.byID[v.Endpoint]
-	if s == nil || s.Incarnation != v.Incarnation || s.silence.ended() {
+	if s == nil || s.Incarnation != v.Incarnation || s.silence.unreachable() {
 		return nil
 	}
 	if v.Failing || v.Refused {
@@ -300,7 +297,7 @@
 	}
 	s.silence.addVote(now, v.Sender)
 	e.checkLost(now, s)
-	if !s.silence.ended() && !s.silence.probePending {
+	if !s.silence.unreachable() && !s.silence.probePending {
 		e.probeSuspect(now, s, votedProbeInterval)
 	}
 	return e.TakeActions()
@@ -325,7 +322,7 @@
 		e.handleRemovalProbe(now, s, v.Result)
 		return e.TakeActions()
 	}
-	if s.silence.ended() {
+	if s.silence.unreachable() {
 		e.handleReprobe(now, s, v.Result)
 		return e.TakeActions()
 	}
@@ -341,7 +338,7 @@
 		if s.Draining {
 			break // accepts no connections, but may still answer its last requests
 		}
-		s.silence.refused, s.silence.refusedAt, s.silence.endedAt = true, now, now
+		s.silence.recordRefusal(now)
 		e.pendingActions = append(e.pendingActions, ReportFault{EndpointFault{Endpoint: s.ID, Incarnation: s.Incarnation, Refused: true}})
 	case ProbeTimedOut:
 		if now < e.stalledUntil {
@@ -356,7 +353,8 @@
 	return e.TakeActions()
 }
 
-// checkLost declares an endpoint lost and resets its flows when the evidence suffices.
+// checkLost declares an endpoint lost when the evidence suffices. It keeps its flows: an
+// endpoint whose queue of new connections is full looks the same.
 func (e *Engine) checkLost(now clock.Millis, s *endpointState) {
 	if !s.silence.isLost(now) || now < e.stalledUntil || e.isolated(now) {
 		return
@@ -364,26 +362,12 @@
 	if s.Draining && s.entryState == listed && s.silence.unansweredFlows < minSilentFlows {
 		return // it may accept no connections, and still answer its last requests
 	}
-	s.silence.lost, s.silence.endedAt = true, now
-	e.resetFlows(now, s, causeSilent)
+	s.silence.lost = true
+	e.addLost(now, s, causeSilent, 0)
 }
 
-// checkRefused resets the flows of an endpoint that refuses connections when the store has
-// confirmed since that it isn't draining. A draining endpoint closes its listener before it
-// has answered its last requests.
-func (e *Engine) checkRefused(now clock.Millis, s *endpointState) {
-	if !s.silence.refused || s.silence.notDraining || s.Draining || s.entryState != listed {
-		return
-	}
-	if now < e.stalledUntil || now-s.silence.endedAt > endedValidity || e.directory.confirmedAt <= s.silence.refusedAt {
-		return
-	}
-	s.silence.notDraining = true
-	e.resetFlows(now, s, causeRefused)
-}
-
-// reprobe requests probes of the endpoints that were found to have ended, of those whose
-// last probe timed out, and of gone ones with flows whose end is unconfirmed.
+// reprobe requests probes of the endpoints that were found unreachable, of those whose last
+// probe timed out, and of gone ones with flows.
 func (e *Engine) reprobe(now clock.Millis) {
 	if now-e.reprobedAt < reprobeInterval/2 {
 		return
@@ -392,34 +376,25 @@
 	for _, s := range e.directory.byID {
 		switch {
 		case s.entryState == gone && s.load.flows > 0:
-			e.checkEnded(now, s)
-		case s.entryState != gone && (s.silence.ended() || s.silence.probeTimedOut(now)) && s.silence.probeDue(now, reprobeInterval):
+			e.checkGone(now, s)
+		case s.entryState != gone && (s.silence.unreachable() || s.silence.probeTimedOut(now)) && s.silence.probeDue(now, reprobeInterval):
 			e.addProbe(now, s)
 		}
 	}
 }
 
-// handleReprobe handles the result of a probe of an endpoint that was found to have ended.
-// One that answers was only unreachable, and gets new flows again.
+// handleReprobe handles the result of a probe of an endpoint that was found unreachable.
+// One that answers gets new flows again.
 func (e *Engine) handleReprobe(now clock.Millis, s *endpointState, result ProbeResult) {
 	switch result {
 	case ProbeAnswered:
 		s.silence = silence{probedAt: s.silence.probedAt, probeAnsweredAt: now}
 		e.pendingActions = append(e.pendingActions, s.stateChanged())
 	case ProbeRefused:
-		if s.Draining {
-			break
+		if !s.Draining {
+			s.silence.recordRefusal(now)
 		}
-		if s.silence.lost {
-			// It can be reached again, so only the refusal still counts.
-			s.silence.lost, s.silence.refused, s.silence.refusedAt = false, true, now
-		}
-		s.silence.endedAt = now
-	case ProbeTimedOut:
-		if now >= e.stalledUntil {
-			s.silence.endedAt = now
-		}
-	case ProbeInconclusive:
+	case ProbeTimedOut, ProbeInconclusive:
 	}
 }
 
@@ -440,28 +415,3 @@
 	}
 	return silent > answering
 }
-
-// resetFlows resets the flows of an endpoint, so that the next requests of their consumers
-// don't wait until a deadline. Flows with a pending request that isn't idempotent are
-// kept: the request may have been executed, and its consumer must decide.
-func (e *Engine) resetFlows(now clock.Millis, s *endpointState, cause string) {
-	reset := 0
-	for k, w := range e.flows.byKey {
-		if w.endpoint != s || !w.established || w.consumerDone || w.requestAt != 0 && !e.idempotent(k.destination) {
-			continue
-		}
-		e.resetFlow(k, w, cause)
-		reset++
-	}
-	s.startResets(now, cause, reset)
-	e.pendingActions = append(e.pendingActions, EndpointLost{Endpoint: s.ID, Service: s.Service, Cause: cause, ResetFlows: reset, Evidence: e.evidence(now, s, cause)})
-}
-
-// idempotent reports whether the requests on the route to a destination are idempotent.
-func (e *Engine) idempotent(destination AddrPort) bool {
-	if e.configuration == nil {
-		return false
-	}
-	r, found := e.configuration.Routes[destination]
-	return found && r.Idempotent
-}
--- a/steering/tally.go
+++ b/steering/tally.go
@@ -70,13 +70,10 @@
 		}
 		s := same[0]
 		if t.Normal > 0 {
-			if s.failures.onProbation(now) {
-				e.compareNormal(now, s, t.Normal)
-			}
 			s.failures.recordNormal(now, t.Normal)
 		}
 		if t.Small > 0 {
-			e.recordSmall(now, s, t.Small, v.Sender)
+			e.recordSmall(now, s, t.Small)
 		}
 		if t.Overdue > 0 {
 			e.addOverdue(now, s, t.Overdue)
