Steering: packets that wait unread are a stall, like late ticks

What callers saw: an instance whose packets wait in its socket while its timers run in time finds requests unanswered whose acknowledgements it hasn't read. It ejects their endpoint and resets its flows, though the endpoint works.

Cause: only late ticks counted as a stall. The receive loop may be behind on its own.

The forwarder passes the bound of the wait with each packet (Packet.Waited), each tick (Ticked.Unread) and each result of a probe. From minStall on, missing answers are no evidence for stallRecovery, as after a late tick. Evidence that rests on something that arrived isn't touched. This prevents wrong ejections by an instance that is behind; other causes of resets remain.

On the old logic (fields added, not used):

--- FAIL: TestScripts/query/while_packets_wait_unread_and_ticks_are_in_time,_an_endpoint_isn't_ejected_for_requests_that_look_unanswered extra elements in list B: "probe a1", "query c1 50" (step 5 at 5500) the same with only the tick at 7100 checked: extra elements in list B: "reset c4", "reset c1", "reset c2", "reset c3", "a1 failing unanswered requests", "send tallies" --- FAIL: TestScripts/silence/for_a_second_after_a_packet_that_waited_unread,_missing_answers_are_no_evidence extra elements in list B: "a1 silent" (step 8 at 1201)

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -352,7 +352,7 @@
 		d.handleFleet(fleet.ProcessSuspended{Duration: stalled})
 		d.handle(steering.ProcessStalled{})
 	}
-	d.handle(steering.Ticked{Delay: delay})
+	d.handle(steering.Ticked{Delay: delay, Unread: d.reader.wait(clock.Now())})
 }
 
 // recordAnswers adds the latencies of the answers since the last call to the metrics. It
--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -102,6 +102,7 @@
 			d.log.infoLimited("packet malformed", "error", err.Error())
 			continue
 		}
+		p.Waited = waited
 		d.guard("packet", func() { d.forward(&p, buffer[:platform.EndpointPrefixSize+n], clock.Now(), &reset) })
 	}
 }
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -43,7 +43,7 @@
 	if result == steering.ProbeTimedOut && !<-controlAnswered {
 		result = steering.ProbeInconclusive
 	}
-	delay = max(delay, stalls.check())
+	delay = max(delay, stalls.check(), d.reader.wait(clock.Now()))
 	d.log.infoLimited("endpoint probed", "endpoint", v.Endpoint, "address", v.Address.String(), "end", result.String(),
 		"control", v.Control.String(), "took_ms", int64(took), "late_ms", int64(delay))
 	d.handle(steering.ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result, Delay: delay})
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -78,9 +78,18 @@
 	}
 }
 
+// recordWait records that packets may have waited for this instance, in its socket or for its
+// timers. A long wait is a stall, since answers may wait unread as well.
+func (e *Engine) recordWait(now, wait clock.Millis) {
+	if wait >= minStall {
+		e.stalledUntil = now + stallRecovery
+	}
+}
+
 // Steer decides on one packet. Actions that result from it are returned by TakeActions.
 func (e *Engine) Steer(now clock.Millis, p *Packet) Decision {
 	e.checkDelay(now)
+	e.recordWait(now, p.Waited)
 	var d Decision
 	if p.Opening() {
 		d = e.steerOpening(now, p)
@@ -163,9 +172,7 @@
 		return e.handleProbeEnded(now, v)
 	case Ticked:
 		e.tickedAt = now
-		if v.Delay >= minStall {
-			e.stalledUntil = now + stallRecovery
-		}
+		e.recordWait(now, max(v.Delay, v.Unread))
 		return e.tick(now)
 	}
 	return nil
--- a/steering/event.go
+++ b/steering/event.go
@@ -98,7 +98,8 @@
 type FlowsReported struct{ Flows []FlowProgress }
 
 // ProcessStalled is emitted after the process was suspended. For stallRecovery, the engine
-// takes missing answers as no evidence against endpoints.
+// takes missing answers as no evidence against endpoints. It does the same after a tick that
+// was late, and after packets that waited long.
 type ProcessStalled struct{}
 
 // ProbeEnded carries the result of a Probe.
@@ -128,7 +129,8 @@
 
 // Ticked is emitted periodically by the daemon.
 type Ticked struct {
-	Delay clock.Millis // how late the tick is
+	Delay  clock.Millis // how late the tick is
+	Unread clock.Millis // how long packets that arrived before the tick and aren't read yet may have waited
 }
 
 func (ConfigurationRead) event()    {}
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -60,6 +60,7 @@
 	Ack         uint32 // next byte the consumer expects; in an opening packet, the number of earlier copies
 	Length      int    // bytes of data
 	Token       Token
+	Waited      clock.Millis // how long it may have waited in the socket until it was read
 }
 
 // Opening reports whether p is an opening packet, which opens a flow.
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -43,7 +43,8 @@
 	FlowQuery      string             `yaml:"asked"`   // "INSTANCE CONSUMER ACK [ROUTE]": a query from another instance
 	FlowReport     string             `yaml:"seen"`    // "CONSUMER ACK [ROUTE]": a flow progressed at another instance
 	Stalled        bool               `yaml:"woke"`
-	TickDelay      clock.Millis       `yaml:"late"` // how late the tick is
+	TickDelay      clock.Millis       `yaml:"late"`   // how late the tick is
+	Unread         clock.Millis       `yaml:"unread"` // how long packets may have waited unread at the tick
 	Tick           bool               `yaml:"tick"`
 
 	Want        string   `yaml:"want"`       // "VERDICT REASON [ID]" for the packet, or a prefix of it
@@ -164,7 +165,7 @@
 	})
 	add(s.FlowReport != "", func() Event { return FlowsReported{Flows: []FlowProgress{parseFlow(t, s.FlowReport)}} })
 	add(s.Stalled, func() Event { return ProcessStalled{} })
-	add(s.Tick || s.TickDelay > 0, func() Event { return Ticked{Delay: s.TickDelay} })
+	add(s.Tick || s.TickDelay > 0 || s.Unread > 0, func() Event { return Ticked{Delay: s.TickDelay, Unread: s.Unread} })
 	return events
 }
 
@@ -374,6 +375,8 @@
 			p.Ack = uint32(n)
 		case "port":
 			p.Consumer.Port = uint16(n)
+		case "waited":
+			p.Waited = clock.Millis(n)
 		default:
 			require.Fail(t, "packet", "field %q does not exist", name)
 		}
