Removed endpoints get no new flows after a gap that the members made themselves

Cause: three things counted as an outage of the store, after which endpoints whose entries left get new flows for 2.5 s: a gap between confirmations of more than 0.55 of the record bound, which each hand-over makes; one failed call of one member, passed on to all others; a suspension of the process. An entry that left while the store answered also became usable again with the next "outage". In real outages the rule often failed too: the watcher's answer brings the removals before it tells of the recovery, and nothing looked at them again.

Now only an outage that members prove counts (fleet/outage.go): calls of a member failed until every other member was due to read the store as well and its call had ended, while no answer to any became known. A store that answers somebody can't give that: the next in rank reads it in time and tells the others. A member that is told of an outage accepts it only if it knows of no answer meanwhile, so one that was cut off from store and members convinces nobody. A stall of the process voids its failures. Steering keeps per endpoint whether its entry may have expired in the outage: removals known before the outage never do, those that became known just before its end do, and new flows end 2.5 s after the outage by the clock, whether or not the store has confirmed since. So the delay after a removal doesn't depend on what members missed, however often. When open flows end is unchanged: there any gap still counts in favour of the endpoint.

The script "a gap between confirmations counts as an outage of the store" wanted the fault itself (a new flow to an endpoint whose entry left after a mere gap). In its place, the same steps want no new flow, and that the open one stays until the same time as before.

The other new scripts pass on the old code as well (both sides of the rule).

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -28,6 +28,7 @@
 //	message.go       messages between members, and their encoding
 //	member.go        members and their ranks
 //	watcher.go       which member watches the store
+//	outage.go        what proves an outage of the store
 //	relay.go         heartbeats, and their relays in a large data centre
 //	start.go         who reads the store when all members start at once
 //	registration.go  when a member writes its object to the store
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -53,7 +53,7 @@
 	configurationConfirmedAt clock.Millis // when the store last confirmed the configuration; 0 if it hasn't
 	endpointsConfirmedAt     clock.Millis // when the store last confirmed the endpoints; 0 if it hasn't
 	readAt                   clock.Millis // when this member last read the store itself
-	recoveredAt              clock.Millis // when the store answered again after a failure; 0 if it never failed
+	outages                  outages
 
 	watching      bool
 	watchingSince clock.Millis // when watching last changed
@@ -89,8 +89,8 @@
 func (e *Engine) RecordState(now clock.Millis) RecordState {
 	s := e.state
 	s.ConfigurationAge, s.EndpointsAge = min(now-e.configurationConfirmedAt, maxRecordAge), min(now-e.endpointsConfirmedAt, maxRecordAge)
-	if e.recoveredAt != 0 {
-		s.RecoveredAge = max(now-e.recoveredAt, 1)
+	if at := e.outages.endedAt; at != 0 {
+		s.RecoveredAge = min(max(now-at, 1), maxRecordAge)
 	}
 	return s
 }
@@ -112,6 +112,8 @@
 		return e.handleMembersListed(now, v)
 	case MessageReceived:
 		return e.handleMessage(now, v)
+	case StoreCallFailed:
+		e.recordStoreFailure(now)
 	case RecordsRead:
 		return e.handleRecordsRead(now, v)
 	case RecordsFetched:
@@ -147,6 +149,7 @@
 	}
 	e.stalledUntil = now + stallRecovery
 	e.peers.forgetProbes()
+	e.outages.forgetFailures()
 }
 
 // handleSuspended makes the records older by a suspension. Until stallRecovery has passed,
@@ -160,6 +163,7 @@
 	}
 	e.stalledAt, e.stalledUntil = e.tickedAt-duration, now+stallRecovery
 	e.peers.forgetProbes()
+	e.outages.suspend(duration)
 }
 
 // sentAt returns when a message or an answer of the store that is handled now was sent at
@@ -268,9 +272,6 @@
 // older.
 func (e *Engine) handleWatcherState(now clock.Millis, p *peer, sender Member, s RecordState, leaving bool) []Action {
 	p.heartbeatAt, p.state, p.leaving = now, s, leaving
-	if s.RecoveredAge != 0 {
-		e.recoveredAt = max(e.recoveredAt, now-s.RecoveredAge)
-	}
 	if s.ConfigurationRevision == e.state.ConfigurationRevision {
 		e.state.ConfirmedRevision = max(e.state.ConfirmedRevision, s.ConfirmedRevision)
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.sentAt(now)-s.ConfigurationAge)
@@ -280,6 +281,8 @@
 		e.state.ChangeRevision = max(e.state.ChangeRevision, s.ChangeRevision)
 		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.sentAt(now)-s.EndpointsAge)
 	}
+	e.recordAnswers()
+	e.recordReport(e.sentAt(now), s.RecoveredAge)
 	actions := append([]Action{NotifySteering{Event: e.Confirmation()}}, e.updateWatching(now)...)
 	if s.ConfigurationRevision <= e.state.ConfigurationRevision && s.ChangeRevision <= e.state.EndpointsRevision {
 		return actions
@@ -297,7 +300,7 @@
 // Confirmation returns the event that tells steering when the store last confirmed the
 // records.
 func (e *Engine) Confirmation() steering.RecordsConfirmed {
-	return steering.RecordsConfirmed{ConfigurationAt: e.configurationConfirmedAt, EndpointsAt: e.endpointsConfirmedAt, StoreRecoveredAt: e.recoveredAt}
+	return steering.RecordsConfirmed{ConfigurationAt: e.configurationConfirmedAt, EndpointsAt: e.endpointsConfirmedAt, StoreRecoveredAt: e.outages.endedAt}
 }
 
 func (e *Engine) handleHeartbeat(now clock.Millis, p *peer, m Heartbeat) []Action {
@@ -351,14 +354,12 @@
 	stale := e.recordsStale(now)
 	e.state = v.State
 	e.readAt = now
-	if v.StoreRecovered {
-		e.recoveredAt = now
-	}
 	if v.IsConfiguration {
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.readSince(now, v.RequestedAt))
 	} else {
 		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.readSince(now, v.RequestedAt))
 	}
+	e.recordAnswers()
 	actions := e.updateWatching(now)
 	if !e.watching {
 		return actions
@@ -385,6 +386,8 @@
 		e.state.EndpointsRevision, e.state.ChangeRevision = v.State.EndpointsRevision, max(v.State.ChangeRevision, e.state.ChangeRevision)
 		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.EndpointsAge)
 	}
+	e.recordAnswers()
+	e.recordReport(e.readSince(now, v.RequestedAt), v.State.RecoveredAge)
 }
 
 func (e *Engine) handleStopping(now clock.Millis) []Action {
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -29,10 +29,12 @@
 	Changes         []steering.EndpointChange // of endpoints, after revision Since; empty with FullList
 	FullList        bool                      // all endpoints were listed, so changes are not known one by one
 	Delta           *steering.Delta           // change of the configuration; nil if there was none
-	StoreRecovered  bool                      // the store had not answered the previous call
 	RequestedAt     clock.Millis              // when the records were requested, if they may be as old as that; 0 if they are current
 }
 
+// StoreCallFailed reports that the store didn't answer a call of this member.
+type StoreCallFailed struct{}
+
 // RecordsFetched reports that this member fetched records from another member: all of them, or
 // the changes of endpoints.
 type RecordsFetched struct {
@@ -75,6 +77,7 @@
 func (MembersListed) event()        {}
 func (MessageReceived) event()      {}
 func (RecordsRead) event()          {}
+func (StoreCallFailed) event()      {}
 func (RecordsFetched) event()       {}
 func (EndpointFaultFound) event()   {}
 func (EndpointTalliesTaken) event() {}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -48,6 +48,7 @@
 	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
 	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
 	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
+	Outage            []int        `yaml:"outage"` // running members that know of an outage of the store that ended in the step; nil for any
 }
 
 func TestScenarios(t *testing.T) {
@@ -73,6 +74,7 @@
 	storeDenied  bool
 	dropMessages bool
 	nextReadAt   clock.Millis // when its next watch call ends without a change
+	retryPause   clock.Millis // after its last call, if that failed
 	inbox        []MessageReceived
 	bytesSent    int // in this step
 	served       int // fetches by other members in this step
@@ -144,8 +146,13 @@
 // readStore lets a member read the configuration and the endpoints from the store.
 func (sm *simulation) readStore(n *testMember) {
 	if n.storeDenied {
+		sm.perform(n, n.engine.Handle(sm.now, StoreCallFailed{}))
+		shortest, longest := n.engine.RetryPauses()
+		n.retryPause = min(max(2*n.retryPause, shortest), longest)
+		n.nextReadAt = sm.now + n.retryPause
 		return
 	}
+	n.retryPause = 0
 	s := n.engine.RecordState(sm.now)
 	from := s.EndpointsRevision
 	read := RecordsRead{IsConfiguration: true}
@@ -300,6 +307,9 @@
 		}
 		require.Equal(sm.t, s.Watchers, watching, name)
 	}
+	if s.Outage != nil {
+		require.Equal(sm.t, s.Outage, sm.knowOutage(s.Duration), name)
+	}
 	if s.MaxWatchers > 0 {
 		require.LessOrEqual(sm.t, sm.maxWatchers, s.MaxWatchers, name)
 	}
@@ -320,6 +330,18 @@
 	}
 }
 
+// knowOutage returns the running members that know of an outage of the store that ended in the
+// latest duration.
+func (sm *simulation) knowOutage(duration clock.Millis) []int {
+	know := []int{}
+	for i, n := range sm.members {
+		if n.live && !n.stalled && n.engine.Confirmation().StoreRecoveredAt > sm.now-duration {
+			know = append(know, i)
+		}
+	}
+	return know
+}
+
 func (sm *simulation) expectTraffic(name string, s scenarioStep) {
 	sm.t.Helper()
 	for i, n := range sm.members {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -26,8 +26,7 @@
 	// How long ago the store confirmed the configuration and the endpoints.
 	ConfigurationAge clock.Millis
 	EndpointsAge     clock.Millis
-	// How long ago the store answered again after a failure; 0 if it never failed.
-	RecoveredAge clock.Millis
+	RecoveredAge     clock.Millis // how long ago the last outage of the store ended; 0 for none
 }
 
 // Message is the content of a datagram from one member to another.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -67,6 +67,9 @@
 	}
 	delay := now - e.sentAt(now)
 	s.ConfigurationAge, s.EndpointsAge = min(s.ConfigurationAge+delay, maxRecordAge), min(s.EndpointsAge+delay, maxRecordAge)
+	if s.RecoveredAge != 0 {
+		s.RecoveredAge = min(s.RecoveredAge+delay, maxRecordAge)
+	}
 	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s}}}
 }
 
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -62,6 +62,7 @@
 	"crash":            (*deployment).crash,              // ID: closes an endpoint's sockets; its entry stays in the store
 	"remove":           (*deployment).remove,             // ID: removes an endpoint's entry from the store
 	"store":            (*deployment).setStoreFault,      // fine, or REFUSAL [NAME...]: the store refuses calls of all or of some instances
+	"pause":            (*deployment).pause,              // MS: lets time pass
 	"compact":          (*deployment).compact,            // the store discards its history
 	"odd":              (*deployment).writeOdd,           // KIND/NAME FAULT...: another program writes odd objects, with faults of standin.OddFaults
 	"unreadable":       (*deployment).waitUnreadable,     // COUNT WORD...: waits until the logs of so many running instances have a line about an unreadable object with the words
@@ -343,6 +344,10 @@
 	require.NoError(s.t, s.store.SetFaults(f))
 }
 
+func (s *deployment) pause(words []string) {
+	time.Sleep((clock.Millis(s.number(words)) * clock.Millisecond).Duration())
+}
+
 func (s *deployment) compact([]string) { s.store.Compact() }
 
 func (s *deployment) writeOdd(words []string) {
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -14,9 +14,7 @@
 
 // Timeouts and pauses of calls to the store, in ms.
 const (
-	// Time for the answer, in addition to the wait of a watch. The store takes 4 ms, or
-	// 0.3 s when it is slow.
-	storeTimeout = 700 * clock.Millisecond
+	storeTimeout = fleet.StoreTimeout
 	// Pause between two watches. Changes occur in series; the pause collects them into one
 	// call.
 	watchPause    = 400 * clock.Millisecond
@@ -130,14 +128,13 @@
 // and forwards queued packets. apply passes it to the steering engine and describes it for
 // the fleet engine; it runs under the lock.
 func (d *Daemon) applyStoreRead(apply func(clock.Millis) ([]steering.Action, fleet.RecordsRead)) {
-	recovered := d.storeHealth.callSucceeded(d)
+	d.storeHealth.callSucceeded(d)
 	var actions []steering.Action
 	var fleetActions []fleet.Action
 	d.locked(func() {
 		now := clock.Now()
 		var read fleet.RecordsRead
 		actions, read = apply(now)
-		read.StoreRecovered = recovered
 		fleetActions = d.fleet.Handle(now, read)
 		d.engine.Handle(now, d.fleet.Confirmation())
 	})
--- a/forwarder/storehealth.go
+++ b/forwarder/storehealth.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/fleet"
 	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
 )
@@ -56,8 +57,8 @@
 	}
 }
 
-// callSucceeded marks the store as available, and reports whether it was unavailable before.
-func (h *storeHealth) callSucceeded(d *Daemon) bool {
+// callSucceeded marks the store as available.
+func (h *storeHealth) callSucceeded(d *Daemon) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.confirmed != nil {
@@ -65,11 +66,10 @@
 		h.confirmed = nil
 	}
 	if !h.unavailable {
-		return false
+		return
 	}
 	h.unavailable = false
 	d.log.info("store recovered", "away_ms", clock.Now()-h.unavailableSince)
-	return true
 }
 
 // callFailed marks the store as unavailable, unless the error is that another instance's
@@ -79,6 +79,7 @@
 		d.log.infoLimited("store write conflict", "records", name, "error", err.Error())
 		return
 	}
+	d.handleFleet(fleet.StoreCallFailed{})
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.unavailable {
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -101,7 +101,7 @@
 const (
 	// From the removal of the entry, or the recovery of the store if that is later, until
 	// the endpoint is gone. Entries that expired during an outage of the store are written
-	// again within 2 s after it recovered.
+	// again within 2 s after it; until this time after it, their endpoints get new flows.
 	lapseTimeout = 2500 * clock.Millisecond
 	// From the removal of the entry until a gone endpoint is forgotten. Flows on the
 	// platform last 60 s at most, so their last packets arrive before.
@@ -115,6 +115,7 @@
 	token           Token
 	entryState      entryState
 	entryChangedAt  clock.Millis // when the entry was written or removed
+	awaited         bool         // lapsed in an outage of the store, so that the entry may be written again
 	removedRevision uint64       // revision at which the entry was removed; entries up to it are outdated
 	knownRevision   uint64       // revision of the store up to which changes were read when the latest one of the entry was
 	warmedUpAt      clock.Millis // end of the warm-up
@@ -138,9 +139,13 @@
 	partlyListed bool   // a page of the first list was read
 	listed       bool   // a complete list was read
 	confirmedAt  clock.Millis
-	// When the store last recovered from an outage. For entries that were removed before,
-	// lapseTimeout counts from then.
+	staleAfter   clock.Millis // age of the last confirmation from which on the records count as stale
+	// When the records were last confirmed again after a gap, in which the store may have been
+	// unavailable. Until lapseTimeout after it, missing entries are no evidence that flows have to end.
 	storeRecoveredAt clock.Millis
+	// When the last outage of the store ended that the members' calls prove; 0 if there was none. A
+	// gap proves none, as the members may have missed each other or have handed over the watch.
+	outageEndedAt clock.Millis
 
 	// Greatest revision with changes of endpoints that were forgotten, or that this instance
 	// never knew.
@@ -152,9 +157,10 @@
 	unreadable unreadableEntries
 }
 
-func newDirectory() directory {
+func newDirectory(staleAfter clock.Millis) directory {
 	return directory{
-		byID: map[string]*endpointState{}, byToken: map[Token][]*endpointState{}, byService: map[string][]*endpointState{},
+		staleAfter: staleAfter,
+		byID:       map[string]*endpointState{}, byToken: map[Token][]*endpointState{}, byService: map[string][]*endpointState{},
 		unreadable: unreadableEntries{},
 	}
 }
@@ -187,6 +193,7 @@
 	}
 	d.unindex(s)
 	s.Endpoint, s.entryState, s.entryChangedAt, s.removal = p, listed, now, removal{}
+	s.awaited = false
 	s.warmedUpAt = now + p.Warmup
 	s.token = p.token()
 	d.index(s)
@@ -203,16 +210,56 @@
 	s.entryChangedAt = now
 	// Draining endpoints aren't gone at once either: they may still answer requests.
 	s.entryState = lapsed
+	s.awaited = d.mayReturn(now, s)
 	d.reindex(s)
 	return true
 }
 
+// mayReturn reports whether the entry of a lapsed endpoint may have expired because of an outage
+// of the store, and the endpoint still has time to write it again. An entry that was removed
+// before the outage left while the store answered. No removal becomes known during an outage,
+// which lasts longer than staleAfter.
+func (d *directory) mayReturn(now clock.Millis, s *endpointState) bool {
+	return d.outageEndedAt != 0 && now-d.outageEndedAt < lapseTimeout && s.entryChangedAt-d.outageEndedAt > -d.staleAfter
+}
+
+// endOutage records when an outage of the store ended. Removals during the outage may have become
+// known before its end did.
+func (d *directory) endOutage(now, at clock.Millis) {
+	if at <= d.outageEndedAt {
+		return
+	}
+	d.outageEndedAt = at
+	d.storeRecoveredAt = max(d.storeRecoveredAt, at)
+	for _, s := range d.byID {
+		if s.entryState == lapsed {
+			d.setAwaited(s, d.mayReturn(now, s))
+		}
+	}
+}
+
+// suspend forgets the end of the last outage, as the time since then isn't known any more.
+func (d *directory) suspend(now clock.Millis) {
+	d.storeRecoveredAt, d.outageEndedAt = now, 0
+	for _, s := range d.byID {
+		d.setAwaited(s, false)
+	}
+}
+
+func (d *directory) setAwaited(s *endpointState, awaited bool) {
+	if s.awaited != awaited {
+		s.awaited = awaited
+		d.reindex(s)
+	}
+}
+
 // expire marks lapsed endpoints as gone after lapseTimeout and removes gone ones after
 // goneTimeout. It returns the endpoints that are newly gone.
 func (d *directory) expire(now clock.Millis) (expired []*endpointState) {
 	for id, s := range d.byID {
 		switch s.entryState {
 		case lapsed:
+			d.setAwaited(s, s.awaited && d.mayReturn(now, s))
 			// A missing entry is evidence only while the store is reachable.
 			if now-max(s.entryChangedAt, d.storeRecoveredAt) >= lapseTimeout && d.confirmedAt-max(s.entryChangedAt, d.storeRecoveredAt) >= lapseTimeout {
 				s.entryState = gone
@@ -261,9 +308,9 @@
 }
 
 // confirm records that the store confirmed the endpoints. If the previous confirmation is
-// older than stale, the store may have had an outage and counts as recovered.
-func (d *directory) confirm(at, stale clock.Millis) {
-	if d.confirmedAt != 0 && at-d.confirmedAt > stale {
+// stale, the store may have been unavailable.
+func (d *directory) confirm(at clock.Millis) {
+	if d.confirmedAt != 0 && at-d.confirmedAt > d.staleAfter {
 		d.storeRecoveredAt = max(d.storeRecoveredAt, at)
 	}
 	d.confirmedAt = max(d.confirmedAt, at)
@@ -279,7 +326,7 @@
 		return true
 	case lapsed:
 		// Entries expire during an outage of the store, although their endpoints run.
-		return d.storeRecoveredAt != 0 && s.entryChangedAt-d.storeRecoveredAt < lapseTimeout
+		return s.awaited
 	}
 	return false
 }
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -63,7 +63,7 @@
 		settings:      s,
 		random:        rand.New(rand.NewPCG(s.Seed, 0)),
 		removedRoutes: map[AddrPort]bool{},
-		directory:     newDirectory(),
+		directory:     newDirectory(s.StaleAfter),
 		flows:         newFlows(),
 		baselines:     map[AddrPort]*baseline{},
 		latencies:     map[string]*serviceLatency{},
@@ -134,8 +134,8 @@
 		return e.applyConfiguration(e.configuration.Apply(&v.Delta))
 	case RecordsConfirmed:
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, v.ConfigurationAt)
-		e.directory.storeRecoveredAt = max(e.directory.storeRecoveredAt, v.StoreRecoveredAt)
-		e.directory.confirm(v.EndpointsAt, e.settings.StaleAfter)
+		e.directory.endOutage(now, v.StoreRecoveredAt)
+		e.directory.confirm(v.EndpointsAt)
 	case TalliesReported:
 		return e.applyTallies(now, v)
 	case FlowsQueried:
@@ -154,7 +154,7 @@
 		// The records may have changed while the process was suspended.
 		e.configurationConfirmedAt = 0
 		e.stalledUntil = now + stallRecovery
-		e.directory.storeRecoveredAt = now
+		e.directory.suspend(now)
 		// The clock doesn't count the suspension, so evidence is older than it seems.
 		for _, s := range e.directory.byID {
 			s.silence.expire()
--- a/steering/event.go
+++ b/steering/event.go
@@ -27,7 +27,7 @@
 type ConfigurationRevised struct{ Delta Delta }
 
 // RecordsConfirmed carries the times at which the store last confirmed the configuration
-// and the endpoints, and last recovered after a failure.
+// and the endpoints, and when it recovered from the last outage that members proved; 0 if there was none.
 type RecordsConfirmed struct{ ConfigurationAt, EndpointsAt, StoreRecoveredAt clock.Millis }
 
 // EndpointsListed carries all endpoints of the store at a revision. The engine removes
