A late SetWatching no longer overrides the fleet's latest decision

Cause: the fleet engine decides under the lock, but its actions are carried out after it, so two goroutines may carry out two SetWatching in the other order.

Now the action sets the gate to the engine's present decision, under the lock. Whichever comes last sets the latest one.

Failing on the old code:

TestWatchThatIsSetLateKeepsLatestDecision deployment_test.go:490: Should be true (the gate)

go test ./forwarder on this commit: passed (24.7 s).

--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -478,6 +478,18 @@
 	require.Empty(t, q.takeRecent(1001+maxQueueTime, true))
 }
 
+// Two goroutines may carry out their actions in another order than the engine decided them.
+func TestWatchThatIsSetLateKeepsLatestDecision(t *testing.T) {
+	_, d := newReadyDeployment(t, 86)
+	watching := func() (on bool) {
+		d.locked(func() { on = d.fleet.Watching() })
+		return on
+	}
+	require.Eventually(t, watching, waitTimeout.Duration(), (5 * clock.Millisecond).Duration(), "the only member")
+	d.performFleet([]fleet.Action{fleet.SetWatching{On: true}, fleet.SetWatching{On: false}})
+	require.True(t, d.watchGate.IsOpen())
+}
+
 // An instance that missed changes must read only those changes from the store. It lists all
 // records again only if the store has discarded its history.
 func TestFetchReadsOnlyChanges(t *testing.T) {
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -175,7 +175,8 @@
 			if v.On && v.Stale {
 				d.storeHealth.doubt()
 			}
-			d.watchGate.Set(v.On)
+			// Another goroutine may have carried out a later decision already.
+			d.locked(func() { d.watchGate.Set(d.fleet.Watching()) })
 		case fleet.FetchRecords:
 			select {
 			case d.fetchRequests <- v:
