A copy of an opening packet is never a flow of its own

A consumer copies its opening packet after 200 and 600 ms. A copy that was read late, when its flow was open here, removed the flow, went to another endpoint, or was answered with a reset (no_endpoint, no_route). An instance that knew nothing of the flow reset it on a copy too, though the instance that got the first packet may have opened it by a newer configuration, or at an endpoint that drains since.

Cause: an opening packet of an established flow counted as a reused port, whatever its number of copies, and a copy that couldn't be served was rejected like a first packet.

Now a copy that comes within openingTimeout of the flow's first packet here is dropped (late_copy): a consumer that has an answer needs none to a copy. A copy that can't be served is dropped, not reset. First packets are reset at once as before. Cost: where the first packet was lost and nothing can serve the flow, its consumer waits for its 1.4 s. A port that is used again after openingTimeout opens a new flow, also if its first packet was lost.

--- a/steering/opening.go
+++ b/steering/opening.go
@@ -15,15 +15,18 @@
 	if !e.Ready() {
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
 	}
+	k := p.key()
+	w := e.flows.byKey[k]
+	if w != nil && w.established && p.Ack > 0 && now-w.openedAt < openingTimeout {
+		return Decision{Verdict: Drop, Reason: ReasonLateCopy, Service: w.service}
+	}
 	route, found := e.configuration.Routes[p.Destination]
 	if !found {
 		if now-e.configurationConfirmedAt > confirmationValidity {
 			return Decision{Verdict: Drop, Reason: ReasonStaleRoute}
 		}
-		return Decision{Verdict: Reset, Reason: ReasonNoRoute}
+		return p.reject(ReasonNoRoute, "")
 	}
-	k := p.key()
-	w := e.flows.byKey[k]
 	if w != nil && w.established {
 		// The consumer reuses the port for a new flow.
 		e.flows.remove(k, w)
@@ -35,6 +38,16 @@
 	return e.openFlow(now, p, k, &route)
 }
 
+// reject returns the decision on an opening packet that can't be served. The first one is reset,
+// so that its consumer needn't wait. A copy is dropped: the flow may be open by now through the
+// instance that got an earlier one.
+func (p *Packet) reject(reason Reason, service string) Decision {
+	if p.Ack > 0 {
+		return Decision{Verdict: Drop, Reason: reason, Service: service}
+	}
+	return Decision{Verdict: Reset, Reason: reason, Service: service}
+}
+
 // openFlow places a flow that isn't in the table.
 func (e *Engine) openFlow(now clock.Millis, p *Packet, k key, route *Route) Decision {
 	e.checkReopening(now, p)
@@ -47,7 +60,7 @@
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords, Service: service}
 	}
 	if s == nil {
-		return Decision{Verdict: Reset, Reason: ReasonNoEndpoint, Service: service}
+		return p.reject(ReasonNoEndpoint, service)
 	}
 	if w := e.flows.add(k); w != nil {
 		w.service = service
@@ -90,7 +103,7 @@
 	}
 	s := e.place(now, service, w.endpoint)
 	if s == nil {
-		return Decision{Verdict: Reset, Reason: ReasonNoEndpoint, Service: service}
+		return Decision{Verdict: Drop, Reason: ReasonNoEndpoint, Service: service} // w.endpoint may still answer
 	}
 	reason := ReasonMoved
 	if s == w.endpoint {
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -101,6 +101,7 @@
 	ReasonPlaced                       // a new flow was placed
 	ReasonRepeated                     // a copy of an opening packet goes to the same endpoint
 	ReasonMoved                        // a copy of an opening packet goes to another endpoint
+	ReasonLateCopy                     // a copy of an opening packet whose flow is open
 	ReasonNoRecords                    // no configuration or no endpoints are known yet
 	ReasonNoRoute                      // the configuration has no such route
 	ReasonStaleRoute                   // no such route, but the configuration may be outdated
@@ -116,7 +117,7 @@
 )
 
 var reasonNames = [reasonCount]string{
-	"token", "placed", "repeated", "moved", "no_records", "no_route", "stale_route", "no_endpoint",
+	"token", "placed", "repeated", "moved", "late_copy", "no_records", "no_route", "stale_route", "no_endpoint",
 	"route_removed", "endpoint_gone", "endpoint_silent", "unknown_token", "ambiguous_token", "no_token", "forged",
 }
 
