Members don't take the second of several messages for the first

A member that lost the first of several messages with changes took the next one for the continuation of its records, and never learned of the lost changes, though it counted its records as confirmed. An endpoint whose `draining` was among them would have got new flows, and one refused probe would have reset its open ones.

Cause: a message ends at the revision of its last change. Such a message ended before its own start, so the next one seemed to continue records of any age.

Now a message ends only at a change whose revision is greater than all before it, and not at an unreadable entry, whose revision may be a guess. Where there is none, the watcher stops; members learn from the next heartbeat that changes are missing and fetch them. With a store that gives a removal its own revision, as the stand-in does, messages are cut as before.

The test on the old code (the member is at revision 200 instead of 100):

fleet_test.go:748: Error: Not equal: expected: int(100) actual: uint64(0xc8) Messages: removals with the revision of the entry: the first message was lost

--- a/fleet/broadcast.go
+++ b/fleet/broadcast.go
@@ -48,7 +48,8 @@
 }
 
 // pushChanges sends changes to all members in as many messages as needed. Each message
-// starts at the revision where the previous one ended.
+// starts at the revision where the previous one ended. It stops where no message can end:
+// members fetch what is left.
 func (e *Engine) pushChanges(now clock.Millis, since uint64, changes []steering.EndpointChange) (actions []Action) {
 	if !e.canPush(changes) {
 		return nil
@@ -58,6 +59,9 @@
 		n := countFitting(changes)
 		s := latest
 		if n < len(changes) {
+			if n = countToBoundary(changes[:n], since); n == 0 {
+				break
+			}
 			s.EndpointsRevision = changes[n-1].Endpoint.Revision
 			s.ChangeRevision = s.EndpointsRevision
 		}
@@ -67,6 +71,25 @@
 	return actions
 }
 
+// countToBoundary returns the number of changes up to the last one whose revision is certain,
+// where a message may end. A removal may have the revision of the entry's last change, and an
+// unreadable entry the smallest one that it can have. A member that missed such a message would
+// take the next one for the continuation of its records.
+func countToBoundary(changes []steering.EndpointChange, since uint64) int {
+	n := 0
+	for i := range changes {
+		c := &changes[i]
+		if c.Endpoint.Revision <= since {
+			continue
+		}
+		since = c.Endpoint.Revision
+		if !c.Unreadable {
+			n = i + 1
+		}
+	}
+	return n
+}
+
 const (
 	// A member sends its tallies to this many members that follow it in rank, so that
 	// each member receives tallies from as many others, however large the data centre
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -706,3 +706,47 @@
 	require.True(t, e.isActiveWatcher(10_500, e.peers.find("edge-1")), "it started again, and its clock has jumped back")
 	require.EqualValues(t, 10_500, e.Confirmation().EndpointsAt)
 }
+
+// The store may report a removal with the revision of the entry's last change.
+func TestMemberThatMissedTheFirstOfSeveralMessagesDoesNotTakeTheNext(t *testing.T) {
+	member := func(i byte) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)}
+	}
+	for _, c := range []struct {
+		name     string
+		revision func(i int) uint64 // of the removal of endpoint i
+		messages int
+	}{
+		{"removals with the revision of the entry", func(i int) uint64 { return uint64(i + 1) }, 0},
+		{"removals with the revision of the removal", func(i int) uint64 { return uint64(101 + i) }, 3},
+		{"removals of both kinds", func(i int) uint64 {
+			if i == 5 {
+				return 106
+			}
+			return uint64(i + 1)
+		}, 1},
+	} {
+		watcher := NewEngine(Settings{Self: member(1), RecordBound: 3000}, 10_000)
+		watcher.Handle(10_000, MembersListed{Members: []Member{member(2)}})
+		receiver := NewEngine(Settings{Self: member(2), RecordBound: 3000}, 10_000)
+		receiver.Handle(10_000, MembersListed{Members: []Member{member(1)}})
+		state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 100, EndpointsRevision: 100}
+		for _, e := range []*Engine{watcher, receiver} {
+			e.Handle(10_000, RecordsFetched{State: state})
+		}
+		var changes []steering.EndpointChange
+		for i := range 30 {
+			p := steering.Endpoint{ID: fmt.Sprintf("i-%010x", i), Revision: c.revision(i)}
+			changes = append(changes, steering.EndpointChange{Endpoint: p, Removed: true})
+		}
+		state.ChangeRevision, state.EndpointsRevision = 200, 200
+		watcher.state = state
+		actions := watcher.pushChanges(10_100, 100, changes)
+		for _, a := range actions[min(1, len(actions)):] {
+			receiver.Handle(10_100, MessageReceived{From: member(1), Message: a.(Send).Message})
+		}
+		require.EqualValues(t, 100, receiver.state.EndpointsRevision, "%s: the first message was lost", c.name)
+		require.EqualValues(t, 10_000, receiver.Confirmation().EndpointsAt, c.name)
+		require.Len(t, actions, c.messages, c.name)
+	}
+}
