An instance with old records refuses no service that others may know

A flow that another instance had opened by newer records, or that was about to be opened, was refused with the reason `service` by an instance that didn't have these records yet. Callers take that reason for final: the request, or the flow, ended.

Cause: whether a service exists was decided by the records here, however old, though heartbeats had told that another instance has newer ones.

An instance that has heard of no newer records refuses at once as before.

The test on the old code:

TestOutdatedInstanceRefusesNoServiceThatOthersMayKnow: Should be zero, but was 1 Messages: open: another instance has newer records

--- a/instance/packets.go
+++ b/instance/packets.go
@@ -73,10 +73,10 @@
 func (c packetController) openFlow(in receivedPacket) {
 	s := c.state.Services[token.Hash(in.packet.Service)]
 	if s == nil {
-		if c.state.Records.Loaded {
+		if c.state.Records.Loaded && !c.state.outdated() {
 			c.refuseOpen(in, packet.ReasonService)
 		}
-		return
+		return // otherwise the caller sends Open again
 	}
 	if c.state.joining() && len(s.Dispatchers[c.state.Self.Instance.Centre]) == 0 {
 		return // the caller sends Open again
@@ -154,8 +154,8 @@
 }
 
 func (c packetController) refuseUnknownService(in receivedPacket) {
-	if !c.state.Records.Loaded {
-		return
+	if !c.state.Records.Loaded || c.state.outdated() {
+		return // the caller sends the packet again
 	}
 	c.state.logDecision("refuse", packet.ReasonService.String(), "", in.caller.String(), in.packet.Kind.String())
 	c.state.emit(SendPacket{To: in.caller, Packet: packet.Packet{
--- a/instance/watch.go
+++ b/instance/watch.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"slices"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -110,6 +112,12 @@
 	c.state.emit(FetchObjects{Peer: m.Instance.Name, ControlAddress: m.Instance.ControlAddress, SinceRevision: c.since()})
 }
 
+// outdated reports whether another instance has newer records, which may have a service that
+// is unknown here.
+func (st *EngineState) outdated() bool {
+	return slices.ContainsFunc(st.Members.All, func(m *Member) bool { return m.Alive && m.NewerSince != 0 })
+}
+
 // since returns the revision after which records are requested, or 0 for all.
 func (c watchController) since() uint64 {
 	if !c.state.Records.Loaded {
