--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -53,6 +55,9 @@
 	"open":             (*deployment).open,               // FLOW ROUTE: opens a flow
 	"refused":          (*deployment).expectRefused,      // ROUTE: a flow to it doesn't open
 	"ask":              (*deployment).request,            // FLOW SERVICE [BYTES]: a request gets a complete answer of the service
+	"ask_times":        (*deployment).requestTimes,       // COUNT FLOW SERVICE: the same of so many requests, one after the other
+	"ask_late":         (*deployment).requestLate,        // FLOW SERVICE NAME MS: the same, while an instance reads nothing for so long after the request
+	"kept":             (*deployment).expectKept,         // FLOW...: the flows are open
 	"reset":            (*deployment).waitReset,          // FLOW: waits until the flow is over
 	"send_opening":     (*deployment).sendOpening,        // ROUTE NAME: sends one opening packet directly to an instance
 	"opening_received": (*deployment).waitOpening,        // ID: waits until an endpoint has received an opening packet
@@ -118,6 +123,7 @@
 	log       *logBuffer
 	cancel    context.CancelFunc
 	runResult chan error
+	readPause *readPause
 	stopped   bool
 }
 
@@ -238,8 +244,10 @@
 		InternalPorts: []uint16{7720, 7735}, StoreURL: s.storeURL, GracePeriod: 6000, DrainBound: 3000, ApplyBound: 3000,
 	}})
 	require.NoError(s.t, err)
+	pause := &readPause{Counter: d.metrics.malformed, over: make(chan struct{}, 1)}
+	d.metrics.malformed = pause
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &runningDaemon{daemon: d, log: log, cancel: cancel, runResult: make(chan error, 1)}
+	r := &runningDaemon{daemon: d, log: log, cancel: cancel, runResult: make(chan error, 1), readPause: pause}
 	go func() { r.runResult <- d.Run(ctx) }()
 	s.daemons[name] = r
 	s.routers.AddInstance(port(standin.PacketPort), port(standin.ReadyPort).String())
@@ -303,6 +311,45 @@
 	require.NoError(s.t, err, "step %q", s.step)
 }
 
+func (s *deployment) requestTimes(words []string) {
+	for range s.number(words) {
+		s.request(words[1:])
+	}
+}
+
+func (s *deployment) requestLate(words []string) {
+	r := s.daemons[words[2]]
+	r.readPause.length.Store(int64(s.number(words[3:])))
+	c, err := net.Dial("udp4", r.daemon.settings.Load().PacketAddress.String())
+	require.NoError(s.t, err)
+	defer c.Close()
+	time.AfterFunc((2 * clock.Millisecond).Duration(), func() { _, _ = c.Write([]byte("x")) }) // between the request and its answer
+	s.request(words[:2])
+	<-r.readPause.over
+}
+
+// readPause pauses the receive loop of an instance, and nothing else, at malformed packets.
+type readPause struct {
+	metrics.Counter
+	length atomic.Int64 // clock.Millis
+	over   chan struct{}
+}
+
+// Inc implements metrics.Counter.
+func (p *readPause) Inc(n int64) {
+	p.Counter.Inc(n)
+	if pause := clock.Millis(p.length.Load()); pause > 0 {
+		time.Sleep(pause.Duration())
+		p.over <- struct{}{}
+	}
+}
+
+func (s *deployment) expectKept(words []string) {
+	for _, name := range words {
+		require.False(s.t, s.flows[name].Ended(), "flow %s, step %q", name, s.step)
+	}
+}
+
 func (s *deployment) waitReset(words []string) {
 	f := s.flows[words[0]]
 	s.eventually(f.Ended)
