Soak: sound endpoints and instances are disturbed after the faults

The soak had faults that keep endpoints from serving, and none that only look like one. A reset of an open flow is a violation then, as before; the series of faults of a seed stays as it was.

--- a/soak/command.go
+++ b/soak/command.go
@@ -28,12 +28,13 @@
 	flags.IntVar(&s.Endpoints, "endpoints", 4, "endpoints of each service in each data centre")
 	flags.IntVar(&s.Users, "users", 12, "users in each data centre")
 	duration := flags.Int64("span", 20_000, "time during which faults are injected for each seed, in `MS`")
+	disturbed := flags.Int64("disturbed", 10_000, "time after the faults during which sound endpoints are disturbed for each seed, in `MS`")
 	flags.BoolVar(&s.CheckTimings, "timed", true, "also check time bounds")
 	keep := flags.String("keep", "", "keep settings and logs in `FOLDER`, also those of seeds that pass")
 	if err := flags.Parse(args); err != nil {
 		return program.ExitUsage
 	}
-	s.Duration = clock.Millis(*duration)
+	s.Duration, s.Disturbed = clock.Millis(*duration), clock.Millis(*disturbed)
 	failed := 0
 	for n := range *seeds {
 		s.Seed = *seed + n
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -24,6 +25,7 @@
 	Endpoints    int          // in each data centre, of each service
 	Users        int          // in each data centre
 	Duration     clock.Millis // time during which faults are injected
+	Disturbed    clock.Millis // time after that, during which endpoints and instances are disturbed
 	Folder       string       // for settings and logs
 	CheckTimings bool         // also check time bounds, which a busy machine may exceed
 }
@@ -35,6 +37,9 @@
 // services are the services of every run. Each has a route of the same name.
 var services = []string{"desk", "gallery"}
 
+// runTime is the run time of requests at an endpoint, in ms.
+const runTime = 5 * clock.Millisecond
+
 // maxSeedInstances is the number of instances that each settings file lists as seeds, which
 // an instance contacts to join. They have nothing to do with the seed of a run.
 const maxSeedInstances = 3
@@ -67,6 +72,7 @@
 	draining, closed bool
 	disruptedUntil   clock.Millis // end of the last temporary fault and the recovery from it
 	drainPublishedAt clock.Millis // when its entry in the store first said so; 0 if it isn't draining
+	answersShort     atomic.Bool
 }
 
 // routeAddress returns the address and port to which consumers open flows of a route.
@@ -150,7 +156,7 @@
 	d.lastEndpointNumber++
 	n := d.settings.Seed<<16&0xffff0000 | d.lastEndpointNumber
 	f, err := standin.StartFlowEndpoint(standin.FlowEndpointSettings{
-		Number: n, Service: service, Centre: centre, Slots: 2, RunTime: 5, Address: netip.AddrPortFrom(d.nextAddress(), 8080).String(),
+		Number: n, Service: service, Centre: centre, Slots: 2, RunTime: runTime, Address: netip.AddrPortFrom(d.nextAddress(), 8080).String(),
 	})
 	if err != nil {
 		return nil, err
@@ -209,6 +215,16 @@
 	return nil
 }
 
+// randomEndpoint returns a random endpoint, or nil if a fault affects it.
+func (d *deployment) randomEndpoint(random *rand.Rand) *endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.endpoints[random.IntN(len(d.endpoints))]; !e.disrupted() {
+		return e
+	}
+	return nil
+}
+
 // disrupted reports whether the endpoint is drained, closed or affected by a fault.
 func (e *endpoint) disrupted() bool {
 	return e.draining || e.closed || clock.Now() < e.disruptedUntil
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -15,6 +15,15 @@
 //   - another program writes objects that can't be decoded among those of the deployment, and
 //     replaces entries of endpoints by such ones.
 //
+// After the faults, endpoints and instances are disturbed in ways that keep no endpoint from
+// serving its flows, so that no instance may reset one:
+//
+//   - the queue of new TCP connections of an endpoint is full;
+//   - the answers of an endpoint are short;
+//   - an endpoint takes longer for its requests;
+//   - an instance is stopped for a moment, again and again;
+//   - single packets between consumers and instances are lost.
+//
 // # Usage
 //
 //	go build -o bin/ ./cmd/... && bin/tanagerdock-soak -seeds 50
@@ -28,6 +37,7 @@
 //	process.go     forwarder processes: start, signals, stop within the grace period
 //	proxy.go       proxies that disturb connections between an instance and the store
 //	fault.go       the faults
+//	disturb.go     the disturbances after the faults
 //	writer.go      the other program that writes odd objects
 //	check.go       the properties that are checked, and the result of a run
 package soak
--- a/soak/run.go
+++ b/soak/run.go
@@ -48,6 +48,7 @@
 	close(stopWriter)
 	writer.Wait()
 	d.checkRecovery()
+	d.disturb(r)
 	close(stop)
 	users.Wait()
 	r.Requests, r.Answered, r.Unanswered = d.checker.requests, d.checker.answered, d.checker.unanswered
@@ -176,6 +177,9 @@
 			return true
 		}
 		body := bytes.Repeat([]byte("x"), random.IntN(5000))
+		if e != nil && e.answersShort.Load() {
+			body = nil
+		}
 		err := f.Request(fmt.Sprintf("%s-%d", id, n), body, userDeadline, service)
 		d.checker.recordRequest(err)
 		if errors.Is(err, standin.ErrFlowReset) {
--- a/soak/writer.go
+++ b/soak/writer.go
@@ -48,11 +48,8 @@
 // overwriteEntry replaces the entry of an endpoint by an odd one, until the endpoint writes its
 // own again.
 func (d *deployment) overwriteEntry(random *rand.Rand, fault string) {
-	d.mu.Lock()
-	e := d.endpoints[random.IntN(len(d.endpoints))]
-	usable := !e.disrupted()
-	d.mu.Unlock()
-	if !usable {
+	e := d.randomEndpoint(random)
+	if e == nil {
 		return
 	}
 	d.store.PutOdd("servers", e.ID(), fault)
--- a/standin/flow_endpoint.go
+++ b/standin/flow_endpoint.go
@@ -36,7 +36,7 @@
 	settings       FlowEndpointSettings
 	incarnation    clock.Millis // start time of the endpoint
 	conn           *net.UDPConn
-	healthListener net.Listener
+	healthListener *queueListener
 	address        netip.AddrPort
 	slots          chan struct{}
 
@@ -72,7 +72,7 @@
 	if e.conn, err = listenUDP(address); err != nil {
 		return nil, err
 	}
-	if e.healthListener, err = net.Listen("tcp4", s.Address); err != nil {
+	if e.healthListener, err = listenQueue(s.Address); err != nil {
 		e.conn.Close()
 		return nil, errors.Wrapf(err, "listen for health on %s", s.Address)
 	}
@@ -125,6 +125,17 @@
 	e.silent = on
 }
 
+// SetQueueFull fills the endpoint's queue of new TCP connections, so that health probes get
+// no answer, or ends that. The endpoint serves flows all the same.
+func (e *FlowEndpoint) SetQueueFull(on bool) error { return e.healthListener.setFull(on) }
+
+// SetRunTime changes the run time of the requests that start from now on.
+func (e *FlowEndpoint) SetRunTime(t clock.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings.RunTime = t
+}
+
 // FlowCount returns the number of open flows.
 func (e *FlowEndpoint) FlowCount() int {
 	e.mu.Lock()
@@ -268,8 +279,9 @@
 	e.slots <- struct{}{}
 	e.mu.Lock()
 	e.runCounts[id]++
+	runTime := e.settings.RunTime
 	e.mu.Unlock()
-	time.Sleep(e.settings.RunTime.Duration())
+	time.Sleep(runTime.Duration())
 	<-e.slots
 	e.mu.Lock()
 	defer e.mu.Unlock()
