What fleet tells steering is handled under the lock, wherever it comes from

Now one function, under the lock, passes events to both engines, and performFleet handles none. The new test reads the records under the lock while changes arrive. With the events handled after the lock, as before (trial on a copy), it fails in its first run:

TestConfirmationIsNeverAheadOfItsChange: "710" is not greater than or equal to "711" Messages: the latest change of the confirmed records

--- a/forwarder/packets_test.go
+++ b/forwarder/packets_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
@@ -45,3 +48,35 @@
 	d.goroutines.Wait()
 	require.Equal(t, int64(1), d.metrics.probes.Count())
 }
+
+// While another goroutine may pass records on, none are confirmed whose change isn't applied.
+func TestConfirmationIsNeverAheadOfItsChange(t *testing.T) {
+	d := &Daemon{log: newEventLog(&bytes.Buffer{}), watchGate: daemon.NewGate(true)}
+	d.engine = steering.NewEngine(steering.Settings{Centre: "here"})
+	d.fleet = fleet.NewEngine(fleet.Settings{Self: fleet.Member{Name: "self", Centre: "here"}, RecordBound: 3 * clock.Second}, clock.Now())
+	d.metrics = newDaemonMetrics(d)
+	sender := fleet.Member{Name: "other", Centre: "here", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	p := steering.Endpoint{ID: "i-1", Number: 1, Revision: 1, Service: "desk", Centre: "here", Slots: 2, Address: steering.AddrPort{Address: 1, Port: 80}}
+	state := fleet.RecordState{ConfigurationRevision: 1, ConfirmedRevision: 1, ChangeRevision: 1, EndpointsRevision: 1}
+	d.engine.Handle(clock.Now(), steering.EndpointsListed{Endpoints: []steering.Endpoint{p}, Revision: 1})
+	d.fleet.Handle(clock.Now(), fleet.RecordsFetched{State: state})
+	var done sync.WaitGroup
+	var ended atomic.Bool
+	done.Go(func() {
+		for !ended.Load() {
+			d.locked(func() {
+				confirmed := d.fleet.RecordState(clock.Now()).ChangeRevision
+				assert.GreaterOrEqual(t, d.engine.Endpoints()[0].Revision, confirmed, "the latest change of the confirmed records")
+			})
+		}
+	})
+	for range 5000 {
+		m := fleet.EndpointChanges{Since: state.EndpointsRevision}
+		p.Revision, p.Draining = p.Revision+1, !p.Draining
+		state.ChangeRevision, state.EndpointsRevision = p.Revision, p.Revision
+		m.Changes, m.State = []steering.EndpointChange{{Endpoint: p}}, state
+		d.handleFleet(fleet.MessageReceived{From: sender, Message: m})
+	}
+	ended.Store(true)
+	done.Wait()
+}
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -145,26 +145,29 @@
 	d.handleFleet(fleet.MessageReceived{From: from, Message: m})
 }
 
-// handleFleet passes an event to the fleet engine and carries out the actions it returns. The
-// events for the steering engine are handled under the same lock, as the records of both engines
-// are passed on to other members together.
+// handleFleet passes an event to the fleet engine and carries out the actions it returns.
 func (d *Daemon) handleFleet(e fleet.Event) {
 	var actions []fleet.Action
 	var steeringActions []steering.Action
-	d.locked(func() {
-		now := clock.Now()
-		for _, a := range d.fleet.Handle(now, e) {
-			if v, ok := a.(fleet.NotifySteering); ok {
-				steeringActions = append(steeringActions, d.engine.Handle(now, v.Event)...)
-				continue
-			}
-			actions = append(actions, a)
-		}
-	})
+	d.locked(func() { actions, steeringActions = d.applyFleet(clock.Now(), e) })
 	d.perform(steeringActions)
 	d.performFleet(actions)
 }
 
+// applyFleet passes an event to the fleet engine, and to the steering engine what that has for it.
+// It returns the actions of both. It runs under the lock, since records are passed on together with
+// their revision and confirmation, also by other goroutines.
+func (d *Daemon) applyFleet(now clock.Millis, e fleet.Event) (actions []fleet.Action, steeringActions []steering.Action) {
+	for _, a := range d.fleet.Handle(now, e) {
+		if v, ok := a.(fleet.NotifySteering); ok {
+			steeringActions = append(steeringActions, d.engine.Handle(now, v.Event)...)
+			continue
+		}
+		actions = append(actions, a)
+	}
+	return actions, steeringActions
+}
+
 func (d *Daemon) performFleet(actions []fleet.Action) {
 	for _, a := range actions {
 		switch v := a.(type) {
@@ -181,8 +184,7 @@
 			case d.fetchRequests <- v:
 			default: // a fetch is already pending
 			}
-		case fleet.NotifySteering:
-			d.handle(v.Event)
+		case fleet.NotifySteering: // handled by applyFleet
 		case fleet.RemoveMember:
 			d.goroutines.Go(func() { d.guard("removal of a member", func() { d.removeMember(v.Name) }) })
 		}
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -142,7 +142,9 @@
 		var read fleet.RecordsRead
 		actions, read = apply(now)
 		read.StoreRecovered = recovered
-		fleetActions = d.fleet.Handle(now, read)
+		var notified []steering.Action
+		fleetActions, notified = d.applyFleet(now, read)
+		actions = append(actions, notified...)
 		d.engine.Handle(now, d.fleet.Confirmation())
 	})
 	d.perform(actions)
