An opening packet that waited for the first records ends no flow that a copy opened

An instance that starts queues packets for up to 1 s until it knows the records. Meanwhile the consumer sends its copies, which may open the flow, here or through another instance. The queued first packet then counted as a new flow from a reused port: the open flow was forgotten, and its opening went to another endpoint or was answered with a reset.

Now a queued opening packet that waited for 200 ms, after which consumers send a copy, is treated like a copy: dropped if its flow is open or can't be served, placed otherwise.

--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -21,6 +21,8 @@
 const (
 	maxQueuedPackets = 512              // up to 0.6 MB; some tenths of a second at the highest rate
 	maxQueueTime     = 1 * clock.Second // consumers have retransmitted older packets by then
+	// A consumer without an answer sends a copy of its opening packet after this time.
+	openingCopyDelay = 200 * clock.Millisecond
 )
 
 // packetQueue holds packets until the first records are known.
@@ -72,6 +74,7 @@
 	var reset [platform.HeaderSize]byte
 	for _, v := range packets {
 		if platform.DecodePacket(v.data[platform.EndpointPrefixSize:], &p) == nil { // receive has decoded it before
+			p.Late = clock.Now()-v.receivedAt >= openingCopyDelay
 			d.guard("packet", func() { d.forward(&p, v.data, v.receivedAt, &reset) })
 		}
 	}
--- a/forwarder/packets_test.go
+++ b/forwarder/packets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"net"
 	"net/netip"
 	"sync"
@@ -80,3 +81,37 @@
 	ended.Store(true)
 	done.Wait()
 }
+
+// By the time the first records are known, a copy may have opened the flow of a queued opening packet.
+func TestQueuedOpeningThatWaitedDoesNotMoveAnOpenFlow(t *testing.T) {
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	require.NoError(t, err)
+	defer packets.Close()
+	d := &Daemon{log: newEventLog(&bytes.Buffer{}), watchGate: daemon.NewGate(true), packetConn: packets}
+	d.engine = steering.NewEngine(steering.Settings{Centre: "here"})
+	d.fleet = fleet.NewEngine(fleet.Settings{RecordBound: 3 * clock.Second}, clock.Now())
+	d.metrics = newDaemonMetrics(d)
+	route := steering.AddrPort{Address: 1, Port: 443}
+	at, _ := steering.AddrPortFromNetip(packets.LocalAddr().(*net.UDPAddr).AddrPort())
+	consumer := netip.MustParseAddrPort("127.0.0.9:9")
+	from, _ := steering.AddrPortFromNetip(consumer)
+	opening := make([]byte, platform.EndpointPrefixSize+platform.HeaderSize)
+	header := opening[platform.EndpointPrefixSize:]
+	header[10] = 16 // an opening packet
+	binary.BigEndian.PutUint16(header[12:], from.Port)
+	binary.BigEndian.PutUint32(header[14:], from.Address)
+	binary.BigEndian.PutUint16(header[18:], route.Port)
+	binary.BigEndian.PutUint32(header[20:], route.Address)
+	d.queue.add(clock.Now()-2*openingCopyDelay, opening)
+	d.engine.Handle(clock.Now(), steering.ConfigurationRead{Configuration: &steering.Configuration{
+		Version: 1, Revision: 1, Routes: map[steering.AddrPort]steering.Route{route: {Shares: []steering.Share{{Service: "desk", Weight: 1}}}},
+	}})
+	d.engine.Handle(clock.Now(), steering.EndpointsListed{Revision: 2, Endpoints: []steering.Endpoint{
+		{ID: "i-1", Number: 1, Revision: 1, Service: "desk", Address: at, Centre: "here", Slots: 2, Incarnation: 1},
+	}})
+	p := steering.Packet{Consumer: from, Destination: route, Flags: steering.Acknowledge, Sequence: 1, Ack: 1, Token: 1}
+	require.Equal(t, steering.Forward, d.engine.Steer(clock.Now(), &p).Verdict)
+	d.forwardQueued()
+	require.EqualValues(t, 1, d.metrics.decisions[steering.Drop][steering.ReasonLateCopy].Count())
+	require.Zero(t, d.metrics.decisions[steering.Forward][steering.ReasonPlaced].Count())
+}
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -17,7 +17,7 @@
 	}
 	k := p.key()
 	w := e.flows.byKey[k]
-	if w != nil && w.established && p.Ack > 0 && now-w.openedAt < openingTimeout {
+	if w != nil && w.established && p.mayBeCopied() && now-w.openedAt < openingTimeout {
 		return Decision{Verdict: Drop, Reason: ReasonLateCopy, Service: w.service}
 	}
 	route, found := e.configuration.Routes[p.Destination]
@@ -40,14 +40,17 @@
 
 // reject returns the decision on an opening packet that can't be served. The first one is reset,
 // so that its consumer needn't wait. A copy is dropped: the flow may be open by now through the
-// instance that got an earlier one.
+// instance that got another one.
 func (p *Packet) reject(reason Reason, service string) Decision {
-	if p.Ack > 0 {
+	if p.mayBeCopied() {
 		return Decision{Verdict: Drop, Reason: reason, Service: service}
 	}
 	return Decision{Verdict: Reset, Reason: reason, Service: service}
 }
 
+// mayBeCopied reports whether the flow of an opening packet may be open by another copy of it.
+func (p *Packet) mayBeCopied() bool { return p.Ack > 0 || p.Late }
+
 // openFlow places a flow that isn't in the table.
 func (e *Engine) openFlow(now clock.Millis, p *Packet, k key, route *Route) Decision {
 	e.checkReopening(now, p)
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -60,6 +60,7 @@
 	Ack         uint32 // next byte the consumer expects; in an opening packet, the number of earlier copies
 	Length      int    // bytes of data
 	Token       Token
+	Late        bool // it waited here, so its consumer may have sent a copy meanwhile
 }
 
 // Opening reports whether p is an opening packet, which opens a flow.
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -357,6 +357,10 @@
 			p.Destination = routeAddresses[value]
 			continue
 		}
+		if name == "late" {
+			p.Late = true
+			continue
+		}
 		base := 10
 		if name == "token" {
 			base = 16
