--- a/steering/packet.go
+++ b/steering/packet.go
@@ -61,6 +61,7 @@
 	Length      int    // bytes of data
 	Token       Token
 	Waited      clock.Millis // how long it may have waited in the socket until it was read
+	Late        bool         // it waited here, so its consumer may have sent a copy meanwhile
 }
 
 // Opening reports whether p is an opening packet, which opens a flow.
