Soak: a running endpoint excuses no reset of its open flows

The check excused resets at an endpoint that drained, or that had been silent or unlisted up to 4 s before. None of these ends its process, so none of its flows may be reset: only an endpoint that was closed excuses one.

--- a/soak/check.go
+++ b/soak/check.go
@@ -103,18 +103,16 @@
 }
 
 // checkReset checks a reset of an open flow. An instance may reset it only if the route was
-// removed, the endpoint was drained or closed, or a fault disrupts the endpoint or did so
-// less than recoveryTime ago.
+// removed or the endpoint was closed. Faults that an endpoint survives end none of its flows.
 func (c *checker) checkReset(e *endpoint, routeName, resetBy string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if resetBy != "instance" || e == nil || routeName == extraRoute && !c.hasExtraRoute {
 		return
 	}
-	if e.closed || e.draining || clock.Now() < e.disruptedUntil+recoveryTime {
-		return
+	if !e.closed {
+		c.violations = append(c.violations, fmt.Sprintf("an instance reset an open flow of endpoint %s, which runs", e.ID()))
 	}
-	c.violations = append(c.violations, fmt.Sprintf("an instance reset an open flow of endpoint %s, which no fault affected", e.ID()))
 }
 
 // Result is the outcome of one run.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -17,8 +17,7 @@
 	minFaultInterval = 100 * clock.Millisecond // between the starts of two faults, which may overlap
 	maxFaultInterval = 2 * clock.Second
 	restartDelay     = 500 * clock.Millisecond // from the exit of a stopped instance until its restart
-	// After an endpoint was silent or unregistered, instances may still reset its flows
-	// until it has been available again for this long.
+	// After an endpoint was silent or unregistered, no other fault affects it for this long.
 	endpointRecoveryTime = 2 * clock.Second
 )
 
