A message with a part of the changes doesn't confirm the other ones

Callers: an instance could reset open flows of a draining endpoint. The proof needs an answer of the store, younger than a refusal, by which the endpoint isn't draining.

Cause: a watcher sends many changes in several messages. Each carried the age of the read that brought all of them, so that a member with the first message took its records for as new as that read, until the next message came, or its fetch if that was lost.

Fix: all but the last message carry the age that the watcher's records had before the read. A member that has the message is at least as far as these.

The new test before: --- FAIL: TestMessageWithAPartOfTheChangesDoesNotConfirmTheRest expected: 10000 actual : 10100 Messages: after message 1

The calls of pushChanges in two tests got the new argument, nothing else.

--- a/fleet/broadcast.go
+++ b/fleet/broadcast.go
@@ -49,8 +49,9 @@
 
 // pushChanges sends changes to all members in as many messages as needed. Each message
 // starts at the revision where the previous one ended. It stops where no message can end:
-// members fetch what is left.
-func (e *Engine) pushChanges(now clock.Millis, since uint64, changes []steering.EndpointChange) (actions []Action) {
+// members fetch what is left. A message with a part of the changes confirms records only as the
+// state before this read did.
+func (e *Engine) pushChanges(now clock.Millis, since uint64, changes []steering.EndpointChange, before RecordState) (actions []Action) {
 	if !e.canPush(changes) {
 		return nil
 	}
@@ -64,6 +65,10 @@
 			}
 			s.EndpointsRevision = changes[n-1].Endpoint.Revision
 			s.ChangeRevision = s.EndpointsRevision
+			s.EndpointsAge = before.EndpointsAge
+			if s.EndpointsRevision < before.EndpointsRevision {
+				s.EndpointsAge = maxRecordAge
+			}
 		}
 		actions = append(actions, e.broadcast(EndpointChanges{Since: since, Changes: changes[:n], State: s})...)
 		since, changes = s.EndpointsRevision, changes[n:]
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -351,7 +351,7 @@
 // handleRecordsRead processes records read from the store. The watcher broadcasts the
 // changes to the other members.
 func (e *Engine) handleRecordsRead(now clock.Millis, v RecordsRead) []Action {
-	stale := e.recordsStale(now)
+	stale, before := e.recordsStale(now), e.RecordState(now)
 	e.state = v.State
 	e.readAt = now
 	if v.IsConfiguration {
@@ -372,7 +372,7 @@
 		return append(actions, e.broadcast(ConfigurationChange{Delta: *v.Delta, State: e.RecordState(now)})...)
 	}
 	if !v.FullList {
-		actions = append(actions, e.pushChanges(now, v.Since, v.Changes)...)
+		actions = append(actions, e.pushChanges(now, v.Since, v.Changes, before)...)
 	}
 	return actions
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -439,7 +439,7 @@
 			changes = append(changes, steering.EndpointChange{Endpoint: steering.Endpoint{ID: id, Service: "order-desk", Centre: "here", Revision: uint64(i + 1)}})
 		}
 		messages, pushed := 0, 0
-		for _, a := range e.pushChanges(1000, 0, changes) {
+		for _, a := range e.pushChanges(1000, 0, changes, RecordState{}) {
 			messages++
 			pushed += len(a.(Send).Message.(EndpointChanges).Changes)
 		}
@@ -762,8 +762,9 @@
 			changes = append(changes, steering.EndpointChange{Endpoint: p, Removed: true})
 		}
 		state.ChangeRevision, state.EndpointsRevision = 200, 200
+		before := watcher.RecordState(10_100)
 		watcher.state = state
-		actions := watcher.pushChanges(10_100, 100, changes)
+		actions := watcher.pushChanges(10_100, 100, changes, before)
 		for _, a := range actions[min(1, len(actions)):] {
 			receiver.Handle(10_100, MessageReceived{From: member(1), Message: a.(Send).Message})
 		}
@@ -772,3 +773,39 @@
 		require.Len(t, actions, c.messages, c.name)
 	}
 }
+
+func TestMessageWithAPartOfTheChangesDoesNotConfirmTheRest(t *testing.T) {
+	member := func(i byte) Member {
+		return Member{Name: fmt.Sprintf("edge-%d", i), Centre: "here", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1)}
+	}
+	watcher := NewEngine(Settings{Self: member(1), RecordBound: 3000}, 10_000)
+	watcher.Handle(10_000, MembersListed{Members: []Member{member(2)}})
+	receiver := NewEngine(Settings{Self: member(2), RecordBound: 3000}, 10_000)
+	receiver.Handle(10_000, MembersListed{Members: []Member{member(1)}})
+	state := RecordState{ConfigurationRevision: 5, ConfirmedRevision: 5, ChangeRevision: 100, EndpointsRevision: 100}
+	for _, e := range []*Engine{watcher, receiver} {
+		e.Handle(10_000, RecordsFetched{State: state})
+	}
+	watcher.watching = true
+	var changes []steering.EndpointChange
+	for i := range 30 {
+		p := steering.Endpoint{ID: fmt.Sprintf("i-%010x", i), Revision: uint64(101 + i)}
+		changes = append(changes, steering.EndpointChange{Endpoint: p, Removed: true})
+	}
+	state.ChangeRevision, state.EndpointsRevision = 130, 130
+	var messages []Message
+	for _, a := range watcher.Handle(10_100, RecordsRead{Since: 100, Changes: changes, State: state}) {
+		if v, ok := a.(Send); ok {
+			messages = append(messages, v.Message)
+		}
+	}
+	require.Len(t, messages, 3)
+	for i, m := range messages {
+		want := clock.Millis(10_000)
+		if i == len(messages)-1 {
+			want = 10_100
+		}
+		receiver.Handle(10_100, MessageReceived{From: member(1), Message: m})
+		require.Equal(t, want, receiver.Confirmation().EndpointsAt, "after message %d", i+1)
+	}
+}
