The packet that establishes a flow is never answered with a reset for an older refusal

Callers: with one endpoint at hand, a flow is reset with its first request, though the endpoint accepted it. An endpoint crashes and starts again under its id. The opening packet of a flow is seen meanwhile, a probe is refused, and the store confirms the entry, which is still that of the process before. The new process answers the copy of the opening packet.

Cause: the proof was compared with the time of the opening packet, but the flow opens only when its endpoint answers. The refusal is older than that.

Fix: only an established flow ends by proof. The packet that establishes it counts as an answer and withdraws the refusal.

The script of series of resets in contradiction.yaml asked for that reset: its flows c4 and c5 were opened before the refusal and established after it. They are flows that their consumers finished now, whose later data is reset as before; all that it wants is unchanged.

--- a/steering/established.go
+++ b/steering/established.go
@@ -70,10 +70,11 @@
 }
 
 // flowEndProven reports whether the endpoint's process has ended since this instance first
-// saw a flow.
+// saw a flow. The packet that establishes a flow is an answer of a process that runs, which may
+// have started after the opening packet was seen.
 func (e *Engine) flowEndProven(now clock.Millis, k key, s *endpointState) bool {
 	w := e.flows.byKey[k]
-	return w != nil && w.endpoint == s && e.endProven(now, s, w.openedAt)
+	return w != nil && w.established && w.endpoint == s && e.endProven(now, s, w.openedAt)
 }
 
 // openedBeforeRemoval reports whether a flow was opened before its route was removed, as
