A removed route resets no flow that uses the port of an earlier one

Callers: a consumer's open flow at a sound endpoint is reset. Its port had a flow at another endpoint, over a route that was removed since; the route was added again, and an instance that knows that opened the new flow. An instance that doesn't know it yet gets its next packet.

Cause: the flow table of that instance still has the earlier flow, and the configuration was confirmed after that was first seen. The token shows another endpoint, which the check of removed routes left out, other than that of ended endpoints. The new flow also took over the time at which the earlier one was first seen.

Fix: an established flow with another endpoint counts as an earlier one; the new one is first seen with its own packet. The next confirmation without the route resets it.

The script before: --- FAIL: TestScripts/sound/a_removed_route_does_not_reset_a_flow_that_another_instance_opened_from_the_same_port_... step 6 at 2500: c1 data token=a1 length=10 route=other is "reset route_removed", want "forward token a1"

A flow whose opening was moved and which is then reset keeps the endpoint of its token, so that it isn't taken for another flow. Without that line, its script fails: step 9 at 1209: c1 data token=a1 length=10 route=other is "forward token a1", want "reset route_removed"

--- a/steering/established.go
+++ b/steering/established.go
@@ -24,7 +24,7 @@
 	}
 	d := Decision{Verdict: Forward, Reason: ReasonToken, Endpoint: s.target(), Service: s.Service}
 	if mustEnd, reason := e.mustEnd(now, p, s); mustEnd {
-		e.closeFlow(now, p.key(), reason)
+		e.closeFlow(now, p.key(), s, reason)
 		if p.Flags.Has(Abort) {
 			return Decision{Verdict: Drop, Reason: reason, Service: s.Service}
 		}
@@ -53,7 +53,7 @@
 
 // mustEnd reports whether a flow must be reset, and the reason.
 func (e *Engine) mustEnd(now clock.Millis, p *Packet, s *endpointState) (bool, Reason) {
-	if e.removedRoutes[p.Destination] && e.openedBeforeRemoval(now, p.key()) {
+	if e.removedRoutes[p.Destination] && e.openedBeforeRemoval(now, p.key(), s) {
 		return true, ReasonRouteRemoved
 	}
 	switch {
@@ -80,21 +80,23 @@
 // openedBeforeRemoval reports whether a flow was opened before its route was removed, as
 // far as this instance knows. Another instance may have opened it by a newer configuration
 // that has the route again, unless the store confirmed this one since the flow was first
-// seen here. After a stall, messages that confirm it may be old.
-func (e *Engine) openedBeforeRemoval(now clock.Millis, k key) bool {
+// seen here. After a stall, messages that confirm it may be old. An established flow with
+// another endpoint is an earlier one of the same port.
+func (e *Engine) openedBeforeRemoval(now clock.Millis, k key, s *endpointState) bool {
 	w := e.flows.byKey[k]
-	return w != nil && e.configurationConfirmedAt > w.openedAt && now >= e.stalledUntil
+	return w != nil && (w.endpoint == s || !w.established) && e.configurationConfirmedAt > w.openedAt && now >= e.stalledUntil
 }
 
 // closeFlow handles a flow that is reset in reply to a packet. It forgets the flow, except
 // when the route was removed: the flow's later packets still have to be recognized.
-func (e *Engine) closeFlow(now clock.Millis, k key, reason Reason) {
+func (e *Engine) closeFlow(now clock.Millis, k key, s *endpointState, reason Reason) {
 	w := e.flows.byKey[k]
 	switch {
 	case w == nil:
 	case reason == ReasonRouteRemoved:
 		w.established, w.consumerDone, w.lastPacketAt = true, true, now
 		w.detach()
+		w.endpoint = s
 	default:
 		e.flows.remove(k, w)
 	}
@@ -123,6 +125,8 @@
 		newlyEstablished = !w.established
 		if newlyEstablished {
 			e.compareAnswer(now, s, w.openedAt)
+		} else {
+			w.openedAt = now // another flow of the same port
 		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
