--- a/forwarder/packets_test.go
+++ b/forwarder/packets_test.go
@@ -102,7 +102,7 @@
 	binary.BigEndian.PutUint32(header[14:], from.Address)
 	binary.BigEndian.PutUint16(header[18:], route.Port)
 	binary.BigEndian.PutUint32(header[20:], route.Address)
-	d.queue.add(clock.Now()-2*openingCopyDelay, opening)
+	d.queue.add(clock.Now()-400*clock.Millisecond, opening)
 	d.engine.Handle(clock.Now(), steering.ConfigurationRead{Configuration: &steering.Configuration{
 		Version: 1, Revision: 1, Routes: map[steering.AddrPort]steering.Route{route: {Shares: []steering.Share{{Service: "desk", Weight: 1}}}},
 	}})
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -63,7 +63,7 @@
 		settings:      s,
 		random:        rand.New(rand.NewPCG(s.Seed, 0)),
 		removedRoutes: map[AddrPort]bool{},
-		directory:     newDirectory(),
+		directory:     newDirectory(s.StaleAfter),
 		flows:         newFlows(),
 		baselines:     map[AddrPort]*baseline{},
 		latencies:     map[string]*serviceLatency{},
@@ -78,9 +78,18 @@
 	}
 }
 
+// recordWait records that packets may have waited for this instance, in its socket or for its
+// timers. A long wait is a stall, since answers may wait unread as well.
+func (e *Engine) recordWait(now, wait clock.Millis) {
+	if wait >= minStall {
+		e.stalledUntil = now + stallRecovery
+	}
+}
+
 // Steer decides on one packet. Actions that result from it are returned by TakeActions.
 func (e *Engine) Steer(now clock.Millis, p *Packet) Decision {
 	e.checkDelay(now)
+	e.recordWait(now, p.Waited)
 	var d Decision
 	if p.Opening() {
 		d = e.steerOpening(now, p)
@@ -134,8 +143,8 @@
 		return e.applyConfiguration(e.configuration.Apply(&v.Delta))
 	case RecordsConfirmed:
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, v.ConfigurationAt)
-		e.directory.storeRecoveredAt = max(e.directory.storeRecoveredAt, v.StoreRecoveredAt)
-		e.directory.confirm(v.EndpointsAt, e.settings.StaleAfter)
+		e.directory.endOutage(now, v.StoreRecoveredAt)
+		e.directory.confirm(v.EndpointsAt)
 	case TalliesReported:
 		return e.applyTallies(now, v)
 	case FlowsQueried:
@@ -154,7 +163,7 @@
 		// The records may have changed while the process was suspended.
 		e.configurationConfirmedAt = 0
 		e.stalledUntil = now + stallRecovery
-		e.directory.storeRecoveredAt = now
+		e.directory.suspend(now)
 		// The clock doesn't count the suspension, so evidence is older than it seems.
 		for _, s := range e.directory.byID {
 			s.silence.expire()
@@ -163,9 +172,7 @@
 		return e.handleProbeEnded(now, v)
 	case Ticked:
 		e.tickedAt = now
-		if v.Delay >= minStall {
-			e.stalledUntil = now + stallRecovery
-		}
+		e.recordWait(now, max(v.Delay, v.Unread))
 		return e.tick(now)
 	}
 	return nil
@@ -374,12 +381,12 @@
 	e.wasIsolated = e.isolated(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.byID {
-		e.checkRefused(now, s)
+		e.confirmRefusal(now, s)
 	}
 	for _, s := range e.directory.expire(now) {
 		actions = append(actions, s.stateChanged())
 		if s.load.flows > 0 {
-			e.checkEnded(now, s)
+			e.checkGone(now, s)
 		}
 	}
 	e.reprobe(now)
--- a/steering/event.go
+++ b/steering/event.go
@@ -27,7 +27,7 @@
 type ConfigurationRevised struct{ Delta Delta }
 
 // RecordsConfirmed carries the times at which the store last confirmed the configuration
-// and the endpoints, and last recovered after a failure.
+// and the endpoints, and when it recovered from the last outage that members proved; 0 if there was none.
 type RecordsConfirmed struct{ ConfigurationAt, EndpointsAt, StoreRecoveredAt clock.Millis }
 
 // EndpointsListed carries all endpoints of the store at a revision. The engine removes
@@ -98,7 +98,8 @@
 type FlowsReported struct{ Flows []FlowProgress }
 
 // ProcessStalled is emitted after the process was suspended. For stallRecovery, the engine
-// takes missing answers as no evidence against endpoints.
+// takes missing answers as no evidence against endpoints. It does the same after a tick that
+// was late, and after packets that waited long.
 type ProcessStalled struct{}
 
 // ProbeEnded carries the result of a Probe.
@@ -128,7 +129,8 @@
 
 // Ticked is emitted periodically by the daemon.
 type Ticked struct {
-	Delay clock.Millis // how late the tick is
+	Delay  clock.Millis // how late the tick is
+	Unread clock.Millis // how long packets that arrived before the tick and aren't read yet may have waited
 }
 
 func (ConfigurationRead) event()    {}
@@ -231,26 +233,28 @@
 	Consumer, Destination AddrPort
 	Ack                   uint32 // next byte that the consumer expects
 	Endpoint              string
-	Cause                 string // one of ResetCauses
+	Cause                 string       // one of ResetCauses
+	FirstSeenAt           clock.Millis // when this instance saw the flow first; 0 if unknown
+	RequestAt             clock.Millis // when its pending request was sent; 0 if none is pending or it is unknown
 }
 
 // EndpointEjected makes the daemon log and count that an endpoint failed requests and gets no new
-// flows for EjectionTime.
+// flows for EjectionTime. It keeps its flows.
 type EndpointEjected struct {
 	Endpoint     string
 	Service      string
 	Cause        string
 	EjectionTime clock.Millis
-	ResetFlows   int // number of flows that were reset
 	Evidence     Evidence
 }
 
-// EndpointLost makes the daemon log that the flows of an endpoint were reset.
+// EndpointLost makes the daemon log that an endpoint can't be reached. If that proves that its
+// process has ended (causes refused and gone), its flows were reset.
 type EndpointLost struct {
 	Endpoint   string
 	Service    string
 	Cause      string // refused, silent or gone
-	ResetFlows int    // number of flows that were reset
+	ResetFlows int    // number of flows that were reset; 0 if the cause is silent
 	Evidence   Evidence
 }
 
