A process that said it drains isn't taken for ended by a refusal, whoever wrote its entry since

An endpoint drained, another writer replaced its entry by a readable one that was ready, and the endpoint closed its listener before its last answers: the refused probe and the store's confirmation "listed and not draining" reset its open flows. An unreadable entry in its place was already taken for draining.

Cause: the confirmation looked at the latest entry only.

Now an incarnation at an address that said so once is not reset on a refusal while its entry is listed. Its flows end with it when the entry is gone, as those of any draining endpoint. New flows follow the latest entry as before.

--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -121,6 +121,7 @@
 	warmedUpAt      clock.Millis // end of the warm-up
 	removal         removal      // valid while the endpoint is gone
 	knownSince      clock.Millis // when this incarnation at this address became known
+	saidDraining    bool         // an entry of this incarnation was draining; a later one that isn't is another writer's
 
 	load     load
 	silence  silence
@@ -180,8 +181,9 @@
 		s.load.latency, s.load.shedAt = 0, 0
 		s.silence, s.failures = silence{}, failures{}
 		s.resets, s.observed = resetSeries{}, observed{}
-		s.knownSince = now
+		s.knownSince, s.saidDraining = now, false
 	}
+	s.saidDraining = s.saidDraining || p.Draining
 	if s.entryState != listed {
 		s.silence = silence{}
 	}
--- a/steering/proof.go
+++ b/steering/proof.go
@@ -71,7 +71,7 @@
 	switch {
 	case s.entryState == gone && !s.answeredSinceRemoval():
 		cause = causeGone
-	case s.entryState != listed || s.Draining:
+	case s.entryState != listed || s.Draining || s.saidDraining:
 		return
 	}
 	known := s.silence.confirmedRefusal.valid(now)
