--- a/steering/opening.go
+++ b/steering/opening.go
@@ -10,6 +10,10 @@
 // confirmed it. A change must be in force 3 s after the store accepted it.
 const confirmationValidity = 3 * clock.Second
 
+// openingCopyDelay is the time without an answer after which a consumer sends a copy of its
+// opening packet.
+const openingCopyDelay = 200 * clock.Millisecond
+
 // steerOpening decides on an opening packet.
 func (e *Engine) steerOpening(now clock.Millis, p *Packet) Decision {
 	if !e.Ready() {
@@ -49,7 +53,7 @@
 }
 
 // mayBeCopied reports whether the flow of an opening packet may be open by another copy of it.
-func (p *Packet) mayBeCopied() bool { return p.Ack > 0 || p.Late }
+func (p *Packet) mayBeCopied() bool { return p.Ack > 0 || p.Waited >= openingCopyDelay }
 
 // openFlow places a flow that isn't in the table.
 func (e *Engine) openFlow(now clock.Millis, p *Packet, k key, route *Route) Decision {
