An opening packet that waited until its copy was sent gets no reset

Callers: an open flow gets a reset of an instance that can't serve it, such as one that doesn't know its route yet. The first opening packet waited there, routers moved the flow meanwhile, and another instance got the copy and opened the flow.

Fix: after 200 ms, when consumers send the first copy, it is dropped like a copy.

--- a/steering/opening.go
+++ b/steering/opening.go
@@ -10,6 +10,9 @@
 // confirmed it. A change must be in force 3 s after the store accepted it.
 const confirmationValidity = 3 * clock.Second
 
+// copyDelay is when a consumer sends the first copy of an opening packet.
+const copyDelay = 200 * clock.Millisecond
+
 // steerOpening decides on an opening packet.
 func (e *Engine) steerOpening(now clock.Millis, p *Packet) Decision {
 	if !e.Ready() {
@@ -39,10 +42,10 @@
 }
 
 // reject returns the decision on an opening packet that can't be served. The first one is reset,
-// so that its consumer needn't wait. A copy is dropped: the flow may be open by now through the
-// instance that got an earlier one.
+// so that its consumer needn't wait. A copy, or the first one when a copy was sent already, is
+// dropped: the flow may be open by now through another instance.
 func (p *Packet) reject(reason Reason, service string) Decision {
-	if p.Ack > 0 {
+	if p.Ack > 0 || p.Waited >= copyDelay {
 		return Decision{Verdict: Drop, Reason: reason, Service: service}
 	}
 	return Decision{Verdict: Reset, Reason: reason, Service: service}
