A confirmation that waited unread during a stall is no proof after it

Callers: an open flow of an endpoint that drains can be reset by an instance that was late by 60 to 500 ms.

Cause: the members' messages take the time at which they are read for the time at which they were sent, unless the process stalled for half a second. Steering notices stalls of 60 ms and used no confirmation until a second after one. But then it used the one that it had read just after the stall, which may have been sent before the refusal.

Fix: the store's confirmation must be of after the recovery. Those read before its end aren't, whatever delay they had.

--- a/steering/proof.go
+++ b/steering/proof.go
@@ -60,11 +60,11 @@
 }
 
 // confirmRefusal takes the refusal of an endpoint as proof once the store has confirmed its
-// entry, and resets the flows that it proves to have ended. After a stall, confirmations may
-// have waited unread.
+// entry, and resets the flows that it proves to have ended. Confirmations that were read during
+// the recovery from a stall may have waited unread, and seem later than they are.
 func (e *Engine) confirmRefusal(now clock.Millis, s *endpointState) {
 	r := &s.silence.refusal
-	if !s.silence.refused || s.silence.confirmedRefusal == *r || !r.valid(now) || now < e.stalledUntil || e.directory.confirmedAt <= r.refusedAt {
+	if !s.silence.refused || s.silence.confirmedRefusal == *r || !r.valid(now) || e.directory.confirmedAt < e.stalledUntil || e.directory.confirmedAt <= r.refusedAt {
 		return
 	}
 	cause := causeRefused
