A flow from the port of a finished one isn't taken for finished

Callers: a consumer waits until its deadline on a flow whose endpoint has ended, though the instance has proof. Its port had a flow at another endpoint less than 2 s before, which it finished; the new flow was opened through another instance.

Cause: the new flow took over the entry of the earlier one in the flow table, with its mark of being finished, and such flows aren't reset.

Fix: the mark goes with the earlier flow.

--- a/steering/established.go
+++ b/steering/established.go
@@ -126,7 +126,7 @@
 		if newlyEstablished {
 			e.compareAnswer(now, s, w.openedAt)
 		} else {
-			w.openedAt = now // another flow of the same port
+			w.openedAt, w.consumerDone = now, false // another flow of the same port
 		}
 		w.established = true
 		w.ack, w.endSequence = p.Ack, p.Sequence
