--- a/forwarder/packets.go
+++ b/forwarder/packets.go
@@ -72,6 +72,7 @@
 	var reset [platform.HeaderSize]byte
 	for _, v := range packets {
 		if platform.DecodePacket(v.data[platform.EndpointPrefixSize:], &p) == nil { // receive has decoded it before
+			p.Waited = clock.Now() - v.receivedAt
 			d.guard("packet", func() { d.forward(&p, v.data, v.receivedAt, &reset) })
 		}
 	}
--- a/forwarder/packets_test.go
+++ b/forwarder/packets_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
@@ -45,3 +49,69 @@
 	d.goroutines.Wait()
 	require.Equal(t, int64(1), d.metrics.probes.Count())
 }
+
+// While another goroutine may pass records on, none are confirmed whose change isn't applied.
+func TestConfirmationIsNeverAheadOfItsChange(t *testing.T) {
+	d := &Daemon{log: newEventLog(&bytes.Buffer{}), watchGate: daemon.NewGate(true)}
+	d.engine = steering.NewEngine(steering.Settings{Centre: "here"})
+	d.fleet = fleet.NewEngine(fleet.Settings{Self: fleet.Member{Name: "self", Centre: "here"}, RecordBound: 3 * clock.Second}, clock.Now())
+	d.metrics = newDaemonMetrics(d)
+	sender := fleet.Member{Name: "other", Centre: "here", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	p := steering.Endpoint{ID: "i-1", Number: 1, Revision: 1, Service: "desk", Centre: "here", Slots: 2, Address: steering.AddrPort{Address: 1, Port: 80}}
+	state := fleet.RecordState{ConfigurationRevision: 1, ConfirmedRevision: 1, ChangeRevision: 1, EndpointsRevision: 1}
+	d.engine.Handle(clock.Now(), steering.EndpointsListed{Endpoints: []steering.Endpoint{p}, Revision: 1})
+	d.fleet.Handle(clock.Now(), fleet.RecordsFetched{State: state})
+	var done sync.WaitGroup
+	var ended atomic.Bool
+	done.Go(func() {
+		for !ended.Load() {
+			d.locked(func() {
+				confirmed := d.fleet.RecordState(clock.Now()).ChangeRevision
+				assert.GreaterOrEqual(t, d.engine.Endpoints()[0].Revision, confirmed, "the latest change of the confirmed records")
+			})
+		}
+	})
+	for range 5000 {
+		m := fleet.EndpointChanges{Since: state.EndpointsRevision}
+		p.Revision, p.Draining = p.Revision+1, !p.Draining
+		state.ChangeRevision, state.EndpointsRevision = p.Revision, p.Revision
+		m.Changes, m.State = []steering.EndpointChange{{Endpoint: p}}, state
+		d.handleFleet(fleet.MessageReceived{From: sender, Message: m})
+	}
+	ended.Store(true)
+	done.Wait()
+}
+
+// By the time the first records are known, a copy may have opened the flow of a queued opening packet.
+func TestQueuedOpeningThatWaitedDoesNotMoveAnOpenFlow(t *testing.T) {
+	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	require.NoError(t, err)
+	defer packets.Close()
+	d := &Daemon{log: newEventLog(&bytes.Buffer{}), watchGate: daemon.NewGate(true), packetConn: packets}
+	d.engine = steering.NewEngine(steering.Settings{Centre: "here"})
+	d.fleet = fleet.NewEngine(fleet.Settings{RecordBound: 3 * clock.Second}, clock.Now())
+	d.metrics = newDaemonMetrics(d)
+	route := steering.AddrPort{Address: 1, Port: 443}
+	at, _ := steering.AddrPortFromNetip(packets.LocalAddr().(*net.UDPAddr).AddrPort())
+	consumer := netip.MustParseAddrPort("127.0.0.9:9")
+	from, _ := steering.AddrPortFromNetip(consumer)
+	opening := make([]byte, platform.EndpointPrefixSize+platform.HeaderSize)
+	header := opening[platform.EndpointPrefixSize:]
+	header[10] = 16 // an opening packet
+	binary.BigEndian.PutUint16(header[12:], from.Port)
+	binary.BigEndian.PutUint32(header[14:], from.Address)
+	binary.BigEndian.PutUint16(header[18:], route.Port)
+	binary.BigEndian.PutUint32(header[20:], route.Address)
+	d.queue.add(clock.Now()-400*clock.Millisecond, opening)
+	d.engine.Handle(clock.Now(), steering.ConfigurationRead{Configuration: &steering.Configuration{
+		Version: 1, Revision: 1, Routes: map[steering.AddrPort]steering.Route{route: {Shares: []steering.Share{{Service: "desk", Weight: 1}}}},
+	}})
+	d.engine.Handle(clock.Now(), steering.EndpointsListed{Revision: 2, Endpoints: []steering.Endpoint{
+		{ID: "i-1", Number: 1, Revision: 1, Service: "desk", Address: at, Centre: "here", Slots: 2, Incarnation: 1},
+	}})
+	p := steering.Packet{Consumer: from, Destination: route, Flags: steering.Acknowledge, Sequence: 1, Ack: 1, Token: 1}
+	require.Equal(t, steering.Forward, d.engine.Steer(clock.Now(), &p).Verdict)
+	d.forwardQueued()
+	require.EqualValues(t, 1, d.metrics.decisions[steering.Drop][steering.ReasonLateCopy].Count())
+	require.Zero(t, d.metrics.decisions[steering.Forward][steering.ReasonPlaced].Count())
+}
