An entry that moves a known process to another address is another writer's

Callers: packets of open flows go to another address, and the flows are reset, though their endpoint works. Another program wrote an entry under the endpoint's name, with another address and, for example, a service that isn't named.

Cause: any entry that could be decoded replaced the address. Instances forwarded to the new address, probed it, were refused, and the store confirmed that the entry is listed and not draining.

Fix: a process keeps its address, and a new one has another start time. An entry with the start time of the known process, or with none, and another address counts as one that can't be read: no new flows, the address and the flows stay, and the endpoint's next own entry makes it ready. An entry with another start time is taken for that of a new process, as before.

--- a/steering/engine.go
+++ b/steering/engine.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -326,6 +328,9 @@
 
 func (e *Engine) put(now clock.Millis, p Endpoint, actions []Action) []Action {
 	old := e.directory.byID[p.ID]
+	if old != nil && old.Address != p.Address && (p.Incarnation == old.Incarnation || p.Incarnation == 0) {
+		return e.markUnreadable(now, p.Unreadable(errors.Wrapf(ErrEndpoint, "address %s is not that of its process", p.Address)), actions)
+	}
 	sameProcess := old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address
 	unchanged := sameProcess && old.entryState == listed && old.Draining == p.Draining
 	if !e.directory.put(now, p) {
