A process whose start time is unknown isn't taken for replaced

Callers: open flows could be reset at an endpoint whose entry has left and has no start time, as any other process with its address counted as a later one.

--- a/steering/proof.go
+++ b/steering/proof.go
@@ -106,7 +106,7 @@
 // addressTaken reports whether a process that started later has the endpoint's address.
 func (d *directory) addressTaken(s *endpointState) bool {
 	for _, o := range d.byID {
-		if o != s && o.entryState == listed && o.Address == s.Address && o.Incarnation > s.Incarnation {
+		if o != s && o.entryState == listed && o.Address == s.Address && s.Incarnation != 0 && o.Incarnation > s.Incarnation {
 			return true
 		}
 	}
