--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -237,7 +237,7 @@
 	case ConfigurationChange:
 		return e.handleConfigurationChange(now, p, m)
 	case EndpointTallies:
-		return []Action{NotifySteering{Event: steering.TalliesReported{Sender: v.From.Name, Tallies: m.Tallies}}}
+		return []Action{NotifySteering{Event: steering.TalliesReported{Tallies: m.Tallies}}}
 	case EndpointFault:
 		return []Action{NotifySteering{Event: steering.FaultReported{Sender: v.From.Name, EndpointFault: m.EndpointFault}}}
 	case FlowQuery:
--- a/steering/event.go
+++ b/steering/event.go
@@ -81,10 +81,7 @@
 
 // TalliesReported is emitted when another instance sent its tallies. The engine adds them
 // to its own counts.
-type TalliesReported struct {
-	Sender  string // name of the other instance
-	Tallies []Tally
-}
+type TalliesReported struct{ Tallies []Tally }
 
 // FlowsQueried is emitted when another instance asks which of its flows progressed here.
 // The engine answers with ReportFlows.
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -325,7 +325,7 @@
 			require.Fail(t, "tally", "field %q does not exist", name)
 		}
 	}
-	return TalliesReported{Sender: words[0], Tallies: []Tally{v}}
+	return TalliesReported{Tallies: []Tally{v}}
 }
 
 func describeFlows(flows []FlowProgress) string {
