--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -263,7 +263,7 @@
 			d.log.infoLimited("endpoint unreadable", "endpoint", v.Endpoint, "revision", v.Revision, "why", v.Cause)
 		case steering.ConfigurationUnreadable:
 			d.metrics.unreadableEntries.Inc(1)
-			d.log.infoLimited("configuration unreadable", "route", v.Route, "revision", v.Revision, "why", v.Cause)
+			d.log.infoLimited("configuration unreadable", "route", v.Route, "service", v.Service, "revision", v.Revision, "why", v.Cause)
 		case steering.EndpointStateChanged:
 			d.log.info("endpoint "+v.State, "endpoint", v.Endpoint, "service", v.Service, "address", v.Address.String(), "revision", v.Revision)
 		case steering.EndpointSilent:
--- a/steering/configuration.go
+++ b/steering/configuration.go
@@ -16,6 +16,46 @@
 	Revision    uint64       // revision of the store
 	IdleTimeout clock.Millis `cbor:"Idle"` // after which a flow may be forgotten
 	Routes      map[AddrPort]Route
+	Services    map[string]Service // by name; nil if they aren't known
+}
+
+// Service is what the configuration says of the endpoints of a service.
+type Service struct {
+	MaxFlows int          `cbor:"flows,omitempty"`  // open flows that an endpoint holds; 0 if it isn't limited
+	Warmup   clock.Millis `cbor:"warmup,omitempty"` // how long an endpoint is cold after its start; 0 if it never is
+	// New requests per second that a cold endpoint bears.
+	WarmupRate float64 `cbor:"rate,omitempty"`
+}
+
+// Limits of the fields of a service.
+const (
+	MaxFlows      = 1_000_000
+	MaxWarmupRate = 1_000_000.0 // per second
+)
+
+// ErrService reports a service with a field that exceeds its limits.
+var ErrService = errors.New("service is invalid")
+
+// Check returns an error for the first field that exceeds its limits.
+func (s *Service) Check() error {
+	switch {
+	case s.MaxFlows < 0 || s.MaxFlows > MaxFlows:
+		return errors.Wrapf(ErrService, "limit of %d flows is not within 0 to %d", s.MaxFlows, MaxFlows)
+	case s.Warmup < 0 || s.Warmup > MaxWarmup:
+		return errors.Wrapf(ErrService, "warmup of %d ms is not within 0 to %d", s.Warmup, MaxWarmup)
+	case !(s.WarmupRate >= 0 && s.WarmupRate <= MaxWarmupRate):
+		return errors.Wrapf(ErrService, "warmup rate of %g is not within 0 to %g", s.WarmupRate, MaxWarmupRate)
+	}
+	return nil
+}
+
+func checkServices(list map[string]Service) error {
+	for name, s := range list {
+		if err := s.Check(); err != nil {
+			return errors.Wrapf(ErrConfiguration, "service %.60q: %v", name, err)
+		}
+	}
+	return nil
 }
 
 // Delta is the difference between a configuration and an earlier one.
@@ -26,6 +66,8 @@
 	IdleTimeout clock.Millis `cbor:"idle"`
 	Set         []RouteEntry `cbor:"set,omitempty"`   // new and changed routes
 	Unset       []AddrPort   `cbor:"unset,omitempty"` // removed routes
+	// All services, if one of them changed or there was no earlier configuration; nil otherwise.
+	Services map[string]Service `cbor:"services,omitempty"`
 }
 
 // RouteEntry is a route and the address that consumers send to.
@@ -41,6 +83,9 @@
 	if earlier != nil {
 		d.From, old = earlier.Revision, earlier.Routes
 	}
+	if earlier == nil || !maps.Equal(earlier.Services, c.Services) {
+		d.Services = c.Services
+	}
 	for at, r := range c.Routes {
 		if was, found := old[at]; !found || !r.equal(&was) {
 			d.Set = append(d.Set, RouteEntry{Destination: at, Route: r})
@@ -56,7 +101,10 @@
 
 // Apply returns a copy of c with the changes of d.
 func (c *Configuration) Apply(d *Delta) *Configuration {
-	n := &Configuration{Version: d.Version, Revision: d.Revision, IdleTimeout: d.IdleTimeout, Routes: maps.Clone(c.Routes)}
+	n := &Configuration{Version: d.Version, Revision: d.Revision, IdleTimeout: d.IdleTimeout, Routes: maps.Clone(c.Routes), Services: c.Services}
+	if d.Services != nil {
+		n.Services = d.Services
+	}
 	for _, at := range d.Unset {
 		delete(n.Routes, at)
 	}
@@ -98,7 +146,7 @@
 			return errors.Wrapf(ErrConfiguration, "route %.60q: %v", r.Name, err)
 		}
 	}
-	return nil
+	return checkServices(c.Services)
 }
 
 // Check returns an error if d has an invalid route.
@@ -111,7 +159,7 @@
 			return errors.Wrapf(ErrConfiguration, "route %.60q: %v", d.Set[i].Route.Name, err)
 		}
 	}
-	return nil
+	return checkServices(d.Services)
 }
 
 // Limits of the fields of a configuration.
--- a/steering/event.go
+++ b/steering/event.go
@@ -14,11 +14,12 @@
 	Faults        []ConfigurationFault // what of it is unreadable
 }
 
-// ConfigurationFault is a route of a configuration that can't be decoded, or the whole
-// configuration. A route that an earlier configuration has under its name stays in force.
+// ConfigurationFault is a route or a service of a configuration that can't be decoded, or the
+// whole configuration. A route that an earlier configuration has under its name stays in force.
 type ConfigurationFault struct {
 	Revision uint64 // of the configuration
 	Route    string // name of the route; empty for the whole configuration, or if no name can be read
+	Service  string // name of the service, if it is one
 	Cause    string
 }
 
--- a/steering/unreadable.go
+++ b/steering/unreadable.go
@@ -51,7 +51,10 @@
 	}
 	for _, f := range e.configurationFaults {
 		c := Condition{Type: ConditionUnreadable, Subject: "route/" + f.Route, Reason: f.Cause, Action: "the earlier route of that name stays"}
-		if f.Route == "" {
+		switch {
+		case f.Service != "":
+			c.Subject, c.Action = "service/"+f.Service, "the earlier service of that name stays"
+		case f.Route == "":
 			c.Subject, c.Action = "configuration", "what can be read of it is used"
 		}
 		list = append(list, c)
@@ -70,15 +73,18 @@
 		e.configurationFaults = v.Faults[:min(len(v.Faults), maxUnreadable)]
 	}
 	if v.Configuration != nil && e.configuration != nil {
-		e.keepRoutes(v)
+		e.keepReadable(v)
 	}
 	return append(actions, e.applyConfiguration(v.Configuration)...)
 }
 
-// keepRoutes adds the present routes of the names that are unreadable in a newer
-// configuration. Leaving them out would reset their open flows.
-func (e *Engine) keepRoutes(v ConfigurationRead) {
+// keepReadable adds the present routes and services of the names that are unreadable in a newer
+// configuration. Leaving routes out would reset their open flows.
+func (e *Engine) keepReadable(v ConfigurationRead) {
 	for _, f := range v.Faults {
+		if s, found := e.configuration.Services[f.Service]; found && v.Configuration.Services != nil {
+			v.Configuration.Services[f.Service] = s
+		}
 		for at, r := range e.configuration.Routes {
 			if _, taken := v.Configuration.Routes[at]; f.Route != "" && r.Name == f.Route && !taken {
 				v.Configuration.Routes[at] = r
