--- a/steering/engine.go
+++ b/steering/engine.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 )
 
 // Settings are the settings of an engine.
@@ -17,6 +18,8 @@
 	StaleAfter clock.Millis
 	TickPeriod clock.Millis // time between two Ticked events; 0 if they need not come in time
 	Seed       uint64       // of random choices
+	// Operators may order evacuations. The engine is ready only when it knows the orders.
+	Evacuations bool
 }
 
 // Engine makes the decisions of one instance. It is not safe for concurrent use.
@@ -28,6 +31,7 @@
 	configurationFaults      []ConfigurationFault
 	configurationConfirmedAt clock.Millis      // when the store last confirmed the configuration
 	removedRoutes            map[AddrPort]bool // routes of earlier configurations that aren't in the present one
+	evacuations              evacuation.Orders
 	directory                directory
 	flows                    flows
 	baselines                map[AddrPort]*baseline
@@ -155,6 +159,10 @@
 		e.removeReported(v.Flows)
 	case FaultReported:
 		return e.handleFault(now, v)
+	case EvacuationsRead:
+		if v.Orders.Revision > e.evacuations.Revision {
+			e.evacuations = v.Orders
+		}
 	case EndpointsPageRead:
 		e.applyPage(now, v)
 	case EndpointsListed:
@@ -183,6 +191,9 @@
 // Configuration returns the configuration in force, or nil. It is never modified.
 func (e *Engine) Configuration() *Configuration { return e.configuration }
 
+// Evacuations returns the evacuation orders in force. The caller must not modify them.
+func (e *Engine) Evacuations() evacuation.Orders { return e.evacuations }
+
 // Condition is a problem of an endpoint, for status reports.
 type Condition struct {
 	Type    string `json:"type"`
--- a/steering/event.go
+++ b/steering/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 )
 
 // Event is an input of the engine other than a packet.
@@ -31,6 +32,10 @@
 // and the endpoints, and when it recovered from the last outage that members proved; 0 if there was none.
 type RecordsConfirmed struct{ ConfigurationAt, EndpointsAt, StoreRecoveredAt clock.Millis }
 
+// EvacuationsRead carries all evacuation orders, read from the store or another instance. The
+// engine accepts them if they are newer than those that it has.
+type EvacuationsRead struct{ Orders evacuation.Orders }
+
 // EndpointsListed carries all endpoints of the store at a revision. The engine removes
 // those that aren't listed.
 type EndpointsListed struct {
@@ -132,6 +137,7 @@
 }
 
 func (ConfigurationRead) event()    {}
+func (EvacuationsRead) event()      {}
 func (EndpointsListed) event()      {}
 func (EndpointsPageRead) event()    {}
 func (EndpointsChanged) event()     {}
