Evacuation orders in heartbeats, relays and first records; the watcher reads them

Operators' orders reached no instance. With a bound in the settings, each heartbeat carries all orders with their revision and age, a change is sent at once, and their age counts among those that make a member watch. A third kind of records is listed at a start and watched; entries that have no room in a heartbeat are left out and reported. Without the bound nothing is read or sent.

--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -11,6 +11,7 @@
 type Settings struct {
 	Self        Member
 	RecordBound clock.Millis // time within which every instance has to apply a change of records
+	Evacuations bool         // operators order evacuations, which are then watched like the other records
 }
 
 const (
@@ -52,6 +53,7 @@
 	state                    RecordState
 	configurationConfirmedAt clock.Millis // when the store last confirmed the configuration; 0 if it hasn't
 	endpointsConfirmedAt     clock.Millis // when the store last confirmed the endpoints; 0 if it hasn't
+	evacuations              evacuations
 	readAt                   clock.Millis // when this member last read the store itself
 	outages                  outages
 
@@ -116,8 +118,10 @@
 		e.recordStoreFailure(now)
 	case RecordsRead:
 		return e.handleRecordsRead(now, v)
+	case EvacuationsRead:
+		return e.handleEvacuationsRead(now, v)
 	case RecordsFetched:
-		e.handleRecordsFetched(now, v)
+		return e.handleRecordsFetched(now, v)
 	case EndpointFaultFound:
 		return e.broadcast(EndpointFault{v.Fault})
 	case EndpointTalliesTaken:
@@ -161,6 +165,9 @@
 	if e.endpointsConfirmedAt != 0 {
 		e.endpointsConfirmedAt -= duration
 	}
+	if e.evacuations.confirmedAt != 0 {
+		e.evacuations.confirmedAt -= duration
+	}
 	e.stalledAt, e.stalledUntil = e.tickedAt-duration, now+stallRecovery
 	e.peers.forgetProbes()
 	e.outages.suspend(duration)
@@ -307,9 +314,10 @@
 	if p == nil {
 		return nil
 	}
-	actions := e.handleWatcherState(now, p, p.Member, m.State, m.Leaving)
+	actions := e.handleWatcherEvacuations(now, p, m.Evacuations)
+	actions = append(actions, e.handleWatcherState(now, p, p.Member, m.State, m.Leaving)...)
 	if m.Relay {
-		actions = append(actions, e.relayHeartbeat(now, p, m.State)...)
+		actions = append(actions, e.relayHeartbeat(now, p, m)...)
 	}
 	return actions
 }
@@ -320,7 +328,8 @@
 		return nil
 	}
 	p, _ := e.peers.put(m.Watcher)
-	return e.handleWatcherState(now, p, relay, m.State, false)
+	actions := e.handleWatcherEvacuations(now, p, m.Evacuations)
+	return append(actions, e.handleWatcherState(now, p, relay, m.State, false)...)
 }
 
 func (e *Engine) handleEndpointChanges(now clock.Millis, p *peer, m EndpointChanges) []Action {
@@ -377,7 +386,7 @@
 	return actions
 }
 
-func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) {
+func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) (actions []Action) {
 	if !v.EndpointsOnly && v.State.ConfigurationRevision >= e.state.ConfigurationRevision {
 		e.state.ConfigurationRevision = v.State.ConfigurationRevision
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.ConfigurationAge)
@@ -386,8 +395,12 @@
 		e.state.EndpointsRevision, e.state.ChangeRevision = v.State.EndpointsRevision, max(v.State.ChangeRevision, e.state.ChangeRevision)
 		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.EndpointsAge)
 	}
+	if s := v.Evacuations; s != nil {
+		actions = e.applyEvacuations(s.Orders, e.readSince(now, v.RequestedAt)-s.Age)
+	}
 	e.recordAnswers()
 	e.recordReport(e.readSince(now, v.RequestedAt), v.State.RecoveredAge)
+	return actions
 }
 
 func (e *Engine) handleStopping(now clock.Millis) []Action {
@@ -395,7 +408,7 @@
 	wasWatching := e.watching
 	actions := e.updateWatching(now)
 	if wasWatching {
-		actions = append(actions, e.broadcast(Heartbeat{State: e.RecordState(now), Leaving: true})...)
+		actions = append(actions, e.broadcast(Heartbeat{State: e.RecordState(now), Evacuations: e.EvacuationState(now), Leaving: true})...)
 	}
 	return actions
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -38,8 +38,9 @@
 // RecordsFetched reports that this member fetched records from another member: all of them, or
 // the changes of endpoints.
 type RecordsFetched struct {
-	State         RecordState  // of the other member when it answered
-	RequestedAt   clock.Millis // since when it may have answered; 0 if it answered now
+	State         RecordState      // of the other member when it answered
+	Evacuations   *EvacuationState // its orders; nil if it has none or is of an older version
+	RequestedAt   clock.Millis     // since when it may have answered; 0 if it answered now
 	EndpointsOnly bool
 }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -48,14 +48,16 @@
 // arrived.
 type peer struct {
 	Member
-	rank         uint64
-	heardAt      clock.Millis // when its latest message arrived; 0 for none
-	heartbeatAt  clock.Millis // when its latest record state arrived, in a heartbeat or with changes; 0 for none
-	state        RecordState  // received at that time
-	probedSince  clock.Millis // since when it hasn't answered probes; 0 if none is unanswered
-	leaving      bool         // it has stopped watching
-	directUntil  clock.Millis // until when this member, as watcher, sends it heartbeats without a relay
-	missedSentAt clock.Millis // when it was last sent a HeartbeatMissed
+	rank        uint64
+	heardAt     clock.Millis // when its latest message arrived; 0 for none
+	heartbeatAt clock.Millis // when its latest record state arrived, in a heartbeat or with changes; 0 for none
+	state       RecordState  // received at that time
+	// When the store last confirmed its evacuation orders, by its latest heartbeat.
+	evacuationsConfirmedAt clock.Millis
+	probedSince            clock.Millis // since when it hasn't answered probes; 0 if none is unanswered
+	leaving                bool         // it has stopped watching
+	directUntil            clock.Millis // until when this member, as watcher, sends it heartbeats without a relay
+	missedSentAt           clock.Millis // when it was last sent a HeartbeatMissed
 }
 
 // rank returns the hash that orders the members of a data centre. The smallest hash has
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -43,16 +43,18 @@
 // Heartbeat is sent by a watcher at a fixed period, and once when it stops. The receiver
 // compares its records with the watcher's, and fetches what it lacks.
 type Heartbeat struct {
-	State   RecordState `cbor:"state"`
-	Leaving bool        `cbor:"leaving,omitempty"` // the sender stops watching
-	Relay   bool        `cbor:"relay,omitempty"`   // the receiver has to relay it
+	State       RecordState      `cbor:"state"`
+	Evacuations *EvacuationState `cbor:"evacuations,omitempty"` // nil if the sender knows no orders
+	Leaving     bool             `cbor:"leaving,omitempty"`     // the sender stops watching
+	Relay       bool             `cbor:"relay,omitempty"`       // the receiver has to relay it
 }
 
 // RelayedHeartbeat is a watcher's heartbeat relayed by another member, in a large data
 // centre. The receiver handles it like the watcher's own.
 type RelayedHeartbeat struct {
-	Watcher Member      `cbor:"watcher"`
-	State   RecordState `cbor:"state"`
+	Watcher     Member           `cbor:"watcher"`
+	State       RecordState      `cbor:"state"`
+	Evacuations *EvacuationState `cbor:"evacuations,omitempty"`
 }
 
 // HeartbeatMissed tells a watcher that its heartbeats don't reach the sender. The watcher
@@ -189,7 +191,12 @@
 		}
 	}
 	switch {
+	case e.Heartbeat != nil:
+		return e.Heartbeat.Evacuations.Check()
 	case e.RelayedHeartbeat != nil:
+		if err := e.RelayedHeartbeat.Evacuations.Check(); err != nil {
+			return err
+		}
 		return e.RelayedHeartbeat.Watcher.Check()
 	case e.EndpointChanges != nil:
 		for i := range e.EndpointChanges.Changes {
--- a/fleet/outage.go
+++ b/fleet/outage.go
@@ -49,7 +49,7 @@
 // that pass the same confirmation on to each other make it seem a little later each time.
 func (e *Engine) recordAnswers() {
 	o := &e.outages
-	at := max(e.configurationConfirmedAt, e.endpointsConfirmedAt)
+	at := max(e.configurationConfirmedAt, e.endpointsConfirmedAt, e.evacuations.confirmedAt)
 	delay := at - o.confirmedAt
 	o.confirmedAt = max(o.confirmedAt, at)
 	if delay <= heartbeatSlack {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -25,7 +25,7 @@
 
 // sendHeartbeat sends a heartbeat to all members, in a large data centre through relays.
 func (e *Engine) sendHeartbeat(now clock.Millis) []Action {
-	heartbeat := Heartbeat{State: e.RecordState(now)}
+	heartbeat := Heartbeat{State: e.RecordState(now), Evacuations: e.EvacuationState(now)}
 	if len(e.peers.list) <= maxDirect {
 		return e.broadcast(heartbeat)
 	}
@@ -36,7 +36,7 @@
 			direct = append(direct, p.Address)
 		}
 	}
-	actions := []Action{Send{To: addresses(order[:relayCount]), Message: Heartbeat{State: heartbeat.State, Relay: true}}}
+	actions := []Action{Send{To: addresses(order[:relayCount]), Message: Heartbeat{State: heartbeat.State, Evacuations: heartbeat.Evacuations, Relay: true}}}
 	if len(direct) > 0 {
 		actions = append(actions, Send{To: direct, Message: heartbeat})
 	}
@@ -46,7 +46,7 @@
 // relayHeartbeat relays a watcher's heartbeat to the members that this one serves. If
 // members know different lists of members, a heartbeat may reach a member twice or not at
 // all; a member that misses heartbeats asks the watcher to send them directly.
-func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, s RecordState) []Action {
+func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, m Heartbeat) []Action {
 	order := e.peers.orderAfter(watcher.Name)
 	// The list lacks this member itself. Find its position in the watcher's list.
 	self := &peer{Member: e.settings.Self, rank: rank(e.settings.Self.Name)}
@@ -65,12 +65,12 @@
 	if len(to) == 0 {
 		return nil
 	}
-	delay := now - e.sentAt(now)
+	s, delay := m.State, now-e.sentAt(now)
 	s.ConfigurationAge, s.EndpointsAge = min(s.ConfigurationAge+delay, maxRecordAge), min(s.EndpointsAge+delay, maxRecordAge)
 	if s.RecoveredAge != 0 {
 		s.RecoveredAge = min(s.RecoveredAge+delay, maxRecordAge)
 	}
-	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s}}}
+	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s, Evacuations: m.Evacuations.delayed(delay)}}}
 }
 
 // reportMissedHeartbeats asks watchers whose heartbeats don't arrive to send them
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -9,14 +9,15 @@
 
 // Report is the state of a data centre that its watcher writes to the store for operators.
 type Report struct {
-	Centre     string               `json:"centre"`
-	Instance   string               `json:"instance"` // the watcher that wrote the report
-	Version    int64                `json:"version"`  // of the configuration in use
-	Revision   uint64               `json:"revision"` // of that configuration in the store
-	Members    int                  `json:"members"`  // known instances of the data centre, including the watcher
-	Endpoints  int                  `json:"endpoints"`
-	Conditions []steering.Condition `json:"conditions,omitempty"`
-	WrittenAt  clock.Millis         `json:"written"` // Unix time
+	Centre      string               `json:"centre"`
+	Instance    string               `json:"instance"` // the watcher that wrote the report
+	Version     int64                `json:"version"`  // of the configuration in use
+	Revision    uint64               `json:"revision"` // of that configuration in the store
+	Members     int                  `json:"members"`  // known instances of the data centre, including the watcher
+	Endpoints   int                  `json:"endpoints"`
+	Conditions  []steering.Condition `json:"conditions,omitempty"`
+	Evacuations []ReportedEvacuation `json:"evacuations,omitempty"` // orders in force
+	WrittenAt   clock.Millis         `json:"written"`               // Unix time
 }
 
 // Each report costs a call to the store, so they are limited.
@@ -49,7 +50,7 @@
 // revision and its time.
 func (s *reportPacer) isUnchanged(r *Report) bool {
 	return r.Version == s.last.Version && r.Members == s.last.Members && r.Endpoints == s.last.Endpoints &&
-		slices.Equal(r.Conditions, s.last.Conditions)
+		slices.Equal(r.Conditions, s.last.Conditions) && slices.Equal(r.Evacuations, s.last.Evacuations)
 }
 
 // Report returns the report to write now, or nil if none is due or this member isn't the
@@ -61,6 +62,7 @@
 	r := Report{
 		Centre: e.settings.Self.Centre, Instance: e.settings.Self.Name, Version: version, Revision: e.state.ConfigurationRevision,
 		Members: len(e.peers.list) + 1, Endpoints: endpoints, Conditions: conditions(now), WrittenAt: now,
+		Evacuations: reportedEvacuations(e.evacuations.orders),
 	}
 	if !e.reports.takeIfDue(now, r) {
 		return nil
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -23,7 +23,12 @@
 	return e.peers.list[position%readers].Member, true // the list lacks this member, which comes after the readers
 }
 
-// Fresh reports whether records in this state are recent enough to start with.
-func (e *Engine) Fresh(s RecordState) bool {
-	return max(s.ConfigurationAge, s.EndpointsAge) <= fractionOf(e.settings.RecordBound, staleFraction)
+// Fresh reports whether records in this state are recent enough to start with. Evacuation orders
+// may be missing: the store is read for them then.
+func (e *Engine) Fresh(s RecordState, v *EvacuationState) bool {
+	age := max(s.ConfigurationAge, s.EndpointsAge)
+	if v != nil && e.settings.Evacuations {
+		age = max(age, v.Age)
+	}
+	return age <= fractionOf(e.settings.RecordBound, staleFraction)
 }
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -54,11 +54,15 @@
 	return clock.Millis(fraction * float64(recordBound))
 }
 
-// recordAge returns the age of this member's configuration or endpoints, whichever is
-// older. Before they were confirmed, it is the time since the start, so that a new member
+// recordAge returns the age of this member's configuration, endpoints or evacuation orders,
+// whichever is oldest. Before they were confirmed, it is the time since the start, so that a new member
 // leaves the store to the watcher at first.
 func (e *Engine) recordAge(now clock.Millis) clock.Millis {
-	return now - max(min(e.configurationConfirmedAt, e.endpointsConfirmedAt), e.startedAt)
+	confirmedAt := min(e.configurationConfirmedAt, e.endpointsConfirmedAt)
+	if e.settings.Evacuations {
+		confirmedAt = min(confirmedAt, e.evacuations.confirmedAt)
+	}
+	return now - max(confirmedAt, e.startedAt)
 }
 
 // storeUnreachable reports whether the store hasn't answered this member for the stale
@@ -88,6 +92,9 @@
 		return false
 	}
 	age := max(p.state.ConfigurationAge, p.state.EndpointsAge) + now - p.heartbeatAt
+	if e.settings.Evacuations {
+		age = max(age, now-p.evacuationsConfirmedAt)
+	}
 	return age <= fractionOf(e.settings.RecordBound, staleFraction)
 }
 
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -56,11 +56,13 @@
 	peerListener    net.Listener // records and metrics; nil without an internal port
 	metricsListener net.Listener // nil without Options.MetricsPort
 
-	mu              sync.Mutex // guards engine, fleet, queue and peerRecordsRead
+	mu              sync.Mutex // guards engine, fleet, queue, peerRecordsRead and evacuationFaults
 	engine          *steering.Engine
 	fleet           *fleet.Engine
 	queue           packetQueue // packets that arrived before the first records
 	peerRecordsRead bool        // records were fetched from a peer, so the store need not be listed
+	// Entries of evacuations that can't be followed, by this instance's latest list.
+	evacuationFaults []steering.Condition
 
 	self           fleet.Member
 	store          atomic.Pointer[platform.Store]
@@ -95,9 +97,12 @@
 	}
 	s := &o.Settings
 	d.self = fleet.Member{Name: s.Instance, Centre: s.Centre, Address: d.peerAddress(), StartedAt: clock.Now()}
-	bound := s.RecordBound()
-	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, StaleAfter: fleet.StaleAge(bound), TickPeriod: tickPeriod, Seed: rand.Uint64()})
-	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, RecordBound: bound}, clock.Now())
+	bound, evacuations := s.RecordBound(), s.EvacuationBound > 0
+	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, StaleAfter: fleet.StaleAge(bound), TickPeriod: tickPeriod, Seed: rand.Uint64(), Evacuations: evacuations})
+	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, RecordBound: bound, Evacuations: evacuations}, clock.Now())
+	if evacuations {
+		d.metrics.registerEvacuations(d)
+	}
 	return d, nil
 }
 
@@ -162,6 +167,9 @@
 	defer d.startTimer().Stop()
 	d.goroutines.Go(func() { d.follow(ctx, d.configurationSource()) })
 	d.goroutines.Go(func() { d.follow(ctx, d.endpointSource()) })
+	if s.EvacuationBound > 0 {
+		d.goroutines.Go(func() { d.follow(ctx, d.evacuationSource()) })
+	}
 	d.goroutines.Go(func() { d.followMembers(ctx) })
 	d.goroutines.Go(func() { d.fetchFirstRecords(ctx) })
 	d.goroutines.Go(func() { d.processFetches(ctx) })
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -22,6 +22,7 @@
 //	daemon.go       the daemon: start, shutdown, timers, and the actions of the steering engine
 //	packets.go      receives and forwards consumers' packets
 //	records.go      reads the configuration and the endpoints from the store
+//	evacuation.go   reads orders to evacuate data centres from the store
 //	storehealth.go  whether the store answers, and who tries meanwhile
 //	storecalls.go   counts of calls to the store
 //	peers.go        messages, members and records of the other instances
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -34,6 +34,7 @@
 	Configuration *steering.Configuration   `cbor:"configuration"`
 	Endpoints     []steering.Endpoint       `cbor:"endpoints"`
 	Unreadable    []steering.EndpointChange `cbor:"unreadable,omitempty"`
+	Evacuations   *fleet.EvacuationState    `cbor:"evacuations,omitempty"` // nil if the member knows no orders
 }
 
 // recordsPath and changesPath are the HTTP paths of a member's records, and of the changes of
@@ -53,6 +54,9 @@
 	if err := r.Configuration.Check(); err != nil {
 		return err
 	}
+	if err := r.Evacuations.Check(); err != nil {
+		return err
+	}
 	valid := r.Endpoints[:0]
 	for i := range r.Endpoints {
 		p := &r.Endpoints[i]
@@ -106,7 +110,8 @@
 	d.waitComplete(r)
 	d.mu.Lock()
 	complete := d.engine.Complete()
-	records := peerRecords{State: d.fleet.RecordState(clock.Now()), Configuration: d.engine.Configuration(), Endpoints: d.engine.Endpoints(), Unreadable: d.engine.Unreadable()}
+	now := clock.Now()
+	records := peerRecords{State: d.fleet.RecordState(now), Configuration: d.engine.Configuration(), Endpoints: d.engine.Endpoints(), Unreadable: d.engine.Unreadable(), Evacuations: d.fleet.EvacuationState(now)}
 	d.mu.Unlock()
 	if !complete {
 		http.Error(w, "no records yet", http.StatusServiceUnavailable)
@@ -343,7 +348,8 @@
 		now := clock.Now()
 		actions = d.engine.Handle(now, steering.ConfigurationRead{Configuration: r.Configuration})
 		actions = append(actions, d.engine.Handle(now, steering.EndpointsListed{Endpoints: r.Endpoints, Unreadable: r.Unreadable, Revision: r.State.EndpointsRevision})...)
-		d.fleet.Handle(now, fleet.RecordsFetched{State: r.State, RequestedAt: requestedAt})
+		_, notified := d.applyFleet(now, fleet.RecordsFetched{State: r.State, Evacuations: r.Evacuations, RequestedAt: requestedAt})
+		actions = append(actions, notified...)
 		d.engine.Handle(now, d.fleet.Confirmation())
 		d.peerRecordsRead = true
 	})
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -29,9 +29,10 @@
 // recordSource reads one kind of records from the store.
 type recordSource struct {
 	name          string
-	probes        bool                           // its calls find out when the store is available again; the other source waits for that
+	probes        bool                           // its calls find out when the store is available again; the other ones wait for that
 	knownRevision func(fleet.RecordState) uint64 // revision up to which this instance's records are known
 	age           func(fleet.RecordState) clock.Millis
+	fromPeer      func() bool // another instance has brought the records, so they need not be listed
 	list          func(context.Context) error
 	watch         func(ctx context.Context, since uint64, wait clock.Millis) error
 }
@@ -41,6 +42,7 @@
 		name:          "configuration",
 		knownRevision: func(s fleet.RecordState) uint64 { return s.ConfirmedRevision },
 		age:           func(s fleet.RecordState) clock.Millis { return s.ConfigurationAge },
+		fromPeer:      d.hasPeerRecords,
 		list:          d.listConfiguration,
 		watch: func(ctx context.Context, since uint64, wait clock.Millis) error {
 			c, at, err := d.store.Load().WatchConfiguration(ctx, since, wait)
@@ -64,7 +66,7 @@
 // applyConfiguration handles an answer of the store: a configuration, or none if there is no
 // newer one, and the state of the store that it shows.
 func (d *Daemon) applyConfiguration(c steering.ConfigurationRead, at platform.ReadAt) {
-	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
+	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.Event) {
 		read := fleet.RecordsRead{IsConfiguration: true, State: d.fleet.RecordState(now), RequestedAt: at.Time}
 		before := d.engine.Configuration()
 		actions := d.engine.Handle(now, c)
@@ -84,6 +86,7 @@
 		probes:        true,
 		knownRevision: func(s fleet.RecordState) uint64 { return s.EndpointsRevision },
 		age:           func(s fleet.RecordState) clock.Millis { return s.EndpointsAge },
+		fromPeer:      d.hasPeerRecords,
 		list:          d.listEndpoints,
 		watch: func(ctx context.Context, since uint64, wait clock.Millis) error {
 			c, at, err := d.store.Load().WatchEndpoints(ctx, since, wait)
@@ -101,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
+	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.Event) {
 		read := fleet.RecordsRead{FullList: true, State: d.fleet.RecordState(now), RequestedAt: start}
 		read.State.EndpointsRevision = max(read.State.EndpointsRevision, l.Revision)
 		read.State.ChangeRevision = read.State.EndpointsRevision
@@ -118,7 +121,7 @@
 }
 
 func (d *Daemon) applyEndpointChanges(since uint64, c steering.EndpointsChanged, at platform.ReadAt) {
-	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.RecordsRead) {
+	d.applyStoreRead(func(now clock.Millis) ([]steering.Action, fleet.Event) {
 		read := fleet.RecordsRead{Since: since, Changes: c.Changes, State: d.fleet.RecordState(now), RequestedAt: at.Time}
 		read.State.EndpointsRevision = max(read.State.EndpointsRevision, c.Revision)
 		if len(c.Changes) > 0 {
@@ -131,13 +134,13 @@
 // applyStoreRead passes an answer of the store to both engines, carries out their actions,
 // and forwards queued packets. apply passes it to the steering engine and describes it for
 // the fleet engine; it runs under the lock.
-func (d *Daemon) applyStoreRead(apply func(clock.Millis) ([]steering.Action, fleet.RecordsRead)) {
+func (d *Daemon) applyStoreRead(apply func(clock.Millis) ([]steering.Action, fleet.Event)) {
 	d.storeHealth.callSucceeded(d)
 	var actions []steering.Action
 	var fleetActions []fleet.Action
 	d.locked(func() {
 		now := clock.Now()
-		var read fleet.RecordsRead
+		var read fleet.Event
 		actions, read = apply(now)
 		var notified []steering.Action
 		fleetActions, notified = d.applyFleet(now, read)
@@ -180,7 +183,7 @@
 			}
 			callCtx, cancel = d.watchGate.ContextWhileOpen(ctx)
 			call = func(ctx context.Context) error { return d.watchSource(ctx, s) }
-		} else if d.hasPeerRecords() {
+		} else if s.fromPeer() {
 			listed = true // the records of a peer replace the list
 			continue
 		}
@@ -202,6 +205,8 @@
 			d.mu.Lock()
 			d.peerRecordsRead = false
 			d.mu.Unlock()
+		case errors.Is(err, errListAgain):
+			listed, listReason = false, callWatch
 		default:
 			d.storeHealth.callFailed(d, s.name, err)
 			daemon.Pause(ctx, d.retryPause(&b))
@@ -210,7 +215,7 @@
 }
 
 // watchSource makes one call that watches a kind of records. In doubt whether the store answers,
-// one kind asks for an answer at once, and the other one waits for that.
+// one kind asks for an answer at once, and the other ones wait for that.
 func (d *Daemon) watchSource(ctx context.Context, s recordSource) error {
 	if !s.probes {
 		d.waitStoreConfirmed(ctx)
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -31,5 +31,5 @@
 	if c == nil {
 		return nil
 	}
-	return d.fleet.Report(clock.Now(), c.Version, d.engine.EndpointCount(), d.engine.Conditions)
+	return d.fleet.Report(clock.Now(), c.Version, d.engine.EndpointCount(), d.conditions)
 }
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -20,8 +20,8 @@
 }
 
 // readSettings reads the settings file and applies it. If the file is invalid, the current
-// settings stay. The data centre and the addresses to listen on change only with a restart.
-// why is the reason that is logged.
+// settings stay. The data centre, the addresses to listen on, and whether operators order
+// evacuations, change only with a restart. why is the reason that is logged.
 func (d *Daemon) readSettings(why string) {
 	if d.settingsFile == "" {
 		return
@@ -32,10 +32,14 @@
 		return
 	}
 	old := d.settings.Load()
-	if s.PacketAddress != old.PacketAddress || s.ReadyAddress != old.ReadyAddress || s.Centre != old.Centre || !slices.Equal(s.InternalPorts, old.InternalPorts) {
-		d.log.info("settings need a restart", "packets", s.PacketAddress, "ready", s.ReadyAddress, "centre", s.Centre, "inner", s.InternalPorts)
+	switched := (s.EvacuationBound > 0) != (old.EvacuationBound > 0)
+	if s.PacketAddress != old.PacketAddress || s.ReadyAddress != old.ReadyAddress || s.Centre != old.Centre || !slices.Equal(s.InternalPorts, old.InternalPorts) || switched {
+		d.log.info("settings need a restart", "packets", s.PacketAddress, "ready", s.ReadyAddress, "centre", s.Centre, "inner", s.InternalPorts, "evacuation_ms", s.EvacuationBound)
 	}
 	s.PacketAddress, s.ReadyAddress, s.ControlAddress, s.InternalPorts, s.Centre = old.PacketAddress, old.ReadyAddress, old.ControlAddress, old.InternalPorts, old.Centre
+	if switched {
+		s.EvacuationBound = old.EvacuationBound
+	}
 	d.applySettings(s)
 	d.log.info("reload", "why", why, "store", s.StoreURL, "changed", s.StoreURL != old.StoreURL)
 }
--- a/forwarder/start.go
+++ b/forwarder/start.go
@@ -55,7 +55,7 @@
 		return errors.Wrapf(err, "records of %q", parent.Name)
 	}
 	fresh := false
-	d.locked(func() { fresh = d.fleet.Fresh(r.State) })
+	d.locked(func() { fresh = d.fleet.Fresh(r.State, r.Evacuations) })
 	if !fresh {
 		return errStaleRecords
 	}
