--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -61,6 +61,7 @@
 	Seeds              []netip.Addr // instances that the instance contacts to join
 	GracePeriod        clock.Millis // time between SIGTERM and SIGKILL, in ms
 	DrainAndApplyBound clock.Millis // time limit for draining and for applying configurations, in ms
+	EvacuationBound    clock.Millis // time limit for evacuations, in ms; 0 if operators order none
 }
 
 // TOML returns the settings file that the platform writes for an instance.
@@ -72,6 +73,10 @@
 	for i, seed := range s.Seeds {
 		seeds[i] = quoted(seed, controlPort)
 	}
+	evacuation := ""
+	if s.EvacuationBound > 0 {
+		evacuation = fmt.Sprintf("evacuate_ms = %d\n", s.EvacuationBound)
+	}
 	return fmt.Sprintf(`node = %q
 zone = %q
 internal_ports = [%d, %d]
@@ -88,8 +93,8 @@
 drain_ms = %d
 config_apply_ms = %d
 grace_s = %d
-[platform]
+%s[platform]
 address = %q
 `, s.Name, s.Centre, firstInternalPort, lastInternalPort, strings.Join(seeds, ", "), quoted(s.Address, PacketPort), quoted(s.Address, ReadyPort),
-		quoted(s.Address, controlPort), s.DrainAndApplyBound, s.DrainAndApplyBound, s.GracePeriod/clock.Second, s.StoreAddress)
+		quoted(s.Address, controlPort), s.DrainAndApplyBound, s.DrainAndApplyBound, s.GracePeriod/clock.Second, evacuation, s.StoreAddress)
 }
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -55,6 +55,7 @@
 //
 //	metastore.go       metadata store: objects, watches, faults
 //	odd.go             objects of another writer that can't be decoded
+//	evacuation.go      evacuation orders
 //	deployment.go      configurations, settings files of instances
 //	flow_consumer.go   consumers, routers in front of instances
 //	flow_endpoint.go   endpoints
