--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
@@ -19,8 +21,10 @@
 type scenario struct {
 	Name     string         `yaml:"name"`
 	Members  int            `yaml:"members"`
-	Bound    clock.Millis   `yaml:"bound"` // record bound; 0 for 3000
-	Unlisted bool           `yaml:"apart"` // members don't know each other at first
+	Bound    clock.Millis   `yaml:"bound"`  // record bound; 0 for 3000
+	Unlisted bool           `yaml:"apart"`  // members don't know each other at first
+	Orders   bool           `yaml:"orders"` // operators order evacuations
+	Old      []int          `yaml:"old"`    // members of a version that knows no orders
 	Steps    []scenarioStep `yaml:"steps"`
 }
 
@@ -37,9 +41,13 @@
 	AllowStore      []int        `yaml:"see"`
 	DropMessages    []int        `yaml:"deaf"` // receive no messages until delivered again
 	DeliverMessages []int        `yaml:"hear"`
-	LoseChanges     bool         `yaml:"lose"`   // EndpointChanges messages of this step are lost
-	Change          string       `yaml:"change"` // "true": the configuration and an endpoint change in the store; or "only endpoints"
-	ListMembers     bool         `yaml:"meet"`   // all members receive the store's list of members
+	DropSent        []int        `yaml:"mute"` // their messages are lost until sent again
+	SendMessages    []int        `yaml:"speak"`
+	LoseChanges     bool         `yaml:"lose"`     // EndpointChanges messages of this step are lost
+	Change          string       `yaml:"change"`   // "true": the configuration and an endpoint change in the store; or "only endpoints"
+	Evacuate        string       `yaml:"evacuate"` // an operator orders the evacuation of a data centre
+	Lift            string       `yaml:"lift"`     // an operator lifts it
+	ListMembers     bool         `yaml:"meet"`     // all members receive the store's list of members
 
 	Watchers          []int        `yaml:"watch"`  // members that watch at the end; nil for any
 	MaxWatchers       int          `yaml:"most"`   // highest number of watchers at any time of the step; 0 for any
@@ -48,6 +56,7 @@
 	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
 	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
 	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
+	Avoided           []string     `yaml:"avoids"` // data centres that all running members with orders avoid, unless they are cut off; nil for any
 	Outage            []int        `yaml:"outage"` // running members that know of an outage of the store that ended in the step; nil for any
 }
 
@@ -73,8 +82,11 @@
 	stalled      bool
 	storeDenied  bool
 	dropMessages bool
-	nextReadAt   clock.Millis // when its next watch call ends without a change
-	retryPause   clock.Millis // after its last call, if that failed
+	dropSent     bool
+	isOld        bool
+	orders       evacuation.Orders // that its steering knows
+	nextReadAt   clock.Millis      // when its next watch call ends without a change
+	retryPause   clock.Millis      // after its last call, if that failed
 	inbox        []MessageReceived
 	bytesSent    int // in this step
 	served       int // fetches by other members in this step
@@ -89,6 +101,8 @@
 	revision              uint64
 	changeRevision        uint64 // revision of the latest change of endpoints
 	configurationRevision uint64
+	hasOrders             bool
+	orders                evacuation.Orders // in the store
 	loseChanges           bool
 	calls                 int
 	maxWatchers           int
@@ -111,9 +125,11 @@
 		m.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i / 250), byte(i%250 + 1)}), 7720)
 		sm.members = append(sm.members, &testMember{Member: m})
 	}
+	sm.hasOrders = c.Orders
 	slices.SortFunc(sm.members, func(a, b *testMember) int {
 		return compareRank(&peer{Member: a.Member, rank: rank(a.Name)}, &peer{Member: b.Member, rank: rank(b.Name)})
 	})
+	sm.each(c.Old, func(n *testMember) { n.isOld = true })
 	for _, n := range sm.members {
 		sm.start(n)
 	}
@@ -126,7 +142,8 @@
 func (sm *simulation) start(n *testMember) {
 	n.live, n.stalled = true, false
 	n.StartedAt = sm.now
-	n.engine = NewEngine(Settings{Self: n.Member, RecordBound: sm.bound}, sm.now)
+	n.engine = NewEngine(Settings{Self: n.Member, RecordBound: sm.bound, Evacuations: sm.hasOrders && !n.isOld}, sm.now)
+	n.orders = evacuation.Orders{}
 	n.nextReadAt = sm.now
 	sm.readStore(n)
 }
@@ -169,6 +186,10 @@
 		changes = append(changes, steering.EndpointChange{Endpoint: steering.Endpoint{ID: "i-1", Revision: sm.changeRevision}})
 	}
 	sm.perform(n, n.engine.Handle(sm.now, RecordsRead{State: s, Since: from, Changes: changes}))
+	if sm.hasOrders {
+		sm.orders.Revision = sm.revision
+		sm.perform(n, n.engine.Handle(sm.now, EvacuationsRead{Orders: sm.orders}))
+	}
 }
 
 func (sm *simulation) perform(n *testMember, actions []Action) {
@@ -178,6 +199,9 @@
 			data, err := Encode(n.Member, v.Message)
 			require.NoError(sm.t, err)
 			n.bytesSent += len(data) * len(v.To)
+			if n.dropSent {
+				continue
+			}
 			for _, to := range v.To {
 				sm.deliver(to, data)
 			}
@@ -189,7 +213,12 @@
 			if sm.readStore(n); n.storeDenied {
 				sm.fetchFrom(n, v.Peer, 0)
 			}
-		case SetWatching, NotifySteering, RemoveMember:
+		case NotifySteering:
+			if r, isOrders := v.Event.(steering.EvacuationsRead); isOrders {
+				require.Greater(sm.t, r.Orders.Revision, n.orders.Revision, "orders of %s go back", n.Name)
+				n.orders = r.Orders
+			}
+		case SetWatching, RemoveMember:
 		}
 	}
 }
@@ -202,7 +231,11 @@
 			continue
 		}
 		p.served++
-		sm.perform(n, n.engine.Handle(sm.now, RecordsFetched{State: p.engine.RecordState(sm.now), EndpointsOnly: revision != 0}))
+		r := RecordsFetched{State: p.engine.RecordState(sm.now), EndpointsOnly: revision != 0}
+		if revision == 0 {
+			r.Evacuations = p.engine.EvacuationState(sm.now)
+		}
+		sm.perform(n, n.engine.Handle(sm.now, r))
 		return true
 	}
 	return false
@@ -216,11 +249,33 @@
 	}
 	for _, n := range sm.members {
 		if n.Address == to && n.live && !n.dropMessages {
-			n.inbox = append(n.inbox, MessageReceived{From: from, Message: m})
+			received := m
+			if n.isOld || sm.isOld(from) {
+				received = withoutOrders(m)
+			}
+			require.True(sm.t, sm.hasOrders || reflect.DeepEqual(m, withoutOrders(m)), "orders are sent")
+			n.inbox = append(n.inbox, MessageReceived{From: from, Message: received})
 		}
 	}
 }
 
+func (sm *simulation) isOld(m Member) bool {
+	return slices.ContainsFunc(sm.members, func(n *testMember) bool { return n.isOld && n.Name == m.Name })
+}
+
+// withoutOrders returns a message as an older version sends, relays or reads it.
+func withoutOrders(m Message) Message {
+	switch v := m.(type) {
+	case Heartbeat:
+		v.Evacuations = nil
+		return v
+	case RelayedHeartbeat:
+		v.Evacuations = nil
+		return v
+	}
+	return m
+}
+
 func (sm *simulation) each(list []int, do func(*testMember)) {
 	for _, i := range list {
 		do(sm.members[i])
@@ -245,9 +300,18 @@
 	sm.each(s.AllowStore, func(n *testMember) { n.storeDenied = false })
 	sm.each(s.DropMessages, func(n *testMember) { n.dropMessages, n.inbox = true, nil })
 	sm.each(s.DeliverMessages, func(n *testMember) { n.dropMessages = false })
+	sm.each(s.DropSent, func(n *testMember) { n.dropSent = true })
+	sm.each(s.SendMessages, func(n *testMember) { n.dropSent = false })
 	if s.ListMembers {
 		sm.listMembers()
 	}
+	for _, c := range []evacuation.Change{{Order: evacuation.Order{Centre: s.Evacuate}}, {Order: evacuation.Order{Centre: s.Lift}, Lifted: true}} {
+		if c.Centre != "" {
+			sm.revision++
+			c.Revision = sm.revision
+			sm.orders = sm.orders.Apply([]evacuation.Change{c}, sm.revision)
+		}
+	}
 	sm.loseChanges = s.LoseChanges
 	if s.Change != "" {
 		sm.revision += 3
@@ -281,7 +345,8 @@
 			continue
 		}
 		watchers++
-		if sm.now < n.nextReadAt && (n.engine.state.ChangeRevision == sm.changeRevision || sm.now < n.nextReadAt-WatchWait(sm.bound)) {
+		unchanged := n.engine.state.ChangeRevision == sm.changeRevision && (!sm.hasOrders || n.isOld || slices.Equal(n.orders.List, sm.orders.List))
+		if sm.now < n.nextReadAt && (unchanged || sm.now < n.nextReadAt-WatchWait(sm.bound)) {
 			continue
 		}
 		sm.calls++
@@ -320,6 +385,9 @@
 		require.LessOrEqual(sm.t, sm.calls, s.MaxCalls, name)
 	}
 	sm.expectTraffic(name, s)
+	if s.Avoided != nil {
+		sm.expectAvoided(name, s.Avoided)
+	}
 	if s.ChangesKnown {
 		for i, n := range sm.members {
 			if n.live && !n.stalled {
@@ -330,6 +398,21 @@
 	}
 }
 
+func (sm *simulation) expectAvoided(name string, want []string) {
+	sm.t.Helper()
+	for i, n := range sm.members {
+		if !n.live || n.stalled || n.isOld || n.storeDenied && n.dropMessages {
+			continue
+		}
+		avoided := []string{}
+		for _, o := range n.orders.List {
+			avoided = append(avoided, o.Centre)
+		}
+		require.True(sm.t, n.orders.Known(), "%s: member %d knows the orders", name, i)
+		require.Equal(sm.t, want, avoided, "%s: member %d", name, i)
+	}
+}
+
 // knowOutage returns the running members that know of an outage of the store that ended in the
 // latest duration.
 func (sm *simulation) knowOutage(duration clock.Millis) []int {
