Evacuation orders: changes out of order, and more orders than the limit

Changes are applied by their revisions, so a removal that is older than the order lifts nothing and an order that was lifted isn't restored by an earlier change. Beyond MaxOrders the earliest stay in force, and the set says that it is partial (Orders.Partial) until the whole list is read again: so a further order isn't lost silently.

--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -12,6 +12,7 @@
 package evacuation
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -39,6 +40,9 @@
 type Orders struct {
 	Revision uint64  `cbor:"revision"`         // of the store, up to which they are complete
 	List     []Order `cbor:"orders,omitempty"` // sorted by data centre
+	// Further orders are in the store, beyond MaxOrders. They come into force when the whole list
+	// is read again and has room for them.
+	Partial bool `cbor:"partial,omitempty"`
 }
 
 // Change is a new order, or the lifting of one.
@@ -74,23 +78,53 @@
 	return found
 }
 
-// Apply returns the orders at a later revision, after changes in the order of the store.
+// Contains reports whether an order is in force, as it was written at its revision.
+func (o *Orders) Contains(v Order) bool {
+	at, found := o.find(v.Centre)
+	return found && o.List[at].Revision == v.Revision
+}
+
+// Apply returns the orders at a later revision, after changes in any order. If there are more
+// than MaxOrders, the earliest stay in force.
 func (o Orders) Apply(changes []Change, revision uint64) Orders {
-	n := Orders{Revision: max(o.Revision, revision), List: slices.Clone(o.List)}
+	n := Orders{Revision: max(o.Revision, revision), List: slices.Clone(o.List), Partial: o.Partial}
+	changes = slices.Clone(changes)
+	slices.SortStableFunc(changes, compareChanges)
 	for _, c := range changes {
-		at, found := n.find(c.Centre)
-		switch {
-		case c.Lifted && found:
-			n.List = slices.Delete(n.List, at, at+1)
-		case !c.Lifted && found:
-			n.List[at] = c.Order
-		case !c.Lifted && len(n.List) < MaxOrders:
-			n.List = slices.Insert(n.List, at, c.Order)
+		if c.Lifted || c.Revision > o.Revision { // earlier orders are known
+			n.apply(c)
 		}
 	}
 	return n
 }
 
+// compareChanges sorts changes by revision. The lifting of an order may have the order's revision.
+func compareChanges(a, b Change) int {
+	if d := cmp.Compare(a.Revision, b.Revision); d != 0 || a.Lifted == b.Lifted {
+		return d
+	}
+	if a.Lifted {
+		return 1
+	}
+	return -1
+}
+
+func (o *Orders) apply(c Change) {
+	at, found := o.find(c.Centre)
+	switch {
+	case found && c.Revision < o.List[at].Revision:
+	case found && c.Lifted:
+		o.List = slices.Delete(o.List, at, at+1)
+	case found:
+		o.List[at] = c.Order
+	case c.Lifted:
+	case len(o.List) < MaxOrders:
+		o.List = slices.Insert(o.List, at, c.Order)
+	default:
+		o.Partial = true
+	}
+}
+
 func (o *Orders) find(centre string) (int, bool) {
 	return slices.BinarySearchFunc(o.List, centre, func(v Order, name string) int { return strings.Compare(v.Centre, name) })
 }
