Steering places no new flow in an evacuated data centre

With Settings.Evacuations, endpoints of evacuated data centres aren't admitted to the choice, also not as the last resort, and copies of opening packets leave them. Opening packets with no other endpoint are refused at once (reason evacuated). The engine is ready when it knows the orders, or 2 s after it has the other records; packets of open flows don't wait for them. EvacuationOrdered and EvacuationLifted report changes once, a condition of type Evacuated each order in force and more orders than the limit.

--- a/steering/doc.go
+++ b/steering/doc.go
@@ -25,6 +25,7 @@
 //	opening.go        decisions on opening packets
 //	established.go    decisions on all other packets
 //	placement.go      choice of the endpoint for a new flow
+//	evacuation.go     evacuated data centres, which get no new flows
 //	silence.go        detection of endpoints that don't answer, by packets and probes
 //	proof.go          proof that the process of an endpoint has ended, and resets of its flows
 //	outlier.go        detection of endpoints that fail requests
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -32,6 +32,8 @@
 	configurationConfirmedAt clock.Millis      // when the store last confirmed the configuration
 	removedRoutes            map[AddrPort]bool // routes of earlier configurations that aren't in the present one
 	evacuations              evacuation.Orders
+	awaitsOrdersSince        clock.Millis // when all records but the evacuation orders were known; 0 before
+	ordersOverdue            bool         // the orders didn't come within ordersTimeout
 	directory                directory
 	flows                    flows
 	baselines                map[AddrPort]*baseline
@@ -109,14 +111,22 @@
 	return d
 }
 
-// Ready reports whether the engine has a configuration and some endpoints, so that it can
-// place flows. Packets for unknown endpoints get ReasonNoRecords until it is complete.
-func (e *Engine) Ready() bool {
+// Ready reports whether the engine has a configuration, some endpoints and the evacuation
+// orders, so that it can place flows. Packets for unknown endpoints get ReasonNoRecords until
+// it is complete.
+func (e *Engine) Ready() bool { return e.hasRecords() && e.hasOrders() }
+
+// Complete reports whether the engine has a configuration, all endpoints and the evacuation
+// orders.
+func (e *Engine) Complete() bool { return e.hasAllRecords() && e.hasOrders() }
+
+// hasRecords reports whether the engine has a configuration and some endpoints, which suffices
+// for open flows.
+func (e *Engine) hasRecords() bool {
 	return e.configuration != nil && (e.directory.listed || e.directory.partlyListed)
 }
 
-// Complete reports whether the engine has a configuration and all endpoints.
-func (e *Engine) Complete() bool { return e.configuration != nil && e.directory.listed }
+func (e *Engine) hasAllRecords() bool { return e.configuration != nil && e.directory.listed }
 
 // FlowCount returns the number of flows in the flow table.
 func (e *Engine) FlowCount() int { return len(e.flows.byKey) }
@@ -160,9 +170,7 @@
 	case FaultReported:
 		return e.handleFault(now, v)
 	case EvacuationsRead:
-		if v.Orders.Revision > e.evacuations.Revision {
-			e.evacuations = v.Orders
-		}
+		return e.readEvacuations(v.Orders)
 	case EndpointsPageRead:
 		e.applyPage(now, v)
 	case EndpointsListed:
@@ -208,14 +216,16 @@
 	ConditionLapsed  = "EndpointLapsed"
 	ConditionRefused = "EndpointRefused"
 	ConditionFailing = "EndpointFailing"
+	// An operator ordered the evacuation of a data centre.
+	ConditionEvacuated = "Evacuated"
 	// An entry of an endpoint, the configuration or one of its routes can't be decoded.
 	ConditionUnreadable = "Unreadable"
 )
 
-// Conditions returns the problems of all endpoints and of the configuration, sorted by
-// subject.
+// Conditions returns the problems of all endpoints and of the configuration and the evacuation
+// orders in force, sorted by subject.
 func (e *Engine) Conditions(now clock.Millis) []Condition {
-	list := e.unreadableConditions()
+	list := append(e.unreadableConditions(), e.evacuationConditions()...)
 	for id, s := range e.directory.byID {
 		c := Condition{Subject: "endpoint/" + id, Action: "it gets no new flows"}
 		switch {
@@ -395,6 +405,7 @@
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
 	e.wasIsolated = e.isolated(now)
+	e.awaitOrders(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.byID {
 		e.confirmRefusal(now, s)
--- a/steering/established.go
+++ b/steering/established.go
@@ -12,11 +12,11 @@
 	if p.Token == 0 {
 		return Decision{Verdict: Drop, Reason: ReasonNoToken}
 	}
-	if !e.Ready() {
+	if !e.hasRecords() {
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
 	}
 	s, reason := e.endpointByToken(p)
-	if s == nil && !e.Complete() {
+	if s == nil && !e.hasAllRecords() {
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords}
 	}
 	if s == nil {
--- a/steering/event.go
+++ b/steering/event.go
@@ -198,6 +198,19 @@
 // ConfigurationUnreadable makes the daemon log and count a fault of a configuration.
 type ConfigurationUnreadable struct{ ConfigurationFault }
 
+// EvacuationOrdered makes the daemon log that the order to evacuate a data centre is in force.
+type EvacuationOrdered struct {
+	Centre   string
+	Revision uint64 // of the order
+	Known    bool   // false if all endpoints are known and none is in the data centre
+}
+
+// EvacuationLifted makes the daemon log that a data centre isn't evacuated any more.
+type EvacuationLifted struct {
+	Centre   string
+	Revision uint64 // up to which the orders are known
+}
+
 // EndpointStateChanged makes the daemon log the new state of an endpoint.
 type EndpointStateChanged struct {
 	Endpoint string
@@ -267,6 +280,8 @@
 func (EndpointsLoaded) action()         {}
 func (EndpointUnreadable) action()      {}
 func (ConfigurationUnreadable) action() {}
+func (EvacuationOrdered) action()       {}
+func (EvacuationLifted) action()        {}
 func (EndpointStateChanged) action()    {}
 func (EndpointSilent) action()          {}
 func (ReportFault) action()             {}
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
@@ -22,6 +23,9 @@
 	NotIdempotent  bool           `yaml:"once"`  // requests aren't idempotent, so users don't retry them
 	FlowPerRequest bool           `yaml:"fresh"` // users open a flow for each request
 	Endpoints      []loadEndpoint `yaml:"endpoints"`
+	Evacuated      string         `yaml:"evacuated"` // data centre that is evacuated; none if empty
+	EvacuatedFrom  clock.Millis   `yaml:"from"`
+	EvacuatedUntil clock.Millis   `yaml:"until"`
 
 	MaxFailed           int          `yaml:"failed"`  // maximum number of failed requests
 	LateAfter           clock.Millis `yaml:"late"`    // a request with a longer latency is late
@@ -113,6 +117,7 @@
 	late        int
 	resets      int
 	otherCentre int
+	misplaced   int // flows opened at endpoints of an evacuated data centre
 }
 
 // userFlow is a flow of a user and the present request on it.
@@ -139,7 +144,7 @@
 
 func newLoadSimulation(t *testing.T, c loadCase) *loadSimulation {
 	l := &loadSimulation{
-		t: t, c: c, engine: NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1}), now: startTime,
+		t: t, c: c, engine: NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1, Evacuations: c.Evacuated != ""}), now: startTime,
 		random: rand.New(rand.NewPCG(1, 1)), byID: map[string]*loadEndpoint{}, flows: map[AddrPort]*userFlow{}, port: 1000,
 	}
 	route := Route{Name: "desk", Shares: []Share{{Service: "desk", Weight: 1}}, Idempotent: !c.NotIdempotent}
@@ -162,6 +167,7 @@
 		l.byID[p.ID] = e
 	}
 	l.engine.Handle(l.now, list)
+	l.engine.Handle(l.now, EvacuationsRead{Orders: evacuation.Orders{Revision: 2}})
 	return l
 }
 
@@ -175,6 +181,13 @@
 		l.schedule(clock.Millis(l.random.Int64N(int64(l.c.Think))), func() { l.startRequest(u, nil) })
 	}
 	l.schedule(tickInterval, l.tick)
+	if l.c.Evacuated != "" {
+		order := evacuation.Order{Centre: l.c.Evacuated, Revision: 3}
+		l.schedule(l.c.EvacuatedFrom, func() {
+			l.engine.Handle(l.now, EvacuationsRead{Orders: evacuation.Orders{Revision: 3, List: []evacuation.Order{order}}})
+		})
+		l.schedule(l.c.EvacuatedUntil, func() { l.engine.Handle(l.now, EvacuationsRead{Orders: evacuation.Orders{Revision: 4}}) })
+	}
 	for l.queue.Len() > 0 {
 		v := heap.Pop(&l.queue).(loadEvent)
 		if v.at > startTime+l.c.Span {
@@ -283,6 +296,9 @@
 		return
 	}
 	e := l.byID[d.Endpoint.ID]
+	if e.Centre == l.c.Evacuated && l.now >= startTime+l.c.EvacuatedFrom && l.now < startTime+l.c.EvacuatedUntil {
+		l.misplaced++
+	}
 	if l.faulty(e) && e.Unreachable {
 		return
 	}
@@ -449,6 +465,7 @@
 	require.Positive(l.t, l.requests)
 	l.t.Logf("%d requests, %d failed, %d late, %d flows reset, %d in other data centres, %d served by %s", l.requests, l.failed, l.late, l.resets, l.otherCentre, c.Endpoints[0].served, c.Endpoints[0].ID)
 	require.LessOrEqual(l.t, l.failed, c.MaxFailed, "failed requests")
+	require.Zero(l.t, l.misplaced, "flows opened in the evacuated data centre")
 	require.LessOrEqual(l.t, float64(l.late)/float64(l.requests), c.MaxLateShare, "share of late requests")
 	require.LessOrEqual(l.t, float64(l.otherCentre)/float64(l.requests), c.MaxOtherCentreShare, "share of requests in other data centres")
 	if c.WantResets != nil {
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -67,7 +67,7 @@
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords, Service: service}
 	}
 	if s == nil {
-		return p.reject(ReasonNoEndpoint, service)
+		return p.reject(e.refusalReason(route, service), service)
 	}
 	if w := e.flows.add(k); w != nil {
 		w.service = service
@@ -99,7 +99,7 @@
 // endpoint. The flow is established with the endpoint whose answer the consumer gets first.
 func (e *Engine) steerOpeningCopy(now clock.Millis, p *Packet, w *flow, route *Route) Decision {
 	w.lastPacketAt = now
-	if p.Ack <= w.openingCopies && w.endpoint.entryState == listed && route.allows(w.endpoint.Service) {
+	if p.Ack <= w.openingCopies && w.endpoint.entryState == listed && route.allows(w.endpoint.Service) && !e.evacuated(w.endpoint) {
 		return Decision{Verdict: Forward, Reason: ReasonRepeated, Endpoint: w.endpoint.target(), Service: w.service}
 	}
 	w.openingCopies, w.waitHandled = p.Ack, false
@@ -109,8 +109,11 @@
 		service = route.choose(p.key().hash())
 	}
 	s := e.place(now, service, w.endpoint)
+	if s == nil && e.evacuated(w.endpoint) {
+		service, s = e.placeElsewhere(now, route, service)
+	}
 	if s == nil {
-		return Decision{Verdict: Drop, Reason: ReasonNoEndpoint, Service: service} // w.endpoint may still answer
+		return Decision{Verdict: Drop, Reason: e.refusalReason(route, service), Service: service} // w.endpoint may still answer
 	}
 	reason := ReasonMoved
 	if s == w.endpoint {
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -114,12 +114,14 @@
 	ReasonAmbiguous                     // several endpoints have the token
 	ReasonNoToken                       // not an opening packet, but without a token
 	ReasonForged                        // flags that only endpoints send
+	ReasonEvacuated                     // all endpoints that can take the flow are in evacuated data centres
 	reasonCount                         // number of reasons
 )
 
 var reasonNames = [reasonCount]string{
 	"token", "placed", "repeated", "moved", "late_copy", "no_records", "no_route", "stale_route", "no_endpoint",
 	"route_removed", "endpoint_gone", "endpoint_refused", "unknown_token", "ambiguous_token", "no_token", "forged",
+	"evacuated",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
 )
@@ -62,7 +63,7 @@
 func (e *Engine) centreFactor(now clock.Millis, list []*endpointState) float64 {
 	local, congested := 0, 0
 	for _, s := range list {
-		if s.Centre != e.settings.Centre || s.silence.avoided(now) {
+		if s.Centre != e.settings.Centre || s.silence.avoided(now) || !e.admits(now, s) {
 			continue
 		}
 		local++
@@ -86,7 +87,7 @@
 }
 
 // place returns the endpoint of a service with the lowest cost for a new flow, or nil if
-// the service has none. If tried isn't nil, the flow got no answer from that endpoint, and
+// the service has none that is admitted. If tried isn't nil, the flow got no answer from that endpoint, and
 // it is returned only if there is no other.
 func (e *Engine) place(now clock.Millis, service string, tried *endpointState) *endpointState {
 	list := e.directory.byService[service]
@@ -102,15 +103,18 @@
 	start := int(e.random.Uint64N(uint64(len(list))))
 	for i := range list {
 		s := list[(start+i)%len(list)]
-		if s == tried {
+		if s == tried || !e.admits(now, s) {
 			continue
 		}
 		if cost := e.cost(now, s, mean, centreFactor); cost < minCost {
 			best, minCost = s, cost
 		}
 	}
+	if best == nil && slices.Contains(list, tried) && e.admits(now, tried) {
+		best = tried
+	}
 	if best == nil {
-		best = list[0] // the only endpoint, which is tried
+		return nil
 	}
 	best.failures.nextProbationAt = now + probationInterval
 	return best
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
@@ -19,6 +20,7 @@
 type scriptCase struct {
 	Name       string       `yaml:"name"`
 	TickPeriod clock.Millis `yaml:"period"` // 0 if ticks need not come in time
+	Evacuate   bool         `yaml:"evacuate"`
 	Steps      []step       `yaml:"steps"`
 }
 
@@ -33,6 +35,7 @@
 	List           []string           `yaml:"list"`
 	Change         []string           `yaml:"change"` // an endpoint, "removed ID revision=N" or "unreadable ID revision=N"
 	Revision       uint64             `yaml:"revision"`
+	Orders         string             `yaml:"orders"`   // "REVISION [CENTRE=REVISION]... [partial]": all evacuation orders
 	Confirm        bool               `yaml:"confirm"`  // the store confirms all records now
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
 	Packet         string             `yaml:"packet"`
@@ -75,7 +78,7 @@
 		require.NotEmpty(t, cases)
 		for _, c := range cases {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml")+"/"+c.Name, func(t *testing.T) {
-				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1})
+				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1, Evacuations: c.Evacuate})
 				for i, s := range c.Steps {
 					runStep(t, e, fmt.Sprintf("step %d at %d", i+1, s.At), s)
 				}
@@ -142,6 +145,7 @@
 	})
 	add(s.List != nil, func() Event { return listEvent(t, *s) })
 	add(s.Change != nil, func() Event { return s.changes(t) })
+	add(s.Orders != "", func() Event { return EvacuationsRead{Orders: parseOrders(t, s.Orders)} })
 	add(s.Confirm || s.StoreRecovered, func() Event {
 		v := RecordsConfirmed{ConfigurationAt: now, EndpointsAt: now}
 		if s.StoreRecovered {
@@ -296,6 +300,26 @@
 	return p
 }
 
+func parseOrders(t *testing.T, text string) evacuation.Orders {
+	words := strings.Fields(text)
+	number := func(text string) uint64 {
+		n, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err, "orders %q", text)
+		return n
+	}
+	o := evacuation.Orders{Revision: number(words[0])}
+	for _, w := range words[1:] {
+		if w == "partial" {
+			o.Partial = true
+			continue
+		}
+		centre, revision, _ := strings.Cut(w, "=")
+		o.List = append(o.List, evacuation.Order{Centre: centre, Revision: number(revision)})
+	}
+	require.NoError(t, o.Check(), "orders %q", text)
+	return o
+}
+
 func parseFlow(t *testing.T, text string) FlowProgress {
 	words := append(strings.Fields(text), "")
 	v := FlowProgress{Destination: routeAddresses[words[2]]}
@@ -425,6 +449,14 @@
 		return "probe " + short(v.Endpoint)
 	case ConfigurationAccepted:
 		return fmt.Sprintf("configuration %d", v.Version)
+	case EvacuationOrdered:
+		text := fmt.Sprintf("ordered %s=%d", v.Centre, v.Revision)
+		if !v.Known {
+			text += " unknown"
+		}
+		return text
+	case EvacuationLifted:
+		return fmt.Sprintf("lifted %s at %d", v.Centre, v.Revision)
 	case EndpointStateChanged:
 		return short(v.Endpoint) + " " + v.State
 	case EndpointUnreadable:
