Evacuations with real daemons: orders and lifts, the store down, refusing or forgetting, starts, the watcher killed, odd entries

Lines evacuation ordered, lifted and unreadable, gauges and a counter; orders that have no room are partial, and the next change lists them again. Scripts cover an instance without the bound beside others, and that without the bound nobody reads the kind.

--- a/command/reports.go
+++ b/command/reports.go
@@ -54,9 +54,6 @@
 		return errors.WithStack(err)
 	}
 	for _, r := range list {
-		for _, v := range r.Evacuations {
-			fmt.Fprintf(i.Out, "%s: evacuation of %s is in force since revision %d\n", r.Centre, v.Centre, v.Revision)
-		}
 		for _, c := range r.Conditions {
 			fmt.Fprintf(i.Out, "%s: %s %s: %s; %s\n", r.Centre, c.Type, c.Subject, c.Reason, c.Action)
 		}
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -100,12 +100,12 @@
 	if !e.settings.Evacuations {
 		return nil
 	}
-	stale, before := e.recordsStale(now), e.evacuations.orders.List
+	stale, before := e.recordsStale(now), e.evacuations.orders
 	e.readAt = now
 	actions := e.applyEvacuations(v.Orders, e.readSince(now, v.RequestedAt))
 	e.recordAnswers()
 	actions = append(actions, e.updateWatching(now)...)
-	changed := !slices.Equal(before, e.evacuations.orders.List)
+	changed := before.Partial != e.evacuations.orders.Partial || !slices.Equal(before.List, e.evacuations.orders.List)
 	if e.watching && (changed || stale && !e.recordsStale(now)) {
 		actions = append(actions, e.sendHeartbeat(now)...)
 	}
@@ -118,11 +118,11 @@
 	orderOverhead = 12
 )
 
-// LimitEvacuations returns the orders of a list that have room in a heartbeat, and those that
-// don't. Data centres that are known come first, then the latest orders: any program may write
-// entries.
-func LimitEvacuations(list []evacuation.Order, revision uint64, centres []string) (kept evacuation.Orders, left []evacuation.Order) {
-	list = slices.Clone(list)
+// LimitEvacuations returns those of the orders that have room in a heartbeat, and the others,
+// which make the result partial. Data centres that are known come first, then the latest orders:
+// any program may write entries.
+func LimitEvacuations(all evacuation.Orders, centres []string) (kept evacuation.Orders, left []evacuation.Order) {
+	list := slices.Clone(all.List)
 	isOther := func(o evacuation.Order) int {
 		if slices.Contains(centres, o.Centre) {
 			return 0
@@ -132,7 +132,7 @@
 	slices.SortFunc(list, func(a, b evacuation.Order) int {
 		return cmp.Or(isOther(a)-isOther(b), cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Centre, b.Centre))
 	})
-	kept.Revision = revision
+	kept.Revision = all.Revision
 	size := 0
 	for _, o := range list {
 		size += len(o.Centre) + orderOverhead
@@ -142,19 +142,11 @@
 		}
 		kept.List = append(kept.List, o)
 	}
+	kept.Partial = all.Partial || len(left) > 0
 	slices.SortFunc(kept.List, func(a, b evacuation.Order) int { return cmp.Compare(a.Centre, b.Centre) })
 	return kept, left
 }
 
-// EvacuationsFull reports whether a further order may have no room, so that orders may be missing.
-func EvacuationsFull(list []evacuation.Order) bool {
-	size := evacuation.MaxNameBytes + orderOverhead
-	for _, o := range list {
-		size += len(o.Centre) + orderOverhead
-	}
-	return len(list) >= evacuation.MaxOrders || size > maxOrdersSize
-}
-
 // ReportedEvacuation is an order in the report of a data centre.
 type ReportedEvacuation struct {
 	Centre   string `json:"centre"`
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -159,12 +159,12 @@
 		list = append(list, evacuation.Order{Centre: fmt.Sprintf("%03d", i) + strings.Repeat("x", 20*i%120), Revision: 1<<40 + uint64(i)})
 	}
 	list = append(list, evacuation.Order{Centre: "north", Revision: 1}, evacuation.Order{Centre: strings.Repeat("s", evacuation.MaxNameBytes), Revision: 2})
-	orders, left := LimitEvacuations(list, 1<<41, []string{"north", strings.Repeat("s", evacuation.MaxNameBytes)})
+	orders, left := LimitEvacuations(evacuation.Orders{Revision: 1 << 41, List: list}, []string{"north", strings.Repeat("s", evacuation.MaxNameBytes)})
 	require.True(t, orders.InForce("north"))
 	require.True(t, orders.InForce(strings.Repeat("s", evacuation.MaxNameBytes)))
 	require.Len(t, left, len(list)-len(orders.List))
 	require.NoError(t, orders.Check())
-	require.True(t, EvacuationsFull(orders.List))
+	require.True(t, orders.Partial)
 	longest := Member{Name: strings.Repeat("n", maxNameBytes), Centre: strings.Repeat("c", maxNameBytes), Address: netip.MustParseAddrPort("255.255.255.255:65535"), StartedAt: 1 << 41}
 	state := RecordState{
 		ConfigurationRevision: 1 << 40, ConfirmedRevision: 1 << 40, ChangeRevision: 1 << 40, EndpointsRevision: 1 << 40,
@@ -175,9 +175,9 @@
 		_, err := Encode(longest, m)
 		require.NoError(t, err)
 	}
-	few, left := LimitEvacuations(list[:2], 1<<41, nil)
+	few, left := LimitEvacuations(evacuation.Orders{Revision: 1 << 41, List: list[:2]}, nil)
 	require.Empty(t, left)
-	require.False(t, EvacuationsFull(few.List))
+	require.False(t, few.Partial)
 }
 
 func TestReportListsOrders(t *testing.T) {
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -100,9 +100,6 @@
 	bound, evacuations := s.RecordBound(), s.EvacuationBound > 0
 	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, StaleAfter: fleet.StaleAge(bound), TickPeriod: tickPeriod, Seed: rand.Uint64(), Evacuations: evacuations})
 	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, RecordBound: bound, Evacuations: evacuations}, clock.Now())
-	if evacuations {
-		d.metrics.registerEvacuations(d)
-	}
 	return d, nil
 }
 
@@ -266,6 +263,10 @@
 			d.log.info("configuration accepted", "version", v.Version, "revision", v.Revision, "routes", v.Routes, "removed", v.RemovedRoutes)
 		case steering.EndpointsLoaded:
 			d.log.info("endpoints listed", "count", v.Count, "revision", v.Revision)
+		case steering.EvacuationOrdered:
+			d.logOrder(v)
+		case steering.EvacuationLifted:
+			d.logLift(v)
 		case steering.EndpointUnreadable:
 			d.metrics.unreadableEntries.Inc(1)
 			d.log.infoLimited("endpoint unreadable", "endpoint", v.Endpoint, "revision", v.Revision, "why", v.Cause)
--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -36,8 +36,9 @@
 
 // deploymentCase is a case of testdata/deployment.yaml. Each step is a verb and its words.
 type deploymentCase struct {
-	Name  string   `yaml:"name"`
-	Steps []string `yaml:"steps"`
+	Name   string   `yaml:"name"`
+	Orders bool     `yaml:"orders"` // the settings have a bound of evacuations
+	Steps  []string `yaml:"steps"`
 }
 
 // verbs are the functions of the steps, by the first word of a step. The comments show its
@@ -75,6 +76,16 @@
 	"watchers":         (*deployment).waitWatchers,       // COUNT: waits until so many instances watch the store
 	"reported":         (*deployment).waitReport,         // CENTRE: waits until the store has the report of a data centre
 	"listed":           (*deployment).waitUsable,         // ID: waits until all instances may place new flows at an endpoint
+	"plain":            (*deployment).startPlain,         // NAME CENTRE: starts an instance whose settings have no bound of evacuations
+	"kill_watcher":     (*deployment).killWatcher,        // ends the instance that watches the store at once
+	"evacuate":         (*deployment).evacuate,           // CENTRE...: an operator orders evacuations
+	"lift":             (*deployment).lift,               // CENTRE...: an operator lifts them
+	"avoids":           (*deployment).waitAvoided,        // CENTRE...: waits until all instances avoid the data centres
+	"uses":             (*deployment).waitUsed,           // CENTRE...: waits until no instance avoids the data centres
+	"flows":            (*deployment).expectFlows,        // ID COUNT: an endpoint has got so many flows that are open
+	"counted":          (*deployment).waitCounted,        // NAME: waits until an instance has counted it
+	"logged":           (*deployment).waitLogged,         // COUNT WORD...: waits until the logs of so many running instances have a line with the words
+	"uncalled":         (*deployment).expectUncalled,     // KIND: nobody has read the objects of a kind
 	"avoided":          (*deployment).waitUnused,         // ID: waits until no instance may place new flows at an endpoint
 }
 
@@ -86,6 +97,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := newDeployment(t, byte(i+1))
+			s.orders = c.Orders
 			for _, step := range c.Steps {
 				words := strings.Fields(step)
 				verb, known := verbs[words[0]]
@@ -108,6 +120,7 @@
 	routers  *standin.FlowRouters
 	caller   *standin.FlowConsumer
 
+	orders           bool // the settings of instances have a bound of evacuations
 	lastHost         byte // last byte of the address assigned last
 	publishedVersion int64
 	routes           map[string][]string
@@ -240,10 +253,17 @@
 func (s *deployment) startAt(name, centre string, at netip.Addr) {
 	port := func(p uint16) netip.AddrPort { return netip.AddrPortFrom(at, p) }
 	log := &logBuffer{}
-	d, err := Open(Options{Log: log, Settings: platform.Settings{
+	settings := platform.Settings{
 		Instance: name, Centre: centre, PacketAddress: port(standin.PacketPort), ReadyAddress: port(standin.ReadyPort),
 		InternalPorts: []uint16{7720, 7735}, StoreURL: s.storeURL, GracePeriod: 6000, DrainBound: 3000, ApplyBound: 3000,
-	}})
+	}
+	if s.orders {
+		settings.EvacuationBound, settings.Centres = 3000, []string{"here", "there", "north", "south"}
+		for _, r := range s.daemons {
+			settings.Seeds = append(settings.Seeds, r.daemon.settings.Load().PacketAddress)
+		}
+	}
+	d, err := Open(Options{Log: log, Settings: settings})
 	require.NoError(s.t, err)
 	pause := &readPause{Counter: d.metrics.malformed, over: make(chan struct{}, 1)}
 	d.metrics.malformed = pause
@@ -408,13 +428,15 @@
 	}
 }
 
-func (s *deployment) waitUnreadable(words []string) {
+func (s *deployment) waitUnreadable(words []string) { s.waitLogged(append(words, " unreadable")) }
+
+func (s *deployment) waitLogged(words []string) {
 	want := s.number(words)
 	s.eventually(func() bool {
 		n := 0
 		for _, r := range s.daemons {
 			found := slices.ContainsFunc(strings.Split(r.log.String(), "\n"), func(line string) bool {
-				return strings.Contains(line, " unreadable") && !slices.ContainsFunc(words[1:], func(w string) bool { return !strings.Contains(line, w) })
+				return !slices.ContainsFunc(words[1:], func(w string) bool { return !strings.Contains(line, w) })
 			})
 			if found && !r.stopped {
 				n++
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -40,11 +40,11 @@
 	if err != nil {
 		return err
 	}
-	all := make([]evacuation.Order, len(r.Changes))
-	for i, c := range r.Changes {
-		all[i] = c.Order
+	all := evacuation.Orders{Revision: r.Revision}
+	for _, c := range r.Changes {
+		all.List = append(all.List, c.Order)
 	}
-	orders, left := fleet.LimitEvacuations(all, r.Revision, d.settings.Load().Centres)
+	orders, left := fleet.LimitEvacuations(all, d.settings.Load().Centres)
 	d.reportEvacuationFaults(r.Unreadable, left)
 	d.applyStoreRead(func(clock.Millis) ([]steering.Action, fleet.Event) {
 		return nil, fleet.EvacuationsRead{Orders: orders, RequestedAt: r.Time}
@@ -52,22 +52,23 @@
 	return nil
 }
 
-// watchEvacuations applies changes of the orders. It returns errListAgain if some entries have
-// no room among the orders, or no readable name: only a list shows which of them are left.
+// watchEvacuations applies changes of the orders. If some entries have no room among the orders,
+// or no readable name, only a list shows which of them are in force; if that fails, the result is
+// errListAgain.
 func (d *Daemon) watchEvacuations(ctx context.Context, since uint64, wait clock.Millis) error {
 	r, err := d.store.Load().WatchEvacuations(ctx, since, wait)
 	if err != nil {
 		return err
 	}
-	listAgain := len(r.Unreadable) > 0
+	orders, _ := fleet.LimitEvacuations(d.evacuationOrders().Apply(r.Changes, r.Revision), d.settings.Load().Centres)
+	unclear := len(r.Unreadable) > 0 || orders.Partial && len(r.Changes) > 0
+	if unclear && d.listEvacuations(ctx) == nil {
+		return nil
+	}
 	d.applyStoreRead(func(clock.Millis) ([]steering.Action, fleet.Event) {
-		before := d.fleet.Evacuations()
-		after := before.Apply(r.Changes, r.Revision)
-		orders, _ := fleet.LimitEvacuations(after.List, after.Revision, d.settings.Load().Centres)
-		listAgain = listAgain || len(r.Changes) > 0 && (fleet.EvacuationsFull(before.List) || fleet.EvacuationsFull(after.List))
 		return nil, fleet.EvacuationsRead{Orders: orders, RequestedAt: r.Time}
 	})
-	if listAgain {
+	if unclear {
 		return errListAgain
 	}
 	return nil
@@ -92,25 +93,35 @@
 // maxEvacuationFaults limits the conditions for entries of evacuations.
 const maxEvacuationFaults = 8
 
-// reportEvacuationFaults logs entries that a list showed and that can't be followed, and keeps
-// them for the report.
+// reportEvacuationFaults logs entries that a list showed and that can't be followed. It keeps
+// those without a readable name for the report.
 func (d *Daemon) reportEvacuationFaults(unreadable []error, left []evacuation.Order) {
 	var list []steering.Condition
 	for _, err := range unreadable {
-		list = append(list, evacuationFault("", err.Error()))
+		d.logUnreadableEvacuation("", err.Error())
+		list = append(list, steering.Condition{
+			Type: steering.ConditionUnreadable, Subject: "evacuations", Reason: err.Error(), Action: "the entry has no effect",
+		})
 	}
 	for _, o := range left {
-		list = append(list, evacuationFault(o.Centre, "there are too many entries"))
-	}
-	for _, c := range list {
-		d.metrics.unreadableEntries.Inc(1)
-		d.log.infoLimited("evacuation unreadable", "entry", c.Subject, "why", c.Reason)
+		d.logUnreadableEvacuation(o.Centre, "there is no room for all orders")
 	}
 	d.locked(func() { d.evacuationFaults = list[:min(len(list), maxEvacuationFaults)] })
 }
 
-func evacuationFault(name, cause string) steering.Condition {
-	return steering.Condition{Type: steering.ConditionUnreadable, Subject: "evacuation/" + name, Reason: cause, Action: "it is ignored; other entries are followed"}
+func (d *Daemon) logUnreadableEvacuation(centre, cause string) {
+	d.metrics.unreadableEntries.Inc(1)
+	d.log.infoLimited("evacuation unreadable", "centre", centre, "why", cause)
+}
+
+// logOrder logs and counts an order that is in force now.
+func (d *Daemon) logOrder(v steering.EvacuationOrdered) {
+	d.metrics.evacuationsOrdered.Inc(1)
+	d.log.info("evacuation ordered", "centre", v.Centre, "revision", v.Revision, "age_ms", int64(d.evacuationAge()), "known", v.Known)
+}
+
+func (d *Daemon) logLift(v steering.EvacuationLifted) {
+	d.log.info("evacuation lifted", "centre", v.Centre, "revision", v.Revision, "age_ms", int64(d.evacuationAge()))
 }
 
 // conditions returns the conditions for the report. d.mu must be held.
@@ -118,13 +129,16 @@
 	return append(d.engine.Conditions(now), d.evacuationFaults...)
 }
 
-// registerEvacuations adds the gauges of the orders.
+// evacuationGauges are the gauges of the orders.
+var evacuationGauges = map[string]func(*Daemon) int64{
+	"evacuations.in_force":         func(d *Daemon) int64 { return int64(len(d.evacuationOrders().List)) },
+	"records.evacuations_revision": func(d *Daemon) int64 { return int64(d.evacuationOrders().Revision) },
+	"records.evacuations_age_ms":   func(d *Daemon) int64 { return int64(d.evacuationAge()) },
+}
+
 func (m *daemonMetrics) registerEvacuations(d *Daemon) {
-	for name, value := range map[string]func() int64{
-		"evacuations.in_force":         func() int64 { return int64(len(d.evacuationOrders().List)) },
-		"records.evacuations_revision": func() int64 { return int64(d.evacuationOrders().Revision) },
-		"records.evacuations_age_ms":   func() int64 { return int64(d.evacuationAge()) },
-	} {
-		metrics.NewRegisteredFunctionalGauge(name, m.registry, value)
+	m.evacuationsOrdered = m.counter("evacuations.ordered")
+	for name, value := range evacuationGauges {
+		metrics.NewRegisteredFunctionalGauge(name, m.registry, func() int64 { return value(d) })
 	}
 }
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -45,6 +45,7 @@
 	flowsContradicted    map[string]metrics.Counter // flows reset although their endpoint turned out to work, by cause
 	silentEndpoints      metrics.Counter
 	ejectedEndpoints     metrics.Counter
+	evacuationsOrdered   metrics.Counter // orders that came into force
 	placedInOtherCentre  metrics.Counter // flows placed at an endpoint of another data centre
 	configurationVersion metrics.Gauge
 
@@ -85,6 +86,7 @@
 	m.silentEndpoints = m.counter("endpoints.silent")
 	m.configurationVersion = metrics.NewRegisteredGauge("configuration.version", m.registry)
 	m.placedInOtherCentre = m.counter("flows.placed_away")
+	m.registerEvacuations(d)
 	for name, value := range recordGauges {
 		metrics.NewRegisteredFunctionalGauge("records."+name, m.registry, func() int64 { return value(d) })
 	}
