Services of the configuration: changes that remove all of them, and unreadable or unknown ones

A change sent to another instance left out an empty list of services, so the earlier ones stayed; it says so now (Delta.NoServices). A configuration whose services aren't known, from an older version or because their list can't be decoded, keeps the earlier ones; a readable service isn't replaced by the earlier one of its name. Scripts play them; changes go through the encoding in all scripts now.

--- a/steering/configuration.go
+++ b/steering/configuration.go
@@ -67,7 +67,8 @@
 	Set         []RouteEntry `cbor:"set,omitempty"`   // new and changed routes
 	Unset       []AddrPort   `cbor:"unset,omitempty"` // removed routes
 	// All services, if one of them changed or there was no earlier configuration; nil otherwise.
-	Services map[string]Service `cbor:"services,omitempty"`
+	Services   map[string]Service `cbor:"services,omitempty"`
+	NoServices bool               `cbor:"bare,omitempty"` // the newer configuration has no services, unlike the earlier one
 }
 
 // RouteEntry is a route and the address that consumers send to.
@@ -85,6 +86,7 @@
 	}
 	if earlier == nil || !maps.Equal(earlier.Services, c.Services) {
 		d.Services = c.Services
+		d.NoServices = earlier != nil && c.Services != nil && len(c.Services) == 0
 	}
 	for at, r := range c.Routes {
 		if was, found := old[at]; !found || !r.equal(&was) {
@@ -102,7 +104,10 @@
 // Apply returns a copy of c with the changes of d.
 func (c *Configuration) Apply(d *Delta) *Configuration {
 	n := &Configuration{Version: d.Version, Revision: d.Revision, IdleTimeout: d.IdleTimeout, Routes: maps.Clone(c.Routes), Services: c.Services}
-	if d.Services != nil {
+	switch {
+	case d.NoServices:
+		n.Services = map[string]Service{}
+	case d.Services != nil:
 		n.Services = d.Services
 	}
 	for _, at := range d.Unset {
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
@@ -50,20 +51,23 @@
 	Unread         clock.Millis       `yaml:"unread"` // how long packets may have waited unread at the tick
 	Tick           bool               `yaml:"tick"`
 
-	Want        string   `yaml:"want"`       // "VERDICT REASON [ID]" for the packet, or a prefix of it
-	WantNot     string   `yaml:"not"`        // endpoint that the packet must not be forwarded to
-	WantControl string   `yaml:"control"`    // control endpoint of the probe that the step requests, or "none"
-	WantActions []string `yaml:"tells"`      // actions in any order, as describeAction writes them; nil for any
-	Conditions  []string `yaml:"conditions"` // "TYPE SUBJECT" of each condition; nil for any
+	Want        string         `yaml:"want"`       // "VERDICT REASON [ID]" for the packet, or a prefix of it
+	WantNot     string         `yaml:"not"`        // endpoint that the packet must not be forwarded to
+	WantControl string         `yaml:"control"`    // control endpoint of the probe that the step requests, or "none"
+	WantActions []string       `yaml:"tells"`      // actions in any order, as describeAction writes them; nil for any
+	Services    map[string]int `yaml:"services"`   // MaxFlows by service of the configuration in force; nil for any
+	Conditions  []string       `yaml:"conditions"` // "TYPE SUBJECT" of each condition; nil for any
 }
 
 type configurationStep struct {
 	Version    int64                     `yaml:"version"`
 	Revision   uint64                    `yaml:"revision"`
-	Routes     map[string]map[string]int `yaml:"routes"` // weights by service, by route
-	Idempotent []string                  `yaml:"safe"`   // routes with idempotent requests
-	From       uint64                    `yaml:"from"`   // if set, sent as changes since this revision
-	Faults     []string                  `yaml:"faults"` // names of unreadable routes, "all" for the whole configuration
+	Routes     map[string]map[string]int `yaml:"routes"`   // weights by service, by route
+	Idempotent []string                  `yaml:"safe"`     // routes with idempotent requests
+	Services   map[string]int            `yaml:"services"` // MaxFlows by service; nil if the services aren't known
+	From       uint64                    `yaml:"from"`     // if set, sent as changes since this revision
+	// Names of unreadable routes, "service NAME", or "all" for the whole configuration.
+	Faults []string `yaml:"faults"`
 }
 
 var routeAddresses = map[string]AddrPort{"desk": {1, 443}, "other": {1, 80}, "third": {2, 443}, "": {1, 443}}
@@ -116,6 +120,13 @@
 		s.steerAnswers(t, e, name, now)
 		collect(e.TakeActions())
 	}
+	if s.Services != nil {
+		services := map[string]int{}
+		for name, v := range e.Configuration().Services {
+			services[name] = v.MaxFlows
+		}
+		require.Equal(t, s.Services, services, name)
+	}
 	if s.Conditions != nil {
 		conditions := []string{}
 		for _, c := range e.Conditions(now) {
@@ -232,19 +243,36 @@
 		}
 		n.Routes[at] = r
 	}
+	if c.Services != nil {
+		n.Services = map[string]Service{}
+	}
+	for name, limit := range c.Services {
+		n.Services[name] = Service{MaxFlows: limit}
+	}
 	if c.From == 0 {
 		read := ConfigurationRead{Configuration: n}
 		for _, name := range c.Faults {
 			if name == "all" {
 				return ConfigurationRead{Faults: []ConfigurationFault{{Revision: c.Revision, Cause: "odd"}}}
 			}
-			read.Faults = append(read.Faults, ConfigurationFault{Revision: c.Revision, Route: name, Cause: "odd"})
+			f := ConfigurationFault{Revision: c.Revision, Cause: "odd"}
+			if service, found := strings.CutPrefix(name, "service "); found {
+				f.Service = service
+			} else {
+				f.Route = name
+			}
+			read.Faults = append(read.Faults, f)
 		}
 		return read
 	}
 	d := n.DeltaFrom(e.Configuration())
 	d.From = c.From
-	return ConfigurationRevised{Delta: d}
+	data, err := cbor.Marshal(d)
+	require.NoError(t, err)
+	var received Delta
+	require.NoError(t, cbor.Unmarshal(data, &received))
+	require.NoError(t, received.Check())
+	return ConfigurationRevised{Delta: received}
 }
 
 func listEvent(t *testing.T, s step) Event {
@@ -462,7 +490,7 @@
 	case EndpointUnreadable:
 		return strings.TrimSpace("unreadable " + short(v.Endpoint))
 	case ConfigurationUnreadable:
-		return strings.TrimSpace("configuration unreadable " + v.Route)
+		return strings.TrimSpace("configuration unreadable " + v.Route + v.Service)
 	case EndpointSilent:
 		return short(v.Endpoint) + " silent"
 	case ReportFault:
--- a/steering/unreadable.go
+++ b/steering/unreadable.go
@@ -1,6 +1,9 @@
 package steering
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // maxUnreadable is the number of unreadable entries of endpoints that are remembered for
 // status reports.
@@ -79,15 +82,21 @@
 }
 
 // keepReadable adds the present routes and services of the names that are unreadable in a newer
-// configuration. Leaving routes out would reset their open flows.
+// configuration, and all services if it has none that are known. Leaving routes out would reset
+// their open flows.
 func (e *Engine) keepReadable(v ConfigurationRead) {
+	c := v.Configuration
+	if c.Services == nil {
+		c.Services = maps.Clone(e.configuration.Services)
+	}
 	for _, f := range v.Faults {
-		if s, found := e.configuration.Services[f.Service]; found && v.Configuration.Services != nil {
-			v.Configuration.Services[f.Service] = s
+		s, known := e.configuration.Services[f.Service]
+		if _, taken := c.Services[f.Service]; known && !taken {
+			c.Services[f.Service] = s
 		}
 		for at, r := range e.configuration.Routes {
-			if _, taken := v.Configuration.Routes[at]; f.Route != "" && r.Name == f.Route && !taken {
-				v.Configuration.Routes[at] = r
+			if _, taken := c.Routes[at]; f.Route != "" && r.Name == f.Route && !taken {
+				c.Routes[at] = r
 			}
 		}
 	}
