--- a/command/check.go
+++ b/command/check.go
@@ -22,7 +22,7 @@
 Checks files without writing anything to the platform: files of records, settings of
 an entry instance (YAML without a field kind), the platform's settings of a forwarder
 (TOML), the deployment file (system.toml), and a saved list of the metadata store's
-endpoints or configuration (JSON). Errors name file, field and value, and the line if it
+endpoints or configuration (JSON) or evacuation orders (evacuations.json). Errors name file, field and value, and the line if it
 is known. Of a list, they name each object that forwarders leave out, with the limit that
 it exceeds; the limits are those of docs/OPERATIONS.md.`,
 	run: func(_ context.Context, i *invocation) error {
@@ -44,6 +44,10 @@
 // build and run.
 const deploymentFile = "system.toml"
 
+// evacuationFile is the name of a saved list of evacuation orders. The objects of a list don't say
+// of which kind they are.
+const evacuationFile = "evacuations.json"
+
 // kindPattern matches the field kind, which every record has and settings do not have.
 var kindPattern = regexp.MustCompile(`(?m)^\s*["{]*\s*"?kind"?\s*:`)
 
@@ -53,8 +57,10 @@
 	case filepath.Base(file) == deploymentFile:
 		d, err := platform.ReadDeployment(file)
 		return fmt.Sprintf("%d roles", len(d.Roles)), err
+	case filepath.Base(file) == evacuationFile:
+		return checkListing(file, platform.CheckEvacuations)
 	case filepath.Ext(file) == ".json":
-		return checkListing(file)
+		return checkListing(file, platform.CheckListing)
 	case filepath.Ext(file) == ".toml":
 		s, err := platform.ReadSettings(file)
 		return "platform settings of instance " + s.Instance, err
@@ -77,13 +83,13 @@
 // errUnreadable reports a list of the metadata store with objects that can't be decoded.
 var errUnreadable = errors.New("objects are unreadable")
 
-// checkListing checks a saved list of endpoints or of the configuration.
-func checkListing(file string) (string, error) {
+// checkListing checks a saved list of objects of the metadata store.
+func checkListing(file string, check func(data []byte) (count int, unreadable []error, err error)) (string, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return "", errors.WithStack(err)
 	}
-	count, unreadable, err := platform.CheckListing(data)
+	count, unreadable, err := check(data)
 	if err != nil {
 		return "", errors.Wrapf(err, "%s", file)
 	}
