--- a/steering/evacuation.go
+++ b/steering/evacuation.go
@@ -102,7 +102,7 @@
 	if e.evacuations.Partial {
 		list = append(list, Condition{
 			Type: ConditionEvacuated, Subject: "evacuations",
-			Reason: fmt.Sprintf("more than %d orders", evacuation.MaxOrders), Action: "the further ones have no effect",
+			Reason: "there are more orders than have room in a message", Action: "some have no effect",
 		})
 	}
 	return list
