--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -140,7 +140,10 @@
 
 func TestInvalidOrdersAreRejected(t *testing.T) {
 	for _, s := range []EvacuationState{
-		{}, {Orders: ordersAt(1 << 63)}, {Orders: ordersAt(3), Age: -1}, {Orders: ordersAt(3), Age: maxRecordAge + 1},
+		{},
+		{Orders: ordersAt(1 << 63)},
+		{Orders: ordersAt(3), Age: -1},
+		{Orders: ordersAt(3), Age: maxRecordAge + 1},
 		{Orders: evacuation.Orders{Revision: 3, List: []evacuation.Order{{Centre: ""}}}},
 	} {
 		for _, m := range []Message{Heartbeat{Evacuations: &s}, RelayedHeartbeat{Watcher: testMemberAt(1, 0), Evacuations: &s}} {
