--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -211,3 +211,23 @@
 	require.Equal(t, lists+1, s.store.Counts()["GET evacuations"])
 	require.Len(t, d.conditions(clock.Now()), 2, "the order and the entry")
 }
+
+// The records of another instance bring the orders with them.
+func TestRecordsOfMemberBringOrders(t *testing.T) {
+	s := newDeployment(t, 80)
+	s.orders = true
+	s.route([]string{"desk", "desk"})
+	s.publish(nil)
+	s.endpoint([]string{"a1", "desk", "north"})
+	s.evacuate([]string{"north"})
+	s.start([]string{"f1", "here"})
+	s.waitRotation([]string{"1"})
+	s.setStoreFault([]string{"busy"})
+	s.start([]string{"f2", "there"}) // it gets no heartbeats
+	d := s.daemons["f2"].daemon
+	require.False(t, d.isReady())
+	require.NoError(t, d.fetchFromPeer(t.Context(), newPeerClient(), s.daemons["f1"].daemon.self))
+	s.waitAvoided([]string{"north"})
+	require.True(t, d.isReady())
+	require.Positive(t, d.evacuationAge())
+}
