--- a/steering/placement.go
+++ b/steering/placement.go
@@ -87,8 +87,8 @@
 }
 
 // place returns the endpoint of a service with the lowest cost for a new flow, or nil if
-// the service has none that is admitted. If tried isn't nil, the flow got no answer from that endpoint, and
-// it is returned only if there is no other.
+// the service has none that is admitted. If tried isn't nil, the flow got no answer from that
+// endpoint, and it is returned only if there is no other.
 func (e *Engine) place(now clock.Millis, service string, tried *endpointState) *endpointState {
 	list := e.directory.byService[service]
 	if len(list) == 0 {
