--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -16,11 +16,17 @@
 // errListAgain reports changes of evacuation orders that don't show all that is in force.
 var errListAgain = errors.New("orders have to be listed again")
 
+// ordersPatience is how long a watch of the orders waits while the store is unavailable. In a large
+// data centre all members try to reach the store then, and a call of each for the orders as well
+// would tell them nothing more than the probes do.
+const ordersPatience = 10 * clock.Second
+
 // evacuationSource reads operators' orders to evacuate data centres.
 func (d *Daemon) evacuationSource() recordSource {
 	listFrom := uint64(0) // orders of another instance replace a list if they are later than this revision
 	return recordSource{
 		name:          "evacuations",
+		patience:      ordersPatience,
 		knownRevision: func(fleet.RecordState) uint64 { return d.evacuationOrders().Revision },
 		age:           func(fleet.RecordState) clock.Millis { return d.evacuationAge() },
 		fromPeer:      func() bool { return d.evacuationOrders().Revision > listFrom },
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -231,3 +231,27 @@
 	require.True(t, d.isReady())
 	require.Positive(t, d.evacuationAge())
 }
+
+// While the store is down, the orders cost it no further calls, and they are read as soon as it is back.
+func TestOrdersWaitWhileTheStoreIsDown(t *testing.T) {
+	s := newDeployment(t, 79)
+	s.orders = true
+	s.route([]string{"desk", "desk"})
+	s.publish(nil)
+	s.endpoint([]string{"a1", "desk", "north"})
+	s.start([]string{"f1", "here"})
+	s.waitRotation([]string{"1"})
+	s.eventually(func() bool { return s.store.Counts()["WATCH evacuations"] > 0 })
+	s.setStoreFault([]string{"busy"})
+	s.eventually(func() bool { return s.store.Counts()["WATCH servers"] > 2 })
+	before := s.store.Counts()
+	time.Sleep((4 * clock.Second).Duration())
+	after := s.store.Counts()
+	require.LessOrEqual(t, after["WATCH evacuations"], before["WATCH evacuations"]+1, "one may have been on its way")
+	require.GreaterOrEqual(t, after["WATCH servers"], before["WATCH servers"]+2)
+	start := clock.Now()
+	s.setStoreFault([]string{"fine"})
+	s.evacuate([]string{"north"})
+	s.waitAvoided([]string{"north"})
+	require.Less(t, clock.Now()-start, ordersPatience/2)
+}
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -32,7 +32,8 @@
 	probes        bool                           // its calls find out when the store is available again; the other ones wait for that
 	knownRevision func(fleet.RecordState) uint64 // revision up to which this instance's records are known
 	age           func(fleet.RecordState) clock.Millis
-	fromPeer      func() bool // another instance has brought the records, so they need not be listed
+	patience      clock.Millis // how long it waits for a probe; 0 for as long as the longest pause between two attempts
+	fromPeer      func() bool  // another instance has brought the records, so they need not be listed
 	list          func(context.Context) error
 	watch         func(ctx context.Context, since uint64, wait clock.Millis) error
 }
@@ -217,7 +218,10 @@
 // watchSource makes one call that watches a kind of records. In doubt whether the store answers,
 // one kind asks for an answer at once, and the other ones wait for that.
 func (d *Daemon) watchSource(ctx context.Context, s recordSource) error {
-	if !s.probes {
+	switch {
+	case s.patience > 0:
+		d.storeHealth.waitConfirmed(ctx, s.patience)
+	case !s.probes:
 		d.waitStoreConfirmed(ctx)
 	}
 	state := d.recordState()
