Fleet: a new watcher sends its first heartbeats directly to all members

Cause: in a large data centre, a member whose relay has ended asks the watcher for its heartbeats only if it knows the watcher. When the watcher and the relay of a member were killed together, it never heard of the next watcher, and watched as well until the dead relay was forgotten after 10 minutes. A member that started behind a dead relay did the same.

Change: heartbeats of the first period of watching go directly to all members. Later ones also go directly to members that are seen to watch as well.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -23,16 +23,19 @@
 	maxMissedPeriods = 8
 )
 
-// sendHeartbeat sends a heartbeat to all members, in a large data centre through relays.
+// sendHeartbeat sends a heartbeat to all members, in a large data centre through relays. As a new
+// watcher it sends the first ones directly, since a member whose relay has ended misses only the
+// heartbeats of a watcher that it knows.
 func (e *Engine) sendHeartbeat(now clock.Millis) []Action {
 	heartbeat := Heartbeat{State: e.RecordState(now)}
-	if len(e.peers.list) <= maxDirect {
+	if len(e.peers.list) <= maxDirect || now-e.watchingSince < e.heartbeatPeriod() {
 		return e.broadcast(heartbeat)
 	}
 	order := e.peers.orderAfter(e.settings.Self.Name)
 	var direct []netip.AddrPort
 	for _, p := range order[relayCount:] {
-		if now < p.directUntil {
+		// A member that watches as well may have started after its relay had ended.
+		if now < p.directUntil || e.isActiveWatcher(now, p) {
 			direct = append(direct, p.Address)
 		}
 	}
