TestProbeInDoubtIsAnsweredAtOnce: shut the watch before the change

The test was wrong, not the product: it shut the watch and changed the configuration at once. The cancelled watch was sometimes still open at the store, was answered by the change, and the pause of 400 ms after an answer followed. An instance that takes over with stale records is in no such pause.

--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -729,6 +729,10 @@
 	s, d := newReadyDeployment(t, 88)
 	s.eventually(func() bool { return s.store.Counts()["WATCH servers"] > 0 })
 	d.watchGate.Set(false)
+	// An instance that takes over isn't in the pause after an answer, and has no watch that the
+	// change could answer. Records that were just read make the wait of a probe the longest.
+	time.Sleep((watchPause + 100*clock.Millisecond).Duration())
+	require.NoError(t, d.fetchFromStore(t.Context(), fleet.FetchRecords{Configuration: true, Endpoints: true}))
 	s.publish(nil)
 	before := s.store.Counts()
 	d.storeHealth.doubt()
