--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -8,9 +8,11 @@
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
@@ -19,6 +21,7 @@
 type scriptCase struct {
 	Name       string       `yaml:"name"`
 	TickPeriod clock.Millis `yaml:"period"` // 0 if ticks need not come in time
+	Evacuate   bool         `yaml:"evacuate"`
 	Steps      []step       `yaml:"steps"`
 }
 
@@ -33,6 +36,7 @@
 	List           []string           `yaml:"list"`
 	Change         []string           `yaml:"change"` // an endpoint, "removed ID revision=N" or "unreadable ID revision=N"
 	Revision       uint64             `yaml:"revision"`
+	Orders         string             `yaml:"orders"`   // "REVISION [CENTRE=REVISION]... [partial]": all evacuation orders
 	Confirm        bool               `yaml:"confirm"`  // the store confirms all records now
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
 	Packet         string             `yaml:"packet"`
@@ -47,20 +51,23 @@
 	Unread         clock.Millis       `yaml:"unread"` // how long packets may have waited unread at the tick
 	Tick           bool               `yaml:"tick"`
 
-	Want        string   `yaml:"want"`       // "VERDICT REASON [ID]" for the packet, or a prefix of it
-	WantNot     string   `yaml:"not"`        // endpoint that the packet must not be forwarded to
-	WantControl string   `yaml:"control"`    // control endpoint of the probe that the step requests, or "none"
-	WantActions []string `yaml:"tells"`      // actions in any order, as describeAction writes them; nil for any
-	Conditions  []string `yaml:"conditions"` // "TYPE SUBJECT" of each condition; nil for any
+	Want        string         `yaml:"want"`       // "VERDICT REASON [ID]" for the packet, or a prefix of it
+	WantNot     string         `yaml:"not"`        // endpoint that the packet must not be forwarded to
+	WantControl string         `yaml:"control"`    // control endpoint of the probe that the step requests, or "none"
+	WantActions []string       `yaml:"tells"`      // actions in any order, as describeAction writes them; nil for any
+	Services    map[string]int `yaml:"services"`   // MaxFlows by service of the configuration in force; nil for any
+	Conditions  []string       `yaml:"conditions"` // "TYPE SUBJECT" of each condition; nil for any
 }
 
 type configurationStep struct {
 	Version    int64                     `yaml:"version"`
 	Revision   uint64                    `yaml:"revision"`
-	Routes     map[string]map[string]int `yaml:"routes"` // weights by service, by route
-	Idempotent []string                  `yaml:"safe"`   // routes with idempotent requests
-	From       uint64                    `yaml:"from"`   // if set, sent as changes since this revision
-	Faults     []string                  `yaml:"faults"` // names of unreadable routes, "all" for the whole configuration
+	Routes     map[string]map[string]int `yaml:"routes"`   // weights by service, by route
+	Idempotent []string                  `yaml:"safe"`     // routes with idempotent requests
+	Services   map[string]int            `yaml:"services"` // MaxFlows by service; nil if the services aren't known
+	From       uint64                    `yaml:"from"`     // if set, sent as changes since this revision
+	// Names of unreadable routes, "service NAME", or "all" for the whole configuration.
+	Faults []string `yaml:"faults"`
 }
 
 var routeAddresses = map[string]AddrPort{"desk": {1, 443}, "other": {1, 80}, "third": {2, 443}, "": {1, 443}}
@@ -75,7 +82,7 @@
 		require.NotEmpty(t, cases)
 		for _, c := range cases {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml")+"/"+c.Name, func(t *testing.T) {
-				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1})
+				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1, Evacuations: c.Evacuate})
 				for i, s := range c.Steps {
 					runStep(t, e, fmt.Sprintf("step %d at %d", i+1, s.At), s)
 				}
@@ -113,6 +120,13 @@
 		s.steerAnswers(t, e, name, now)
 		collect(e.TakeActions())
 	}
+	if s.Services != nil {
+		services := map[string]int{}
+		for name, v := range e.Configuration().Services {
+			services[name] = v.MaxFlows
+		}
+		require.Equal(t, s.Services, services, name)
+	}
 	if s.Conditions != nil {
 		conditions := []string{}
 		for _, c := range e.Conditions(now) {
@@ -142,6 +156,7 @@
 	})
 	add(s.List != nil, func() Event { return listEvent(t, *s) })
 	add(s.Change != nil, func() Event { return s.changes(t) })
+	add(s.Orders != "", func() Event { return EvacuationsRead{Orders: parseOrders(t, s.Orders)} })
 	add(s.Confirm || s.StoreRecovered, func() Event {
 		v := RecordsConfirmed{ConfigurationAt: now, EndpointsAt: now}
 		if s.StoreRecovered {
@@ -228,19 +243,36 @@
 		}
 		n.Routes[at] = r
 	}
+	if c.Services != nil {
+		n.Services = map[string]Service{}
+	}
+	for name, limit := range c.Services {
+		n.Services[name] = Service{MaxFlows: limit}
+	}
 	if c.From == 0 {
 		read := ConfigurationRead{Configuration: n}
 		for _, name := range c.Faults {
 			if name == "all" {
 				return ConfigurationRead{Faults: []ConfigurationFault{{Revision: c.Revision, Cause: "odd"}}}
 			}
-			read.Faults = append(read.Faults, ConfigurationFault{Revision: c.Revision, Route: name, Cause: "odd"})
+			f := ConfigurationFault{Revision: c.Revision, Cause: "odd"}
+			if service, found := strings.CutPrefix(name, "service "); found {
+				f.Service = service
+			} else {
+				f.Route = name
+			}
+			read.Faults = append(read.Faults, f)
 		}
 		return read
 	}
 	d := n.DeltaFrom(e.Configuration())
 	d.From = c.From
-	return ConfigurationRevised{Delta: d}
+	data, err := cbor.Marshal(d)
+	require.NoError(t, err)
+	var received Delta
+	require.NoError(t, cbor.Unmarshal(data, &received))
+	require.NoError(t, received.Check())
+	return ConfigurationRevised{Delta: received}
 }
 
 func listEvent(t *testing.T, s step) Event {
@@ -296,6 +328,26 @@
 	return p
 }
 
+func parseOrders(t *testing.T, text string) evacuation.Orders {
+	words := strings.Fields(text)
+	number := func(text string) uint64 {
+		n, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err, "orders %q", text)
+		return n
+	}
+	o := evacuation.Orders{Revision: number(words[0])}
+	for _, w := range words[1:] {
+		if w == "partial" {
+			o.Partial = true
+			continue
+		}
+		centre, revision, _ := strings.Cut(w, "=")
+		o.List = append(o.List, evacuation.Order{Centre: centre, Revision: number(revision)})
+	}
+	require.NoError(t, o.Check(), "orders %q", text)
+	return o
+}
+
 func parseFlow(t *testing.T, text string) FlowProgress {
 	words := append(strings.Fields(text), "")
 	v := FlowProgress{Destination: routeAddresses[words[2]]}
@@ -425,12 +477,20 @@
 		return "probe " + short(v.Endpoint)
 	case ConfigurationAccepted:
 		return fmt.Sprintf("configuration %d", v.Version)
+	case EvacuationOrdered:
+		text := fmt.Sprintf("ordered %s=%d", v.Centre, v.Revision)
+		if !v.Known {
+			text += " unknown"
+		}
+		return text
+	case EvacuationLifted:
+		return fmt.Sprintf("lifted %s at %d", v.Centre, v.Revision)
 	case EndpointStateChanged:
 		return short(v.Endpoint) + " " + v.State
 	case EndpointUnreadable:
 		return strings.TrimSpace("unreadable " + short(v.Endpoint))
 	case ConfigurationUnreadable:
-		return strings.TrimSpace("configuration unreadable " + v.Route)
+		return strings.TrimSpace("configuration unreadable " + v.Route + v.Service)
 	case EndpointSilent:
 		return short(v.Endpoint) + " silent"
 	case ReportFault:
