--- a/steering/doc.go
+++ b/steering/doc.go
@@ -30,6 +30,7 @@
 //	outlier.go        detection of endpoints that fail requests
 //	query.go          queries to other instances about unanswered requests
 //	ejection.go       ejection of failing endpoints, and probation
+//	warmup.go         limit of the new flows of cold endpoints
 //	contradiction.go  resets that turned out wrong
 //	evidence.go       what was known of an endpoint when its flows were reset
 //	tally.go          counts of answers, exchanged between instances
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -127,6 +127,7 @@
 	silence  silence
 	failures failures
 	resets   resetSeries
+	warmup   endpointWarmup
 	observed observed
 }
 
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -13,13 +13,15 @@
 
 // Settings are the settings of an engine.
 type Settings struct {
-	Centre string // name of the data centre
+	Centre   string // name of the data centre
+	Instance string // name of this instance
 	// Age of the last confirmation from which on the store counts as unreachable.
 	StaleAfter clock.Millis
 	TickPeriod clock.Millis // time between two Ticked events; 0 if they need not come in time
 	Seed       uint64       // of random choices
 	// Operators may order evacuations. The engine is ready only when it knows the orders.
 	Evacuations bool
+	Warmup      *WarmupBounds // nil if the new flows of cold endpoints aren't limited
 }
 
 // Engine makes the decisions of one instance. It is not safe for concurrent use.
@@ -32,6 +34,7 @@
 	configurationConfirmedAt clock.Millis      // when the store last confirmed the configuration
 	removedRoutes            map[AddrPort]bool // routes of earlier configurations that aren't in the present one
 	evacuations              evacuation.Orders
+	warmups                  warmups
 	directory                directory
 	flows                    flows
 	baselines                map[AddrPort]*baseline
@@ -73,6 +76,7 @@
 		flows:         newFlows(),
 		baselines:     map[AddrPort]*baseline{},
 		latencies:     map[string]*serviceLatency{},
+		warmups:       warmups{coldCentres: map[string]bool{}},
 	}
 }
 
@@ -161,8 +165,10 @@
 		return e.handleFault(now, v)
 	case EvacuationsRead:
 		if v.Orders.Revision > e.evacuations.Revision {
-			e.evacuations = v.Orders
+			e.applyEvacuations(now, v)
 		}
+	case MembersKnown:
+		e.applyMembers(now, v)
 	case EndpointsPageRead:
 		e.applyPage(now, v)
 	case EndpointsListed:
@@ -344,12 +350,14 @@
 	}
 	sameProcess := old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address
 	unchanged := sameProcess && old.entryState == listed && old.Draining == p.Draining
+	wasCold := old != nil && e.cold(now, old)
 	if !e.directory.put(now, p) {
 		return actions
 	}
 	if old != nil && !sameProcess {
 		e.flows.detachAll(old)
 	}
+	e.updateWarmup(now, e.directory.byID[p.ID], old != nil, wasCold)
 	e.directory.unreadable.remove(p.ID)
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
@@ -408,6 +416,7 @@
 	e.reprobe(now)
 	actions = append(actions, e.TakeActions()...)
 	actions = e.reportContradictions(actions)
+	actions = e.reportWarmups(now, actions)
 	if e.sendTallies {
 		e.sendTallies = false
 		actions = append(actions, SendTallies{})
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -67,7 +67,7 @@
 		return Decision{Verdict: Drop, Reason: ReasonNoRecords, Service: service}
 	}
 	if s == nil {
-		return p.reject(ReasonNoEndpoint, service)
+		return p.reject(e.noEndpointReason(now, service), service)
 	}
 	if w := e.flows.add(k); w != nil {
 		w.service = service
@@ -77,7 +77,7 @@
 		e.recent[e.recentIndex] = recentOpening{k, now}
 		e.recentIndex = (e.recentIndex + 1) % recentOpenings
 	}
-	return e.forwardTo(ReasonPlaced, s, service)
+	return e.forwardTo(now, ReasonPlaced, s, service)
 }
 
 // placeElsewhere places a flow at another service of its route, when the chosen service
@@ -100,7 +100,10 @@
 func (e *Engine) steerOpeningCopy(now clock.Millis, p *Packet, w *flow, route *Route) Decision {
 	w.lastPacketAt = now
 	if p.Ack <= w.openingCopies && w.endpoint.entryState == listed && route.allows(w.endpoint.Service) {
-		return Decision{Verdict: Forward, Reason: ReasonRepeated, Endpoint: w.endpoint.target(), Service: w.service}
+		if !e.admitCopy(now, w.endpoint) {
+			return Decision{Verdict: Drop, Reason: ReasonWarmingUp, Service: w.service}
+		}
+		return Decision{Verdict: Forward, Reason: ReasonRepeated, Endpoint: w.endpoint.target(), Service: w.service, Cold: e.cold(now, w.endpoint)}
 	}
 	w.openingCopies, w.waitHandled = p.Ack, false
 	e.handleMiss(now, w.endpoint, w.openedAt)
@@ -110,7 +113,7 @@
 	}
 	s := e.place(now, service, w.endpoint)
 	if s == nil {
-		return Decision{Verdict: Drop, Reason: ReasonNoEndpoint, Service: service} // w.endpoint may still answer
+		return Decision{Verdict: Drop, Reason: e.noEndpointReason(now, service), Service: service} // w.endpoint may still answer
 	}
 	reason := ReasonMoved
 	if s == w.endpoint {
@@ -118,12 +121,15 @@
 	}
 	w.service = service
 	w.attach(s)
-	return e.forwardTo(reason, s, service)
+	return e.forwardTo(now, reason, s, service)
 }
 
 // forwardTo returns the decision to forward an opening packet to an endpoint.
-func (e *Engine) forwardTo(reason Reason, s *endpointState, service string) Decision {
-	return Decision{Verdict: Forward, Reason: reason, Endpoint: s.target(), Service: service, OtherCentre: s.Centre != e.settings.Centre}
+func (e *Engine) forwardTo(now clock.Millis, reason Reason, s *endpointState, service string) Decision {
+	return Decision{
+		Verdict: Forward, Reason: reason, Endpoint: s.target(), Service: service,
+		OtherCentre: s.Centre != e.settings.Centre, Cold: e.cold(now, s),
+	}
 }
 
 // hash is the same at all instances, so that they choose the same service for copies of an
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -114,12 +114,14 @@
 	ReasonAmbiguous                     // several endpoints have the token
 	ReasonNoToken                       // not an opening packet, but without a token
 	ReasonForged                        // flags that only endpoints send
+	ReasonWarmingUp                     // the endpoints that may be used are cold, and have as many new flows as they bear
 	reasonCount                         // number of reasons
 )
 
 var reasonNames = [reasonCount]string{
 	"token", "placed", "repeated", "moved", "late_copy", "no_records", "no_route", "stale_route", "no_endpoint",
 	"route_removed", "endpoint_gone", "endpoint_refused", "unknown_token", "ambiguous_token", "no_token", "forged",
+	"warming_up",
 }
 
 // String returns the reason's name in logs and metrics.
@@ -142,6 +144,7 @@
 	Endpoint         Target // set if the verdict is Forward
 	Service          string // service of the endpoint or, without one, of the route
 	OtherCentre      bool   // the flow was placed in another data centre
+	Cold             bool   // the opening packet goes to a cold endpoint whose new flows are limited
 	// The records that the decision is based on, for the log.
 	ConfigurationVersion int64        // version of the configuration
 	EndpointsAge         clock.Millis // time since the store confirmed the endpoints
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -1,8 +1,6 @@
 package steering
 
 import (
-	"math"
-
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -66,7 +64,7 @@
 			continue
 		}
 		local++
-		if s.congested(now) {
+		if s.congested(now) || e.cold(now, s) {
 			congested++
 		}
 	}
@@ -86,7 +84,7 @@
 }
 
 // place returns the endpoint of a service with the lowest cost for a new flow, or nil if
-// the service has none. If tried isn't nil, the flow got no answer from that endpoint, and
+// the service has none that may be used. If tried isn't nil, the flow got no answer from that endpoint, and
 // it is returned only if there is no other.
 func (e *Engine) place(now clock.Millis, service string, tried *endpointState) *endpointState {
 	list := e.directory.byService[service]
@@ -95,8 +93,7 @@
 	}
 	mean := meanLatency(list)
 	centreFactor := e.centreFactor(now, list)
-	var best *endpointState
-	minCost := math.Inf(1)
+	c := newChoice()
 	// Random start, so that instances that see equal costs don't all choose the same
 	// endpoint.
 	start := int(e.random.Uint64N(uint64(len(list))))
@@ -105,13 +102,16 @@
 		if s == tried {
 			continue
 		}
-		if cost := e.cost(now, s, mean, centreFactor); cost < minCost {
-			best, minCost = s, cost
-		}
+		c.offer(now, e, s, e.cost(now, s, mean, centreFactor))
 	}
+	best := c.best()
 	if best == nil {
-		best = list[0] // the only endpoint, which is tried
+		best = e.onlyTried(now, list, tried)
+	}
+	if best == nil {
+		return nil
 	}
+	e.recordChosen(now, best)
 	best.failures.nextProbationAt = now + probationInterval
 	return best
 }
--- a/steering/silence.go
+++ b/steering/silence.go
@@ -388,6 +388,9 @@
 func (e *Engine) handleReprobe(now clock.Millis, s *endpointState, result ProbeResult) {
 	switch result {
 	case ProbeAnswered:
+		if s.silence.refused {
+			e.assumeCold(now, s, s.Revision) // another process answers, whose entry may be on its way
+		}
 		s.silence = silence{probedAt: s.silence.probedAt, probeAnsweredAt: now}
 		e.pendingActions = append(e.pendingActions, s.stateChanged())
 	case ProbeRefused:
--- /dev/null
+++ b/steering/warmup.go
@@ -0,0 +1,270 @@
+package steering
+
+import (
+	"math"
+	"slices"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/warmup"
+)
+
+// WarmupBounds limit the new flows of cold endpoints, over all instances.
+type WarmupBounds struct {
+	Excess, Slack float64      // see warmup.Limit
+	ReportPeriod  clock.Millis // time between two reports of an endpoint to the store
+}
+
+// MembersKnown carries the names of the instances of the data centre, with that of this one. One
+// of them owns each cold endpoint. An instance that doesn't know them yet owns none.
+type MembersKnown struct{ Names []string }
+
+func (MembersKnown) event() {}
+
+// CentreWarmup makes the daemon log that most endpoints of a data centre have become cold, or that
+// all of them are warm again.
+type CentreWarmup struct {
+	Centre    string
+	Cold      bool
+	Endpoints int // number of its cold endpoints
+	Owned     int // number of those that this instance owns
+}
+
+func (CentreWarmup) action() {}
+
+// warmups is what the engine knows for the warm-up of endpoints.
+type warmups struct {
+	members     []string
+	knownAt     clock.Millis    // when the members became known; 0 if they aren't
+	coldCentres map[string]bool // data centres that were reported as cold
+}
+
+// endpointWarmup is the warm-up of an endpoint.
+type endpointWarmup struct {
+	// Until when it counts as cold because an entry that says so may be on its way, unless its
+	// entry changed after a revision.
+	assumedUntil    clock.Millis
+	assumedRevision uint64
+	owned           bool // this instance is the owner
+	window          warmup.Window
+}
+
+// reportsAwaited is the number of report periods for which an endpoint counts as cold if it may
+// have started again: its report may have just missed one, and the next one takes time to get here.
+const reportsAwaited = 2
+
+// cold reports whether the new flows of an endpoint are limited, because it is warming up.
+func (e *Engine) cold(now clock.Millis, s *endpointState) bool {
+	if e.settings.Warmup == nil || now >= max(s.warmedUpAt, s.warmup.assumedUntil) || e.configuration == nil {
+		return false
+	}
+	return e.configuration.Services[s.Service].Warmup > 0
+}
+
+// admitsCold reports whether this instance may send an opening packet to a cold endpoint.
+func (e *Engine) admitsCold(now clock.Millis, s *endpointState) bool {
+	if !s.warmup.owned {
+		return false
+	}
+	b := e.settings.Warmup
+	limit := warmup.Limit(e.configuration.Services[s.Service].WarmupRate, b.Excess, b.Slack)
+	return s.warmup.window.Admits(now, warmup.Share(limit))
+}
+
+// admitCopy reports whether a copy of an opening packet may go to the endpoint that got an earlier
+// one, and counts it if the endpoint is cold: it takes each as a new flow.
+func (e *Engine) admitCopy(now clock.Millis, s *endpointState) bool {
+	if !e.cold(now, s) {
+		return true
+	}
+	if !e.admitsCold(now, s) {
+		return false
+	}
+	s.warmup.window.Add(now)
+	return true
+}
+
+// hasRoom reports whether a warm endpoint can take a new flow, as far as this instance sees.
+// Cold endpoints are spared while it can.
+func (e *Engine) hasRoom(now clock.Millis, s *endpointState) bool {
+	return !s.silence.avoided(now) && !s.failures.excluded(now) && !s.congested(now)
+}
+
+// choice is the choice of an endpoint for a new flow: the one with the lowest cost among the
+// warm ones and among the cold ones that may be used.
+type choice struct {
+	warm, cold         *endpointState
+	warmCost, coldCost float64
+	room               bool // a warm one has room
+}
+
+func newChoice() choice { return choice{warmCost: math.Inf(1), coldCost: math.Inf(1)} }
+
+// offer adds an endpoint to the choice.
+func (c *choice) offer(now clock.Millis, e *Engine, s *endpointState, cost float64) {
+	if e.cold(now, s) {
+		if cost < c.coldCost && !s.silence.avoided(now) && !s.failures.excluded(now) && e.admitsCold(now, s) {
+			c.cold, c.coldCost = s, cost
+		}
+		return
+	}
+	if cost < c.warmCost {
+		c.warm, c.warmCost = s, cost
+	}
+	c.room = c.room || e.settings.Warmup != nil && e.hasRoom(now, s)
+}
+
+// best returns the endpoint for the flow, or nil.
+func (c *choice) best() *endpointState {
+	if c.cold != nil && !c.room {
+		return c.cold
+	}
+	return c.warm
+}
+
+// onlyTried returns the endpoint that a flow got no answer from, if it may be used again.
+func (e *Engine) onlyTried(now clock.Millis, list []*endpointState, tried *endpointState) *endpointState {
+	if tried == nil || !slices.Contains(list, tried) || e.cold(now, tried) && !e.admitsCold(now, tried) {
+		return nil
+	}
+	return tried
+}
+
+// recordChosen counts a new flow at an endpoint if it is cold.
+func (e *Engine) recordChosen(now clock.Millis, s *endpointState) {
+	if e.cold(now, s) {
+		s.warmup.window.Add(now)
+	}
+}
+
+// noEndpointReason returns why a service has no endpoint for a new flow.
+func (e *Engine) noEndpointReason(now clock.Millis, service string) Reason {
+	for _, s := range e.directory.byService[service] {
+		if e.cold(now, s) {
+			return ReasonWarmingUp
+		}
+	}
+	return ReasonNoEndpoint
+}
+
+// assumeCold makes an endpoint count as cold until its entry changes after a revision, or until it
+// would have.
+func (e *Engine) assumeCold(now clock.Millis, s *endpointState, revision uint64) {
+	if e.settings.Warmup == nil || s.Revision > revision {
+		return
+	}
+	if !e.cold(now, s) {
+		s.warmup.window = warmup.Unknown(now)
+	}
+	s.warmup.assumedUntil, s.warmup.assumedRevision = now+reportsAwaited*e.settings.Warmup.ReportPeriod, revision
+}
+
+// updateWarmup updates the warm-up of an endpoint after its entry changed. Flows that were placed
+// while it was known and seemed warm may arrive when it is cold.
+func (e *Engine) updateWarmup(now clock.Millis, s *endpointState, wasKnown, wasCold bool) {
+	if e.settings.Warmup == nil {
+		return
+	}
+	if s.Revision > s.warmup.assumedRevision {
+		s.warmup.assumedUntil = 0
+	}
+	if !wasCold && (wasKnown || now-e.warmups.knownAt <= warmup.Span) {
+		s.warmup.window = warmup.Unknown(now)
+	}
+	s.warmup.owned = e.owns(s)
+}
+
+// owns reports whether this instance is the owner of an endpoint while that is cold.
+func (e *Engine) owns(s *endpointState) bool {
+	return s.Centre == e.settings.Centre && e.warmups.knownAt != 0 && warmup.Owner(e.warmups.members, s.ID) == e.settings.Instance
+}
+
+func (e *Engine) applyMembers(now clock.Millis, v MembersKnown) {
+	if e.settings.Warmup == nil {
+		return
+	}
+	first := e.warmups.knownAt == 0
+	if first {
+		e.warmups.knownAt = now
+	}
+	e.warmups.members = v.Names
+	for _, s := range e.directory.byID {
+		s.warmup.owned = e.owns(s)
+		if first {
+			s.warmup.window = warmup.Unknown(now)
+		}
+	}
+}
+
+// assumeCentreCold makes the endpoints of a data centre count as cold when its evacuation was
+// lifted at a revision. They may have started again during it.
+func (e *Engine) assumeCentreCold(now clock.Millis, centre string, revision uint64) {
+	for _, s := range e.directory.byID {
+		if s.Centre == centre {
+			e.assumeCold(now, s, revision)
+		}
+	}
+}
+
+// applyEvacuations takes newer evacuation orders.
+func (e *Engine) applyEvacuations(now clock.Millis, v EvacuationsRead) {
+	before := e.evacuations
+	e.evacuations = v.Orders
+	for _, o := range before.List {
+		if !e.evacuations.InForce(o.Centre) {
+			e.assumeCentreCold(now, o.Centre, v.Orders.Revision)
+		}
+	}
+}
+
+// OwnedCold returns the number of cold endpoints that this instance owns.
+func (e *Engine) OwnedCold(now clock.Millis) int {
+	_, owned := e.coldByCentre(now)
+	return owned[e.settings.Centre]
+}
+
+// reportWarmups reports the data centres whose endpoints have become cold or warm together.
+func (e *Engine) reportWarmups(now clock.Millis, actions []Action) []Action {
+	cold, owned := e.coldByCentre(now)
+	for centre := range e.warmups.coldCentres {
+		if cold[centre] == 0 {
+			delete(e.warmups.coldCentres, centre)
+			actions = append(actions, CentreWarmup{Centre: centre})
+		}
+	}
+	for centre, n := range cold {
+		if e.warmups.coldCentres[centre] || 2*n < e.listedIn(centre) {
+			continue
+		}
+		e.warmups.coldCentres[centre] = true
+		actions = append(actions, CentreWarmup{Centre: centre, Cold: true, Endpoints: n, Owned: owned[centre]})
+	}
+	return actions
+}
+
+// coldByCentre returns the numbers of cold endpoints, and of those that this instance owns.
+func (e *Engine) coldByCentre(now clock.Millis) (cold, owned map[string]int) {
+	for _, s := range e.directory.byID {
+		if s.entryState != listed || !e.cold(now, s) {
+			continue
+		}
+		if cold == nil {
+			cold, owned = map[string]int{}, map[string]int{}
+		}
+		cold[s.Centre]++
+		if s.warmup.owned {
+			owned[s.Centre]++
+		}
+	}
+	return cold, owned
+}
+
+// listedIn returns the number of endpoints of a data centre whose entries are in the store.
+func (e *Engine) listedIn(centre string) int {
+	n := 0
+	for _, s := range e.directory.byID {
+		if s.entryState == listed && s.Centre == centre {
+			n++
+		}
+	}
+	return n
+}
