Fleet and forwarder: steering is told the members of its data centre, behind the bounds for cold endpoints

Metrics flows.placed_cold, endpoints.cold_owned, lines for data centres that become cold or warm. Scripted tests of the members that start together, join and are cut off pass.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -33,5 +33,6 @@
 //	start.go         who reads the store when all members start at once
 //	registration.go  when a member writes its object to the store
 //	broadcast.go     endpoint changes, tallies and probes of silent members
+//	owners.go        the members among which steering divides cold endpoints
 //	report.go        the report to operators
 package fleet
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -11,6 +11,8 @@
 type Settings struct {
 	Self        Member
 	RecordBound clock.Millis // time within which every instance has to apply a change of records
+	// Steering is told the members of the data centre.
+	NotifyMembers bool
 }
 
 const (
@@ -46,6 +48,7 @@
 	peers    peerList
 
 	startedAt                clock.Millis
+	listedAt                 clock.Millis // when the members were first listed; 0 before
 	tickedAt                 clock.Millis // last Ticked event; 0 before the first
 	stalledAt                clock.Millis // last Ticked event before the latest stall
 	stalledUntil             clock.Millis // end of stallRecovery
@@ -67,7 +70,7 @@
 
 // NewEngine returns an engine that knows no other members and has no records.
 func NewEngine(s Settings, now clock.Millis) *Engine {
-	return &Engine{settings: s, startedAt: now, readAt: now, probedAt: now}
+	return &Engine{settings: s, peers: peerList{changed: true}, startedAt: now, readAt: now, probedAt: now}
 }
 
 // Watching reports whether this member watches the store.
@@ -134,7 +137,7 @@
 		e.handleSuspended(now, v.Duration)
 	case Ticked:
 		e.tickedAt = now
-		return e.handleTick(now)
+		return append(e.handleTick(now), e.notifyMembers(now)...)
 	}
 	return nil
 }
@@ -197,6 +200,9 @@
 }
 
 func (e *Engine) handleMembersListed(now clock.Millis, v MembersListed) []Action {
+	if e.listedAt == 0 {
+		e.listedAt = now
+	}
 	var added []netip.AddrPort
 	for _, m := range v.Members {
 		if !e.isPeer(&m) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -76,8 +76,9 @@
 	nextReadAt   clock.Millis // when its next watch call ends without a change
 	retryPause   clock.Millis // after its last call, if that failed
 	inbox        []MessageReceived
-	bytesSent    int // in this step
-	served       int // fetches by other members in this step
+	bytesSent    int      // in this step
+	served       int      // fetches by other members in this step
+	known        []string // members that steering was told
 }
 
 // simulation runs members on a simulated clock.
@@ -126,7 +127,7 @@
 func (sm *simulation) start(n *testMember) {
 	n.live, n.stalled = true, false
 	n.StartedAt = sm.now
-	n.engine = NewEngine(Settings{Self: n.Member, RecordBound: sm.bound}, sm.now)
+	n.engine, n.known = NewEngine(Settings{Self: n.Member, RecordBound: sm.bound, NotifyMembers: true}, sm.now), nil
 	n.nextReadAt = sm.now
 	sm.readStore(n)
 }
@@ -189,7 +190,11 @@
 			if sm.readStore(n); n.storeDenied {
 				sm.fetchFrom(n, v.Peer, 0)
 			}
-		case SetWatching, NotifySteering, RemoveMember:
+		case NotifySteering:
+			if known, ok := v.Event.(steering.MembersKnown); ok {
+				n.known = known.Names
+			}
+		case SetWatching, RemoveMember:
 		}
 	}
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -64,7 +64,8 @@
 
 // peerList has the other members of the data centre, sorted by rank.
 type peerList struct {
-	list []*peer
+	list    []*peer
+	changed bool // since steering was told the members
 }
 
 func (s *peerList) find(name string) *peer {
@@ -91,7 +92,7 @@
 	}
 	p := &peer{Member: m, rank: rank(m.Name)}
 	at, _ := slices.BinarySearchFunc(s.list, p, compareRank)
-	s.list = slices.Insert(s.list, at, p)
+	s.list, s.changed = slices.Insert(s.list, at, p), true
 	return p, true
 }
 
@@ -104,7 +105,7 @@
 }
 
 func (s *peerList) remove(name string) {
-	s.list = slices.DeleteFunc(s.list, func(p *peer) bool { return p.Name == name })
+	s.list, s.changed = slices.DeleteFunc(s.list, func(p *peer) bool { return p.Name == name }), true
 }
 
 func compareRank(a, b *peer) int {
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -96,8 +96,14 @@
 	s := &o.Settings
 	d.self = fleet.Member{Name: s.Instance, Centre: s.Centre, Address: d.peerAddress(), StartedAt: clock.Now()}
 	bound := s.RecordBound()
-	d.engine = steering.NewEngine(steering.Settings{Centre: s.Centre, StaleAfter: fleet.StaleAge(bound), TickPeriod: tickPeriod, Seed: rand.Uint64()})
-	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, RecordBound: bound}, clock.Now())
+	d.engine = steering.NewEngine(steering.Settings{
+		Centre: s.Centre, Instance: s.Instance, StaleAfter: fleet.StaleAge(bound), TickPeriod: tickPeriod, Seed: rand.Uint64(),
+		Warmup: warmupBounds(s),
+	})
+	d.fleet = fleet.NewEngine(fleet.Settings{Self: d.self, RecordBound: bound, NotifyMembers: s.WarmupLimited && d.peerConn != nil}, clock.Now())
+	if s.WarmupLimited {
+		d.metrics.registerWarmup(d)
+	}
 	return d, nil
 }
 
@@ -269,6 +275,8 @@
 		case steering.EndpointSilent:
 			d.metrics.silentEndpoints.Inc(1)
 			d.log.info("endpoint silent", "endpoint", v.Endpoint, "service", v.Service, "missed", v.UnansweredFlows, "rest_ms", int64(v.Backoff))
+		case steering.CentreWarmup:
+			d.logCentreWarmup(v)
 		case steering.ReportFault:
 			d.handleFleet(fleet.EndpointFaultFound{Fault: v.EndpointFault})
 		case steering.QueryFlows:
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -46,6 +46,7 @@
 	silentEndpoints      metrics.Counter
 	ejectedEndpoints     metrics.Counter
 	placedInOtherCentre  metrics.Counter // flows placed at an endpoint of another data centre
+	placedCold           metrics.Counter // opening packets sent to cold endpoints; nil if they aren't limited
 	configurationVersion metrics.Gauge
 
 	mu        sync.Mutex
@@ -118,6 +119,9 @@
 	if v.OtherCentre {
 		m.placedInOtherCentre.Inc(1)
 	}
+	if v.Cold {
+		m.placedCold.Inc(1)
+	}
 }
 
 // countWait counts how long a packet waited.
