--- a/steering/packet.go
+++ b/steering/packet.go
@@ -114,6 +114,7 @@
 	ReasonAmbiguous                     // several endpoints have the token
 	ReasonNoToken                       // not an opening packet, but without a token
 	ReasonForged                        // flags that only endpoints send
+	ReasonEvacuated                     // all endpoints that can take the flow are in evacuated data centres
 	ReasonWarmingUp                     // the endpoints that may be used are cold, and have as many new flows as they bear
 	reasonCount                         // number of reasons
 )
@@ -121,7 +122,7 @@
 var reasonNames = [reasonCount]string{
 	"token", "placed", "repeated", "moved", "late_copy", "no_records", "no_route", "stale_route", "no_endpoint",
 	"route_removed", "endpoint_gone", "endpoint_refused", "unknown_token", "ambiguous_token", "no_token", "forged",
-	"warming_up",
+	"evacuated", "warming_up",
 }
 
 // String returns the reason's name in logs and metrics.
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -60,7 +60,7 @@
 func (e *Engine) centreFactor(now clock.Millis, list []*endpointState) float64 {
 	local, congested := 0, 0
 	for _, s := range list {
-		if s.Centre != e.settings.Centre || s.silence.avoided(now) {
+		if s.Centre != e.settings.Centre || s.silence.avoided(now) || !e.admits(now, s) {
 			continue
 		}
 		local++
@@ -84,8 +84,8 @@
 }
 
 // place returns the endpoint of a service with the lowest cost for a new flow, or nil if
-// the service has none that may be used. If tried isn't nil, the flow got no answer from that endpoint, and
-// it is returned only if there is no other.
+// the service has none that is admitted, or only cold ones that may not be used now. If tried isn't
+// nil, the flow got no answer from that endpoint, and it is returned only if there is no other.
 func (e *Engine) place(now clock.Millis, service string, tried *endpointState) *endpointState {
 	list := e.directory.byService[service]
 	if len(list) == 0 {
@@ -99,7 +99,7 @@
 	start := int(e.random.Uint64N(uint64(len(list))))
 	for i := range list {
 		s := list[(start+i)%len(list)]
-		if s == tried {
+		if s == tried || !e.admits(now, s) {
 			continue
 		}
 		c.offer(now, e, s, e.cost(now, s, mean, centreFactor))
--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -123,7 +123,7 @@
 
 // onlyTried returns the endpoint that a flow got no answer from, if it may be used again.
 func (e *Engine) onlyTried(now clock.Millis, list []*endpointState, tried *endpointState) *endpointState {
-	if tried == nil || !slices.Contains(list, tried) || e.cold(now, tried) && !e.admitsCold(now, tried) {
+	if tried == nil || !slices.Contains(list, tried) || !e.admits(now, tried) || e.cold(now, tried) && !e.admitsCold(now, tried) {
 		return nil
 	}
 	return tried
@@ -136,16 +136,6 @@
 	}
 }
 
-// noEndpointReason returns why a service has no endpoint for a new flow.
-func (e *Engine) noEndpointReason(now clock.Millis, service string) Reason {
-	for _, s := range e.directory.byService[service] {
-		if e.cold(now, s) {
-			return ReasonWarmingUp
-		}
-	}
-	return ReasonNoEndpoint
-}
-
 // assumeCold makes an endpoint count as cold until its entry changes after a revision, or until it
 // would have.
 func (e *Engine) assumeCold(now clock.Millis, s *endpointState, revision uint64) {
@@ -205,17 +195,6 @@
 	}
 }
 
-// applyEvacuations takes newer evacuation orders.
-func (e *Engine) applyEvacuations(now clock.Millis, v EvacuationsRead) {
-	before := e.evacuations
-	e.evacuations = v.Orders
-	for _, o := range before.List {
-		if !e.evacuations.InForce(o.Centre) {
-			e.assumeCentreCold(now, o.Centre, v.Orders.Revision)
-		}
-	}
-}
-
 // OwnedCold returns the number of cold endpoints that this instance owns.
 func (e *Engine) OwnedCold(now clock.Millis) int {
 	_, owned := e.coldByCentre(now)
