Scripted loads of a data centre that comes back cold, through several instances

The load simulation has instances of several data centres that know different members, end, start again, freeze, or hear late. Windows count flows at warm endpoints too, so a late entry costs no second of a cold endpoint.

--- a/steering/engine.go
+++ b/steering/engine.go
@@ -360,14 +360,13 @@
 	}
 	sameProcess := old != nil && old.Incarnation == p.Incarnation && old.Address == p.Address
 	unchanged := sameProcess && old.entryState == listed && old.Draining == p.Draining
-	wasCold := old != nil && e.cold(now, old)
 	if !e.directory.put(now, p) {
 		return actions
 	}
 	if old != nil && !sameProcess {
 		e.flows.detachAll(old)
 	}
-	e.updateWarmup(now, e.directory.byID[p.ID], old != nil, wasCold)
+	e.updateWarmup(now, e.directory.byID[p.ID], old != nil)
 	e.directory.unreadable.remove(p.ID)
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
--- a/steering/evacuation.go
+++ b/steering/evacuation.go
@@ -22,7 +22,7 @@
 
 // refusalReason returns why a new flow of a route can be placed at none of its services.
 func (e *Engine) refusalReason(now clock.Millis, route *Route, service string) Reason {
-	reason, admitted := ReasonNoEndpoint, false
+	admitted, evacuated := false, false
 	for _, share := range route.Shares {
 		if share.Service != service && share.Weight <= 0 {
 			continue
@@ -30,17 +30,18 @@
 		for _, s := range e.directory.byService[share.Service] {
 			switch {
 			case e.evacuated(s):
-				if reason == ReasonNoEndpoint && !admitted {
-					reason = ReasonEvacuated
-				}
+				evacuated = true
 			case e.cold(now, s):
 				return ReasonWarmingUp
 			default:
-				reason, admitted = ReasonNoEndpoint, true
+				admitted = true
 			}
 		}
 	}
-	return reason
+	if evacuated && !admitted {
+		return ReasonEvacuated
+	}
+	return ReasonNoEndpoint
 }
 
 // hasOrders reports whether flows may be placed as far as the evacuation orders go.
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -35,6 +35,10 @@
 	WantResets          *int         `yaml:"resets"`  // exact number of flows that the instance resets; nil for any
 	MaxOtherCentreShare float64      `yaml:"foreign"` // maximum share of requests served in another data centre
 	MinServed           []int        `yaml:"served"`  // minimum number of requests served per endpoint; nil for any
+
+	Instances  []*loadInstance `yaml:"instances"` // one in data centre "here" by default
+	ColdLimit  int             `yaml:"limit"`     // of the openings that reach a cold endpoint within any second; 0 if the part is off
+	MaxColdUse int             `yaml:"idle"`      // maximum number of openings that reach cold endpoints; 0 for any
 }
 
 // loadEndpoint is an endpoint and its fault.
@@ -52,6 +56,10 @@
 	QueueLimit      int          `yaml:"room"` // pending requests beyond which requests are rejected; 0 for no limit
 	SlowFactor      float64      `yaml:"slow"` // factor of the processing time
 
+	ColdFrom   clock.Millis   `yaml:"cold"`  // when its process started again; 0 if it didn't
+	EntryDelay clock.Millis   `yaml:"delay"` // until instances know its entry after that
+	openings   []clock.Millis // when opening packets arrived while it was cold
+
 	busy     int
 	queue    []func()
 	busyTime clock.Millis
@@ -64,7 +72,7 @@
 	require.NotEmpty(t, cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			l := newLoadSimulation(t, c)
+			l := newLoadSimulation(t, c, false)
 			l.run()
 			l.check()
 		})
@@ -104,7 +112,7 @@
 type loadSimulation struct {
 	t           *testing.T
 	c           loadCase
-	engine      *Engine
+	instances   []*loadInstance
 	now         clock.Millis
 	queue       loadQueue
 	order       int
@@ -118,6 +126,11 @@
 	resets      int
 	otherCentre int
 	misplaced   int // flows opened at endpoints of an evacuated data centre
+
+	configuration *Configuration
+	entries       []Endpoint // as the store has them
+	heldBack      int        // openings refused for warm-up
+	unlimited     bool       // the part is off although the case has a limit
 }
 
 // userFlow is a flow of a user and the present request on it.
@@ -142,16 +155,16 @@
 	gotError bool
 }
 
-func newLoadSimulation(t *testing.T, c loadCase) *loadSimulation {
+func newLoadSimulation(t *testing.T, c loadCase, unlimited bool) *loadSimulation {
 	l := &loadSimulation{
-		t: t, c: c, engine: NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1, Evacuations: c.Evacuated != ""}), now: startTime,
+		t: t, c: c, instances: c.Instances, now: startTime, unlimited: unlimited,
 		random: rand.New(rand.NewPCG(1, 1)), byID: map[string]*loadEndpoint{}, flows: map[AddrPort]*userFlow{}, port: 1000,
 	}
 	route := Route{Name: "desk", Shares: []Share{{Service: "desk", Weight: 1}}, Idempotent: !c.NotIdempotent}
-	l.engine.Handle(l.now, ConfigurationRead{Configuration: &Configuration{
-		Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route},
-	}})
-	list := EndpointsListed{Revision: 2}
+	l.configuration = &Configuration{Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route}}
+	if c.ColdLimit > 0 {
+		l.configuration.Services = map[string]Service{"desk": {Warmup: coldTime}}
+	}
 	for i := range c.Endpoints {
 		e := &c.Endpoints[i]
 		if e.Centre == "" {
@@ -163,11 +176,16 @@
 		e.Slots = max(e.Slots, 1)
 		p := parseEndpoint(t, []string{e.ID, "desk", e.Centre})
 		p.Slots = e.Slots
-		list.Endpoints = append(list.Endpoints, p)
+		l.entries = append(l.entries, p)
 		l.byID[p.ID] = e
 	}
-	l.engine.Handle(l.now, list)
-	l.engine.Handle(l.now, EvacuationsRead{Orders: evacuation.Orders{Revision: 2}})
+	if len(l.instances) == 0 {
+		l.instances = []*loadInstance{{Centre: "here"}}
+	}
+	for i, n := range l.instances {
+		l.startInstance(n, uint64(i+1))
+	}
+	l.scheduleColdStarts()
 	return l
 }
 
@@ -183,10 +201,8 @@
 	l.schedule(tickInterval, l.tick)
 	if l.c.Evacuated != "" {
 		order := evacuation.Order{Centre: l.c.Evacuated, Revision: 3}
-		l.schedule(l.c.EvacuatedFrom, func() {
-			l.engine.Handle(l.now, EvacuationsRead{Orders: evacuation.Orders{Revision: 3, List: []evacuation.Order{order}}})
-		})
-		l.schedule(l.c.EvacuatedUntil, func() { l.engine.Handle(l.now, EvacuationsRead{Orders: evacuation.Orders{Revision: 4}}) })
+		l.tell(l.c.EvacuatedFrom, EvacuationsRead{Orders: evacuation.Orders{Revision: 3, List: []evacuation.Order{order}}})
+		l.tell(l.c.EvacuatedUntil, EvacuationsRead{Orders: evacuation.Orders{Revision: 4}})
 	}
 	for l.queue.Len() > 0 {
 		v := heap.Pop(&l.queue).(loadEvent)
@@ -195,7 +211,9 @@
 		}
 		l.now = v.at
 		v.call()
-		l.perform(l.engine.TakeActions())
+		for _, n := range l.instances {
+			l.perform(n, n.engine.TakeActions())
+		}
 	}
 }
 
@@ -203,9 +221,13 @@
 const tickInterval = 100
 
 func (l *loadSimulation) tick() {
-	l.perform(l.engine.Handle(l.now, RecordsConfirmed{ConfigurationAt: l.now, EndpointsAt: l.now}))
-	l.perform(l.engine.Handle(l.now, Ticked{}))
-	l.engine.TakeTallies(l.now)
+	for _, n := range l.instances {
+		if n.runs(l.now) {
+			l.perform(n, n.engine.Handle(l.now, RecordsConfirmed{ConfigurationAt: l.now, EndpointsAt: l.now}))
+			l.perform(n, n.engine.Handle(l.now, Ticked{}))
+			n.engine.TakeTallies(l.now)
+		}
+	}
 	l.schedule(tickInterval, l.tick)
 }
 
@@ -213,7 +235,7 @@
 	return l.now >= startTime+e.From && (e.Until == 0 || l.now < startTime+e.Until)
 }
 
-func (l *loadSimulation) perform(actions []Action) {
+func (l *loadSimulation) perform(n *loadInstance, actions []Action) {
 	for _, a := range actions {
 		switch v := a.(type) {
 		case Probe:
@@ -226,7 +248,7 @@
 				result = ProbeRefused
 			}
 			l.schedule(delay, func() {
-				l.perform(l.engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
+				l.perform(n, n.engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
 			})
 		case ResetFlow:
 			l.resets++
@@ -290,7 +312,21 @@
 		return
 	}
 	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Open, Sequence: 99, Ack: earlierCopies}
-	d := l.engine.Steer(l.now, &p)
+	n := l.instanceFor(f.consumer)
+	if n == nil {
+		return
+	}
+	if wait := n.thaw(l.now); wait > 0 {
+		l.schedule(wait, func() { l.sendOpening(f, r, earlierCopies) })
+		return
+	}
+	d := n.engine.Steer(l.now, &p)
+	if d.Reason == ReasonWarmingUp {
+		l.heldBack++
+	}
+	if d.Verdict == Drop && d.Reason == ReasonWarmingUp {
+		return
+	}
 	if d.Verdict != Forward {
 		l.schedule(loadDelay, func() { l.reset(f.consumer) })
 		return
@@ -299,6 +335,7 @@
 	if e.Centre == l.c.Evacuated && l.now >= startTime+l.c.EvacuatedFrom && l.now < startTime+l.c.EvacuatedUntil {
 		l.misplaced++
 	}
+	l.recordOpening(e)
 	if l.faulty(e) && e.Unreachable {
 		return
 	}
@@ -320,7 +357,11 @@
 	p := Packet{
 		Consumer: f.consumer, Destination: routeAddresses[""], Flags: Acknowledge, Sequence: f.sequence, Ack: f.ack, Length: length, Token: f.token,
 	}
-	d := l.engine.Steer(l.now, &p)
+	n := l.instanceFor(f.consumer)
+	if n == nil || n.thaw(l.now) > 0 {
+		return false
+	}
+	d := n.engine.Steer(l.now, &p)
 	if d.Verdict == Reset {
 		l.schedule(loadDelay/2, func() { l.reset(f.consumer) })
 	}
@@ -369,6 +410,9 @@
 	e.busy++
 	e.served++
 	workTime := clock.Millis(float64(l.c.Work) * (0.5 + l.random.Float64()) / e.Speed)
+	if l.isCold(e, l.now) {
+		workTime = clock.Millis(coldSlow * float64(workTime))
+	}
 	size := normalSize/2 + l.random.IntN(normalSize)
 	if l.faulty(e) && e.Errors {
 		workTime, size = 1, errorSize
@@ -457,7 +501,9 @@
 func (l *loadSimulation) abortFlow(f *userFlow) {
 	f.ended = true
 	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Abort, Sequence: f.sequence, Ack: f.ack, Token: f.token}
-	l.engine.Steer(l.now, &p)
+	if n := l.instanceFor(f.consumer); n != nil && n.thaw(l.now) == 0 {
+		n.engine.Steer(l.now, &p)
+	}
 }
 
 func (l *loadSimulation) check() {
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -111,7 +111,7 @@
 	if best == nil {
 		return nil
 	}
-	e.recordChosen(now, best)
+	e.recordOpening(now, best)
 	best.failures.nextProbationAt = now + probationInterval
 	return best
 }
--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -45,7 +45,9 @@
 	assumedUntil    clock.Millis
 	assumedRevision uint64
 	owned           bool // this instance is the owner
-	window          warmup.Window
+	// Flows that this instance placed there, also while it seemed warm: its entry may say late that
+	// it is cold.
+	window warmup.Window
 }
 
 // reportsAwaited is the number of report periods for which an endpoint counts as cold if it may
@@ -71,15 +73,12 @@
 }
 
 // admitCopy reports whether a copy of an opening packet may go to the endpoint that got an earlier
-// one, and counts it if the endpoint is cold: it takes each as a new flow.
+// one, and if so counts it: the endpoint takes each as a new flow.
 func (e *Engine) admitCopy(now clock.Millis, s *endpointState) bool {
-	if !e.cold(now, s) {
-		return true
-	}
-	if !e.admitsCold(now, s) {
+	if e.cold(now, s) && !e.admitsCold(now, s) {
 		return false
 	}
-	s.warmup.window.Add(now)
+	e.recordOpening(now, s)
 	return true
 }
 
@@ -129,9 +128,9 @@
 	return tried
 }
 
-// recordChosen counts a new flow at an endpoint if it is cold.
-func (e *Engine) recordChosen(now clock.Millis, s *endpointState) {
-	if e.cold(now, s) {
+// recordOpening counts an opening packet that is sent to an endpoint.
+func (e *Engine) recordOpening(now clock.Millis, s *endpointState) {
+	if e.settings.Warmup != nil {
 		s.warmup.window.Add(now)
 	}
 }
@@ -142,22 +141,18 @@
 	if e.settings.Warmup == nil || s.Revision > revision {
 		return
 	}
-	if !e.cold(now, s) {
-		s.warmup.window = warmup.Unknown(now)
-	}
 	s.warmup.assumedUntil, s.warmup.assumedRevision = now+reportsAwaited*e.settings.Warmup.ReportPeriod, revision
 }
 
-// updateWarmup updates the warm-up of an endpoint after its entry changed. Flows that were placed
-// while it was known and seemed warm may arrive when it is cold.
-func (e *Engine) updateWarmup(now clock.Millis, s *endpointState, wasKnown, wasCold bool) {
+// updateWarmup updates the warm-up of an endpoint after its entry changed.
+func (e *Engine) updateWarmup(now clock.Millis, s *endpointState, wasKnown bool) {
 	if e.settings.Warmup == nil {
 		return
 	}
 	if s.Revision > s.warmup.assumedRevision {
 		s.warmup.assumedUntil = 0
 	}
-	if !wasCold && (wasKnown || now-e.warmups.knownAt <= warmup.Span) {
+	if !wasKnown && now-e.warmups.knownAt <= warmup.Span {
 		s.warmup.window = warmup.Unknown(now)
 	}
 	s.warmup.owned = e.owns(s)
