--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -33,6 +33,7 @@
 //	start.go         who reads the store when all members start at once
 //	registration.go  when a member writes its object to the store
 //	broadcast.go     endpoint changes, tallies and probes of silent members
+//	evacuation.go    evacuation orders in messages and records
 //	owners.go        the members among which steering divides cold endpoints
 //	report.go        the report to operators
 package fleet
