--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -235,6 +235,21 @@
 	}
 }
 
+// services returns the services of a configuration, or nil if it has none.
+func (c *configurationStep) services() map[string]Service {
+	if c.Services == nil && c.Warm == nil {
+		return nil
+	}
+	list := map[string]Service{}
+	for name, limit := range c.Services {
+		list[name] = Service{MaxFlows: limit}
+	}
+	for name, rate := range c.Warm {
+		list[name] = Service{MaxFlows: c.Services[name], Warmup: coldTime, WarmupRate: rate}
+	}
+	return list
+}
+
 func configurationEvent(t *testing.T, e *Engine, c *configurationStep) Event {
 	n := &Configuration{Version: c.Version, Revision: c.Revision, IdleTimeout: 15000, Routes: map[AddrPort]Route{}}
 	for name, weights := range c.Routes {
@@ -251,18 +266,7 @@
 		}
 		n.Routes[at] = r
 	}
-	if c.Services != nil {
-		n.Services = map[string]Service{}
-	}
-	for name, limit := range c.Services {
-		n.Services[name] = Service{MaxFlows: limit}
-	}
-	for name, rate := range c.Warm {
-		if n.Services == nil {
-			n.Services = map[string]Service{}
-		}
-		n.Services[name] = Service{MaxFlows: c.Services[name], Warmup: coldTime, WarmupRate: rate}
-	}
+	n.Services = c.services()
 	if c.From == 0 {
 		read := ConfigurationRead{Configuration: n}
 		for _, name := range c.Faults {
