Cold endpoints without a rate: the limit doesn't hold where a service has no warm one

Cause: a rate of 0 was read as a limit of the slack alone. Change: with rate 0 the limit holds only while the service has a warm endpoint. With a rate it holds always. Result: go test ./steering passes.

--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -91,12 +91,14 @@
 // choice is the choice of an endpoint for a new flow: the one with the lowest cost among the
 // warm ones and among the cold ones that may be used.
 type choice struct {
-	warm, cold         *endpointState
-	warmCost, coldCost float64
-	room               bool // a warm one has room
+	warm, cold, spare             *endpointState // spare is a cold one whose limit doesn't hold if it is the last resort
+	warmCost, coldCost, spareCost float64
+	room                          bool // a warm one has room
 }
 
-func newChoice() choice { return choice{warmCost: math.Inf(1), coldCost: math.Inf(1)} }
+func newChoice() choice {
+	return choice{warmCost: math.Inf(1), coldCost: math.Inf(1), spareCost: math.Inf(1)}
+}
 
 // offer adds an endpoint to the choice.
 func (c *choice) offer(now clock.Millis, e *Engine, s *endpointState, cost float64) {
@@ -104,6 +106,9 @@
 		if cost < c.coldCost && !s.silence.avoided(now) && !s.failures.excluded(now) && e.admitsCold(now, s) {
 			c.cold, c.coldCost = s, cost
 		}
+		if cost < c.spareCost && e.limitIsSoft(s) {
+			c.spare, c.spareCost = s, cost
+		}
 		return
 	}
 	if cost < c.warmCost {
@@ -114,12 +119,22 @@
 
 // best returns the endpoint for the flow, or nil.
 func (c *choice) best() *endpointState {
-	if c.cold != nil && !c.room {
+	switch {
+	case c.cold != nil && !c.room:
 		return c.cold
+	case c.warm == nil:
+		return c.spare
 	}
 	return c.warm
 }
 
+// limitIsSoft reports whether a cold endpoint may get more flows than its limit while the service
+// has no warm one. Without a rate in the configuration, the limit says only how much it should be
+// spared, and a late answer is better for the consumer than a refusal.
+func (e *Engine) limitIsSoft(s *endpointState) bool {
+	return e.configuration.Services[s.Service].WarmupRate == 0
+}
+
 // onlyTried returns the endpoint that a flow got no answer from, if it may be used again.
 func (e *Engine) onlyTried(now clock.Millis, list []*endpointState, tried *endpointState) *endpointState {
 	if tried == nil || !slices.Contains(list, tried) || !e.admits(now, tried) || e.cold(now, tried) && !e.admitsCold(now, tried) {
