--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -88,8 +88,9 @@
 	nextReadAt   clock.Millis      // when its next watch call ends without a change
 	retryPause   clock.Millis      // after its last call, if that failed
 	inbox        []MessageReceived
-	bytesSent    int // in this step
-	served       int // fetches by other members in this step
+	bytesSent    int      // in this step
+	served       int      // fetches by other members in this step
+	known        []string // members that steering was told
 }
 
 // simulation runs members on a simulated clock.
@@ -142,7 +143,8 @@
 func (sm *simulation) start(n *testMember) {
 	n.live, n.stalled = true, false
 	n.StartedAt = sm.now
-	n.engine = NewEngine(Settings{Self: n.Member, RecordBound: sm.bound, Evacuations: sm.hasOrders && !n.isOld}, sm.now)
+	s := Settings{Self: n.Member, RecordBound: sm.bound, Evacuations: sm.hasOrders && !n.isOld, NotifyMembers: true}
+	n.engine, n.known = NewEngine(s, sm.now), nil
 	n.orders = evacuation.Orders{}
 	n.nextReadAt = sm.now
 	sm.readStore(n)
@@ -214,7 +216,10 @@
 				sm.fetchFrom(n, v.Peer, 0)
 			}
 		case NotifySteering:
-			if r, isOrders := v.Event.(steering.EvacuationsRead); isOrders {
+			switch r := v.Event.(type) {
+			case steering.MembersKnown:
+				n.known = r.Names
+			case steering.EvacuationsRead:
 				require.Greater(sm.t, r.Orders.Revision, n.orders.Revision, "orders of %s go back", n.Name)
 				n.orders = r.Orders
 			}
