--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -47,6 +47,7 @@
 	ejectedEndpoints     metrics.Counter
 	evacuationsOrdered   metrics.Counter // orders that came into force
 	placedInOtherCentre  metrics.Counter // flows placed at an endpoint of another data centre
+	placedCold           metrics.Counter // opening packets sent to cold endpoints; nil if they aren't limited
 	configurationVersion metrics.Gauge
 
 	mu        sync.Mutex
@@ -120,6 +121,9 @@
 	if v.OtherCentre {
 		m.placedInOtherCentre.Inc(1)
 	}
+	if v.Cold {
+		m.placedCold.Inc(1)
+	}
 }
 
 // countWait counts how long a packet waited.
--- a/steering/evacuation.go
+++ b/steering/evacuation.go
@@ -21,20 +21,27 @@
 }
 
 // refusalReason returns why a new flow of a route can be placed at none of its services.
-func (e *Engine) refusalReason(route *Route, service string) Reason {
-	reason := ReasonNoEndpoint
+func (e *Engine) refusalReason(now clock.Millis, route *Route, service string) Reason {
+	admitted, evacuated := false, false
 	for _, share := range route.Shares {
 		if share.Service != service && share.Weight <= 0 {
 			continue
 		}
 		for _, s := range e.directory.byService[share.Service] {
-			if !e.evacuated(s) {
-				return ReasonNoEndpoint
+			switch {
+			case e.evacuated(s):
+				evacuated = true
+			case e.cold(now, s):
+				return ReasonWarmingUp
+			default:
+				admitted = true
 			}
-			reason = ReasonEvacuated
 		}
 	}
-	return reason
+	if evacuated && !admitted {
+		return ReasonEvacuated
+	}
+	return ReasonNoEndpoint
 }
 
 // hasOrders reports whether flows may be placed as far as the evacuation orders go.
@@ -54,7 +61,7 @@
 }
 
 // readEvacuations applies orders unless newer ones are known.
-func (e *Engine) readEvacuations(orders evacuation.Orders) (actions []Action) {
+func (e *Engine) readEvacuations(now clock.Millis, orders evacuation.Orders) (actions []Action) {
 	if !e.settings.Evacuations || orders.Revision <= e.evacuations.Revision {
 		return nil
 	}
@@ -62,6 +69,7 @@
 	e.evacuations = orders
 	for _, v := range old.List {
 		if !orders.InForce(v.Centre) {
+			e.assumeCentreCold(now, v.Centre, orders.Revision)
 			actions = append(actions, EvacuationLifted{Centre: v.Centre, Revision: orders.Revision})
 		}
 	}
