Cold endpoints without a rate: a copy goes again to the only endpoint

Where a service has only one endpoint, which is cold and isn't owned or has its limit, copies of opening packets were dropped although the limit doesn't hold without a rate, so a lost packet cost the caller the request. The script failed before (drop warming_up), and passes.

--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -137,7 +137,10 @@
 
 // onlyTried returns the endpoint that a flow got no answer from, if it may be used again.
 func (e *Engine) onlyTried(now clock.Millis, list []*endpointState, tried *endpointState) *endpointState {
-	if tried == nil || !slices.Contains(list, tried) || !e.admits(now, tried) || e.cold(now, tried) && !e.admitsCold(now, tried) {
+	if tried == nil || !slices.Contains(list, tried) || !e.admits(now, tried) {
+		return nil
+	}
+	if e.cold(now, tried) && !e.limitIsSoft(tried) && !e.admitsCold(now, tried) {
 		return nil
 	}
 	return tried
