Cold endpoints without a rate are preferred to warm ones that don't answer

Where the only warm endpoints of a service were silent or ejected, instances that don't own the cold ones sent all new flows to those, so one dark data centre beside one that comes back cold cost its callers their deadlines. The script failed before (placed at the endpoint that refuses), and passes.

--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -94,6 +94,7 @@
 	warm, cold, spare             *endpointState // spare is a cold one whose limit doesn't hold if it is the last resort
 	warmCost, coldCost, spareCost float64
 	room                          bool // a warm one has room
+	warmAvoided                   bool // the warm one is silent or ejected
 }
 
 func newChoice() choice {
@@ -113,6 +114,7 @@
 	}
 	if cost < c.warmCost {
 		c.warm, c.warmCost = s, cost
+		c.warmAvoided = s.silence.avoided(now) || s.failures.excluded(now)
 	}
 	c.room = c.room || e.settings.Warmup != nil && e.hasRoom(now, s)
 }
@@ -122,14 +124,14 @@
 	switch {
 	case c.cold != nil && !c.room:
 		return c.cold
-	case c.warm == nil:
+	case c.warm == nil, c.warmAvoided && c.spareCost < c.warmCost:
 		return c.spare
 	}
 	return c.warm
 }
 
 // limitIsSoft reports whether a cold endpoint may get more flows than its limit while the service
-// has no warm one. Without a rate in the configuration, the limit says only how much it should be
+// has no warm one that may answer. Without a rate in the configuration, the limit says only how much it should be
 // spared, and a late answer is better for the consumer than a refusal.
 func (e *Engine) limitIsSoft(s *endpointState) bool {
 	return e.configuration.Services[s.Service].WarmupRate == 0
