Evacuation orders whose list failed are unsure, and a list of the same revision replaces them

After a change of more orders than have room, or of an entry without a readable name, the list is read. When that failed, an incomplete set was kept at the revision of the change, and the list that came later with the same revision was ignored as known: an order stayed without effect until anything else was written. A watch that was cancelled then forgot that a list was due as well. Now the set itself says so, to whoever watches next.

--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -43,6 +43,8 @@
 	// Further orders are in the store, beyond MaxOrders. They come into force when the whole list
 	// is read again and has room for them.
 	Partial bool `cbor:"partial,omitempty"`
+	// The latest changes don't show all that is in force, and the list couldn't be read since.
+	Unsure bool `cbor:"unsure,omitempty"`
 }
 
 // Change is a new order, or the lifting of one.
@@ -54,6 +56,12 @@
 // Known reports whether the orders were read.
 func (o *Orders) Known() bool { return o.Revision != 0 }
 
+// Replaces reports whether the orders are to be followed instead of those known: they are newer,
+// or as new and sure instead of unsure.
+func (o *Orders) Replaces(known *Orders) bool {
+	return o.Revision > known.Revision || o.Revision == known.Revision && known.Unsure && !o.Unsure
+}
+
 // Check returns an error for the first field that exceeds its limits.
 func (o *Orders) Check() error {
 	if len(o.List) > MaxOrders {
@@ -87,7 +95,7 @@
 // Apply returns the orders at a later revision, after changes in any order. If there are more
 // than MaxOrders, the earliest stay in force.
 func (o Orders) Apply(changes []Change, revision uint64) Orders {
-	n := Orders{Revision: max(o.Revision, revision), List: slices.Clone(o.List), Partial: o.Partial}
+	n := Orders{Revision: max(o.Revision, revision), List: slices.Clone(o.List), Partial: o.Partial, Unsure: o.Unsure}
 	changes = slices.Clone(changes)
 	slices.SortStableFunc(changes, compareChanges)
 	for _, c := range changes {
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -70,7 +70,7 @@
 	return &EvacuationState{Orders: e.evacuations.orders, Age: min(now-e.evacuations.confirmedAt, maxRecordAge)}
 }
 
-// applyEvacuations accepts orders that are newer than those known, and the confirmation of orders
+// applyEvacuations accepts orders that replace those known, and the confirmation of orders
 // that are as new. Orders are complete up to their revision, so nothing goes back.
 func (e *Engine) applyEvacuations(o evacuation.Orders, confirmedAt clock.Millis) []Action {
 	known := &e.evacuations
@@ -78,7 +78,7 @@
 		return nil
 	}
 	known.confirmedAt = max(known.confirmedAt, confirmedAt)
-	if o.Revision == known.orders.Revision {
+	if !o.Replaces(&known.orders) {
 		return nil
 	}
 	known.orders = o
@@ -132,7 +132,7 @@
 	slices.SortFunc(list, func(a, b evacuation.Order) int {
 		return cmp.Or(isOther(a)-isOther(b), cmp.Compare(b.Revision, a.Revision), cmp.Compare(a.Centre, b.Centre))
 	})
-	kept.Revision = all.Revision
+	kept.Revision, kept.Unsure = all.Revision, all.Unsure
 	size := 0
 	for _, o := range list {
 		size += len(o.Centre) + orderOverhead
--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -29,6 +29,7 @@
 	Revision uint64       `yaml:"revision"`
 	Age      clock.Millis `yaml:"age"`
 	Orders   []string     `yaml:"orders"`
+	Unsure   bool         `yaml:"unsure"` // they are the result of changes that don't show all
 	Known    uint64       `yaml:"known"`   // revision afterwards
 	Avoided  []string     `yaml:"avoids"`  // orders afterwards
 	Time     clock.Millis `yaml:"time"`    // of the confirmation afterwards
@@ -92,6 +93,7 @@
 	var orders *EvacuationState
 	if s.Revision != 0 {
 		orders = &EvacuationState{Orders: ordersAt(s.Revision, s.Orders...), Age: s.Age}
+		orders.Unsure = s.Unsure
 	}
 	switch s.From {
 	case "beat":
@@ -168,6 +170,7 @@
 	require.Len(t, left, len(list)-len(orders.List))
 	require.NoError(t, orders.Check())
 	require.True(t, orders.Partial)
+	orders.Unsure = true
 	longest := Member{Name: strings.Repeat("n", maxNameBytes), Centre: strings.Repeat("c", maxNameBytes), Address: netip.MustParseAddrPort("255.255.255.255:65535"), StartedAt: 1 << 41}
 	state := RecordState{
 		ConfigurationRevision: 1 << 40, ConfirmedRevision: 1 << 40, ChangeRevision: 1 << 40, EndpointsRevision: 1 << 40,
--- a/forwarder/evacuation.go
+++ b/forwarder/evacuation.go
@@ -13,9 +13,6 @@
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
-// errListAgain reports changes of evacuation orders that don't show all that is in force.
-var errListAgain = errors.New("orders have to be listed again")
-
 // evacuationSource reads operators' orders to evacuate data centres.
 func (d *Daemon) evacuationSource() recordSource {
 	listFrom := uint64(0) // orders of another instance replace a list if they are later than this revision
@@ -27,7 +24,7 @@
 		list:          d.listEvacuations,
 		watch: func(ctx context.Context, since uint64, wait clock.Millis) error {
 			err := d.watchEvacuations(ctx, since, wait)
-			if errors.Is(err, platform.ErrRevisionGone) || errors.Is(err, errListAgain) {
+			if errors.Is(err, platform.ErrRevisionGone) {
 				listFrom = d.evacuationOrders().Revision
 			}
 			return err
@@ -53,9 +50,12 @@
 }
 
 // watchEvacuations applies changes of the orders. If some entries have no room among the orders,
-// or no readable name, only a list shows which of them are in force; if that fails, the result is
-// errListAgain.
+// or no readable name, only a list shows which of them are in force. If that fails, the orders are
+// unsure, and whoever watches next reads the list.
 func (d *Daemon) watchEvacuations(ctx context.Context, since uint64, wait clock.Millis) error {
+	if d.evacuationOrders().Unsure {
+		return d.listEvacuations(ctx)
+	}
 	r, err := d.store.Load().WatchEvacuations(ctx, since, wait)
 	if err != nil {
 		return err
@@ -65,12 +65,10 @@
 	if unclear && d.listEvacuations(ctx) == nil {
 		return nil
 	}
+	orders.Unsure = unclear
 	d.applyStoreRead(func(clock.Millis) ([]steering.Action, fleet.Event) {
 		return nil, fleet.EvacuationsRead{Orders: orders, RequestedAt: r.Time}
 	})
-	if unclear {
-		return errListAgain
-	}
 	return nil
 }
 
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -211,3 +213,40 @@
 	require.Equal(t, lists+1, s.store.Counts()["GET evacuations"])
 	require.Len(t, d.conditions(clock.Now()), 2, "the order and the entry")
 }
+
+// A list that fails after a change of many orders is read later, and counts although the revision is
+// the same by then.
+func TestOrderWhoseListFailsIsInForceLater(t *testing.T) {
+	s := newDeployment(t, 80)
+	s.orders = true
+	s.route([]string{"desk", "desk"})
+	s.publish(nil)
+	s.endpoint([]string{"a1", "desk", "north"})
+	s.start([]string{"f1", "here"})
+	s.waitRotation([]string{"1"})
+	d := s.daemons["f1"].daemon
+	s.kill([]string{"f1"}) // only this test reads the store
+	for i := range 16 {
+		s.store.Evacuate("other-" + string(rune('a'+i)))
+	}
+	fails := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if fails && !r.URL.Query().Has("watch") {
+			http.Error(w, "no list", http.StatusInternalServerError)
+			return
+		}
+		s.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	d.store.Store(platform.NewStore(platform.NewClient(server.URL, storeTimeout)))
+	source := d.evacuationSource()
+	require.NoError(t, source.list(t.Context()))
+	s.store.Evacuate("north")
+	fails = true
+	_ = source.watch(t.Context(), d.evacuationOrders().Revision, 0)
+	fails = false
+	require.NoError(t, source.list(t.Context()))
+	orders := d.evacuationOrders()
+	require.True(t, orders.InForce("north"))
+	require.False(t, orders.Unsure)
+}
--- a/forwarder/records.go
+++ b/forwarder/records.go
@@ -205,8 +205,6 @@
 			d.mu.Lock()
 			d.peerRecordsRead = false
 			d.mu.Unlock()
-		case errors.Is(err, errListAgain):
-			listed, listReason = false, callWatch
 		default:
 			d.storeHealth.callFailed(d, s.name, err)
 			daemon.Pause(ctx, d.retryPause(&b))
--- a/steering/evacuation.go
+++ b/steering/evacuation.go
@@ -60,9 +60,9 @@
 	e.ordersOverdue = now-e.awaitsOrdersSince >= ordersTimeout
 }
 
-// readEvacuations applies orders unless newer ones are known.
+// readEvacuations applies orders if they replace those known.
 func (e *Engine) readEvacuations(now clock.Millis, orders evacuation.Orders) (actions []Action) {
-	if !e.settings.Evacuations || orders.Revision <= e.evacuations.Revision {
+	if !e.settings.Evacuations || !orders.Replaces(&e.evacuations) {
 		return nil
 	}
 	old := e.evacuations
