--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -29,7 +29,7 @@
 	Revision uint64       `yaml:"revision"`
 	Age      clock.Millis `yaml:"age"`
 	Orders   []string     `yaml:"orders"`
-	Unsure   bool         `yaml:"unsure"` // they are the result of changes that don't show all
+	Unsure   bool         `yaml:"unsure"`  // they are the result of changes that don't show all
 	Known    uint64       `yaml:"known"`   // revision afterwards
 	Avoided  []string     `yaml:"avoids"`  // orders afterwards
 	Time     clock.Millis `yaml:"time"`    // of the confirmation afterwards
