Queued opening packets go on when the evacuation orders come, or their wait ends

They went on only after an answer of the store or records of a member. With the orders in a heartbeat, or with nobody who has them, packets of the last second stayed queued until the next such answer, or for good. The test failed before in both cases, and passes.

--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -235,8 +235,22 @@
 // handle passes an event to the steering engine and carries out the actions it returns.
 func (d *Daemon) handle(e steering.Event) {
 	var actions []steering.Action
-	d.locked(func() { actions = d.engine.Handle(clock.Now(), e) })
+	becameReady := d.becomesReady(func() { actions = d.engine.Handle(clock.Now(), e) })
 	d.perform(actions)
+	if becameReady {
+		d.forwardQueued()
+	}
+}
+
+// becomesReady calls f under the lock, and reports whether the engine became ready to place flows. A
+// heartbeat with the evacuation orders, or the end of the wait for them, may make it so.
+func (d *Daemon) becomesReady(f func()) (becameReady bool) {
+	d.locked(func() {
+		wasReady := d.engine.Ready()
+		f()
+		becameReady = !wasReady && d.engine.Ready()
+	})
+	return becameReady
 }
 
 func (d *Daemon) flowCount() int {
--- a/forwarder/packets_test.go
+++ b/forwarder/packets_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 	"github.com/tanagerdock/tanagerdock/fleet"
 	"github.com/tanagerdock/tanagerdock/internal/daemon"
 	"github.com/tanagerdock/tanagerdock/platform"
@@ -82,6 +83,33 @@
 	done.Wait()
 }
 
+// Opening packets wait for the evacuation orders too. A heartbeat may bring them, or nobody in time.
+func TestQueuedOpeningGoesOnWithTheOrders(t *testing.T) {
+	sender := fleet.Member{Name: "other", Centre: "here", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	heartbeat := fleet.Heartbeat{Evacuations: &fleet.EvacuationState{Orders: evacuation.Orders{Revision: 2}}}
+	for name, end := range map[string]func(*Daemon){
+		"heartbeat": func(d *Daemon) { d.handleFleet(fleet.MessageReceived{From: sender, Message: heartbeat}) },
+		"nobody":    func(d *Daemon) { d.handle(steering.Ticked{}) },
+	} {
+		d := &Daemon{log: newEventLog(&bytes.Buffer{}), watchGate: daemon.NewGate(true)}
+		d.engine = steering.NewEngine(steering.Settings{Centre: "here", Evacuations: true})
+		d.fleet = fleet.NewEngine(fleet.Settings{Self: fleet.Member{Name: "self", Centre: "here"}, RecordBound: 3 * clock.Second, Evacuations: true}, clock.Now())
+		d.metrics = newDaemonMetrics(d)
+		opening := make([]byte, platform.EndpointPrefixSize+platform.HeaderSize)
+		opening[platform.EndpointPrefixSize+10] = 16
+		d.queue.add(clock.Now()-300*clock.Millisecond, opening)
+		d.engine.Handle(clock.Now(), steering.ConfigurationRead{Configuration: &steering.Configuration{Version: 1, Revision: 1}})
+		d.engine.Handle(clock.Now(), steering.EndpointsListed{Revision: 2})
+		d.engine.Handle(clock.Now()-2*clock.Second, steering.Ticked{})
+		d.forwardQueued()
+		require.Len(t, d.queue.packets, 1, name)
+		end(d)
+		require.Empty(t, d.queue.packets, name)
+		dropped := d.metrics.decisions[steering.Drop]
+		require.EqualValues(t, 1, dropped[steering.ReasonStaleRoute].Count()+dropped[steering.ReasonNoRoute].Count(), name)
+	}
+}
+
 // By the time the first records are known, a copy may have opened the flow of a queued opening packet.
 func TestQueuedOpeningThatWaitedDoesNotMoveAnOpenFlow(t *testing.T) {
 	packets, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
--- a/forwarder/peers.go
+++ b/forwarder/peers.go
@@ -154,9 +154,12 @@
 func (d *Daemon) handleFleet(e fleet.Event) {
 	var actions []fleet.Action
 	var steeringActions []steering.Action
-	d.locked(func() { actions, steeringActions = d.applyFleet(clock.Now(), e) })
+	becameReady := d.becomesReady(func() { actions, steeringActions = d.applyFleet(clock.Now(), e) })
 	d.perform(steeringActions)
 	d.performFleet(actions)
+	if becameReady {
+		d.forwardQueued()
+	}
 }
 
 // applyFleet passes an event to the fleet engine, and to the steering engine what that has for it.
