Soak: evacuations, cold returns and bursts of users

Three kinds of faults at the end of the list: an operator orders the evacuation of a data centre or of all of them and lifts it, the endpoints of a data centre end together and come back cold, and users are added to a data centre. Three checks: while calm, no new flow at an endpoint of an evacuated data centre 3 s after the order, and with all data centres evacuated a new flow is refused within 0.5 s; never more new flows at a cold endpoint in any second than it bears, counted from the request to the open flow. Answers are checked as before. Stand-ins: cold endpoints, services in the configuration, the bounds in the settings.

Appending changes what a seed draws.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -28,6 +28,7 @@
 	Disturbed    clock.Millis // time after that, during which endpoints and instances are disturbed
 	Folder       string       // for settings and logs
 	CheckTimings bool         // also check time bounds, which a busy machine may exceed
+	FaultKinds   int          // number of kinds of faults to choose from, the first ones of faults; 0 for all
 }
 
 // extraRoute is the name of a route that a fault adds and removes. It leads to the first
@@ -40,6 +41,19 @@
 // runTime is the run time of requests at an endpoint, in ms.
 const runTime = 5 * clock.Millisecond
 
+// A cold endpoint gets at most coldLimit new flows in any second: its rate times the excess, plus
+// the slack, rounded down.
+const (
+	warmupTime   = 4 * clock.Second
+	warmupRate   = 1.0
+	warmupExcess = 1.5
+	warmupSlack  = 1.0
+	coldLimit    = 2
+)
+
+// reportPeriod is the time between two reports of an endpoint that instances are told, in ms.
+const reportPeriod = 1 * clock.Second
+
 // maxSeedInstances is the number of instances that each settings file lists as seeds, which
 // an instance contacts to join. They have nothing to do with the seed of a run.
 const maxSeedInstances = 3
@@ -62,6 +76,7 @@
 	configurationVersion int64
 	hasExtraRoute        bool // whether the published configuration contains extraRoute
 	addressCount         int  // loopback addresses handed out by nextAddress
+	burstCount           int  // bursts of users so far
 }
 
 // endpoint is an endpoint and the faults that affect it.
@@ -73,6 +88,8 @@
 	disruptedUntil   clock.Millis // end of the last temporary fault and the recovery from it
 	drainPublishedAt clock.Millis // when its entry in the store first said so; 0 if it isn't draining
 	answersShort     atomic.Bool
+	coldUntil        clock.Millis // 0 if it was warm from its start on
+	coldOpenings     []opening    // new flows until then; guarded by the checker's lock
 }
 
 // routeAddress returns the address and port to which consumers open flows of a route.
@@ -111,9 +128,11 @@
 	return d, nil
 }
 
+func centreName(c int) string { return fmt.Sprintf("centre-%c", 'a'+c) }
+
 // buildCentre adds a data centre. Its instances aren't started yet.
 func (d *deployment) buildCentre(c int) error {
-	centre := fmt.Sprintf("centre-%c", 'a'+c)
+	centre := centreName(c)
 	r := standin.StartFlowRouters()
 	d.routers = append(d.routers, r)
 	for n := range d.settings.Instances {
@@ -130,7 +149,7 @@
 	}
 	for _, service := range services {
 		for range d.settings.Endpoints {
-			if _, err := d.addEndpoint(centre, service); err != nil {
+			if _, err := d.addEndpoint(centre, service, 0); err != nil {
 				return err
 			}
 		}
@@ -150,18 +169,22 @@
 	return netip.AddrFrom4([4]byte{127, byte(30 + d.settings.Seed%200), byte(d.addressCount / 250), byte(d.addressCount%250 + 1)})
 }
 
-func (d *deployment) addEndpoint(centre, service string) (*endpoint, error) {
+// addEndpoint starts an endpoint that is cold for the time warmup.
+func (d *deployment) addEndpoint(centre, service string, warmup clock.Millis) (*endpoint, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastEndpointNumber++
 	n := d.settings.Seed<<16&0xffff0000 | d.lastEndpointNumber
 	f, err := standin.StartFlowEndpoint(standin.FlowEndpointSettings{
-		Number: n, Service: service, Centre: centre, Slots: 2, RunTime: runTime, Address: netip.AddrPortFrom(d.nextAddress(), 8080).String(),
+		Number: n, Service: service, Centre: centre, Slots: 2, RunTime: runTime, Warmup: warmup, Address: netip.AddrPortFrom(d.nextAddress(), 8080).String(),
 	})
 	if err != nil {
 		return nil, err
 	}
 	e := &endpoint{FlowEndpoint: f, centre: centre, service: service, number: n}
+	if warmup > 0 {
+		e.coldUntil = clock.Now() + warmup
+	}
 	d.endpoints = append(d.endpoints, e)
 	d.store.RegisterEndpoint(f)
 	return e, nil
@@ -172,13 +195,15 @@
 func (d *deployment) publishConfiguration() {
 	d.configurationVersion += 1 + int64(d.random.IntN(3))
 	var routes []standin.Route
+	var list []standin.Service
 	for _, service := range services {
+		list = append(list, standin.Service{Name: service, WarmupTime: warmupTime, WarmupRate: warmupRate})
 		routes = append(routes, standin.Route{Name: service, Address: routeAddress(service), Services: []string{service}})
 	}
 	if d.hasExtraRoute {
 		routes = append(routes, standin.Route{Name: extraRoute, Address: routeAddress(extraRoute), Services: services[:1], Once: true})
 	}
-	d.store.PutConfiguration(d.configurationVersion, routes)
+	d.store.PutConfiguration(d.configurationVersion, routes, list...)
 	d.checker.recordConfiguration(d.hasExtraRoute)
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,7 +1,8 @@
 // Package soak runs forwarders as separate processes on loopback, sends consumers'
 // requests through them and injects faults from outside the processes. From what consumers
 // and endpoints observe, it checks that answers are right, no request runs twice, no flow
-// is reset without a fault that affects it, and changes are applied in time.
+// is reset without a fault that affects it, cold endpoints get no more new flows than they bear,
+// and changes are applied in time, such as orders of an evacuation.
 //
 // Faults start at random intervals and overlap; a seed always selects the same series.
 // They are:
@@ -12,6 +13,9 @@
 //   - packets between consumers and instances are lost;
 //   - endpoints drain, crash, stop answering, lose their entries in the store or are added;
 //   - a route is added to the configuration or removed from it;
+//   - an operator orders the evacuation of a data centre, or of all of them, and lifts it;
+//   - the endpoints of a data centre end together, and come back cold;
+//   - users are added to a data centre for some seconds;
 //   - another program writes objects that can't be decoded among those of the deployment, and
 //     replaces entries of endpoints by such ones.
 //
@@ -37,6 +41,7 @@
 //	process.go     forwarder processes: start, signals, stop within the grace period
 //	proxy.go       proxies that disturb connections between an instance and the store
 //	fault.go       the faults
+//	centre.go      faults of a whole data centre: evacuations, cold endpoints, bursts of users
 //	disturb.go     the disturbances after the faults
 //	writer.go      the other program that writes odd objects
 //	check.go       the properties that are checked, and the result of a run
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -47,6 +47,9 @@
 	{inject: unregisterEndpoint},
 	{inject: addEndpoint},
 	{inject: changeRoute},
+	{inject: evacuate},
+	{inject: returnCold},
+	{inject: burst},
 }
 
 func (d *deployment) randomInstance() *instance { return d.instances[d.random.IntN(len(d.instances))] }
@@ -172,14 +175,18 @@
 	e.Close()
 }
 
+// entryLifetime is the time until the store removes the entry of an endpoint that has ended, after
+// several missed reports, in ms.
+const entryLifetime = 3 * clock.Second
+
 func crashEndpoint(d *deployment, _ clock.Millis) (string, func()) {
 	e := d.pickSpareEndpoint()
 	if e == nil {
 		return "", nil
 	}
 	d.closeEndpoint(e)
-	go func() { // the store removes the entry after several missed reports
-		time.Sleep((3 * clock.Second).Duration())
+	go func() {
+		time.Sleep(entryLifetime.Duration())
 		d.store.UnregisterEndpoint(e.FlowEndpoint)
 	}()
 	return "crash " + e.ID(), func() {}
@@ -216,7 +223,7 @@
 
 func addEndpoint(d *deployment, _ clock.Millis) (string, func()) {
 	existing := d.endpoints[d.random.IntN(len(d.endpoints))]
-	e, err := d.addEndpoint(existing.centre, existing.service)
+	e, err := d.addEndpoint(existing.centre, existing.service, 0)
 	if err != nil {
 		d.checker.addViolation("%v", err)
 		return "", nil
--- a/soak/process.go
+++ b/soak/process.go
@@ -43,6 +43,7 @@
 	settings := standin.InstanceSettings{
 		Name: i.name, Centre: i.centre, Address: i.address, StoreAddress: i.proxy.address(), Seeds: seedAddresses,
 		GracePeriod: gracePeriod, DrainAndApplyBound: min(drainBound, applyBound),
+		EvacuationBound: evacuateBound, WarmupExcess: warmupExcess, WarmupSlack: warmupSlack, ReportPeriod: reportPeriod,
 	}
 	return errors.WithStack(os.WriteFile(i.settingsFile(), []byte(settings.TOML()), 0o600))
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -76,9 +77,10 @@
 func (d *deployment) injectFaults(r *Result) {
 	var reverts sync.WaitGroup
 	start := clock.Now()
+	kinds := faults[:cmp.Or(d.settings.FaultKinds, len(faults))]
 	nextStoreFaultAt := clock.Millis(0) // later than the end of the current one, as the store has one fault at a time
 	for clock.Now()-start < d.settings.Duration {
-		f := faults[d.random.IntN(len(faults))]
+		f := kinds[d.random.IntN(len(kinds))]
 		duration := minFaultDuration + clock.Millis(d.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		if !f.ofStore || clock.Now() >= nextStoreFaultAt {
 			if description, revert := f.inject(d, duration); revert != nil {
@@ -166,6 +168,7 @@
 		d.checker.mu.Unlock()
 		if routeName != extraRoute || published {
 			d.checker.recordRequest(err)
+			d.checker.checkRefused(requestedAt, d.settings.Centres)
 		}
 		return think(random, stop)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,7 @@
 	Duration  clock.Millis `yaml:"span"`
 	Disturbed clock.Millis `yaml:"disturbed"`
 	Users     int          `yaml:"users"` // in each data centre; 0 means defaultUsers
+	Kinds     int          `yaml:"kinds"` // kinds of faults to choose from; 0 for all
 	Cause     string       `yaml:"cause"` // why it once failed; empty for the run that CI always does
 }
 
@@ -50,7 +51,7 @@
 		t.Run(fmt.Sprintf("seed_%d", c.Seed), func(t *testing.T) {
 			r, err := Run(Settings{
 				Program: program, Seed: c.Seed, Centres: 2, Instances: 2, Endpoints: 3, Users: cmp.Or(c.Users, defaultUsers),
-				Duration: c.Duration, Disturbed: c.Disturbed, Folder: t.TempDir(),
+				Duration: c.Duration, Disturbed: c.Disturbed, FaultKinds: c.Kinds, Folder: t.TempDir(),
 			})
 			require.NoError(t, err)
 			require.Positive(t, r.Answered)
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -16,6 +16,13 @@
 	Once     bool           // requests must not be repeated
 }
 
+// Service is a service of a configuration whose endpoints are cold after their start.
+type Service struct {
+	Name       string
+	WarmupTime clock.Millis // how long an endpoint is cold, in ms
+	WarmupRate float64      // requests per second that it bears meanwhile
+}
+
 // idleTimeout is the time without packets after which instances may discard a
 // flow, in ms. It is the platform's value.
 const idleTimeout = 15 * clock.Second
@@ -24,7 +31,7 @@
 const configurationKind = "config"
 
 // PutConfiguration writes a configuration as operators do.
-func (s *Metastore) PutConfiguration(version int64, routes []Route) {
+func (s *Metastore) PutConfiguration(version int64, routes []Route, services ...Service) {
 	list := []map[string]any{}
 	for _, r := range routes {
 		kind := "safe"
@@ -40,9 +47,15 @@
 			"type": kind, "timeout_ms": 2000, "goal_ms": 100, "priority": 1, "traffic_split": split,
 		})
 	}
-	s.Put(configurationKind, "main", map[string]any{
-		"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": int64(idleTimeout)},
-	})
+	spec := map[string]any{"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": int64(idleTimeout)}}
+	if len(services) > 0 {
+		var items []map[string]any
+		for _, v := range services {
+			items = append(items, map[string]any{"name": v.Name, "warmup_s": float64(v.WarmupTime) / float64(clock.Second), "warmup_per_s": v.WarmupRate})
+		}
+		spec["services"] = items
+	}
+	s.Put(configurationKind, "main", spec)
 }
 
 // Ports of an instance, as the platform assigns them.
@@ -62,6 +75,9 @@
 	GracePeriod        clock.Millis // time between SIGTERM and SIGKILL, in ms
 	DrainAndApplyBound clock.Millis // time limit for draining and for applying configurations, in ms
 	EvacuationBound    clock.Millis // time limit for evacuations, in ms; 0 if operators order none
+	// Limit of the flows of a cold endpoint, see package warmup; both 0 for none.
+	WarmupExcess, WarmupSlack float64
+	ReportPeriod              clock.Millis // time between two reports of an endpoint, in ms; 0 to leave it out
 }
 
 // TOML returns the settings file that the platform writes for an instance.
@@ -73,16 +89,22 @@
 	for i, seed := range s.Seeds {
 		seeds[i] = quoted(seed, controlPort)
 	}
-	evacuation := ""
+	reports, bounds := "", ""
+	if s.ReportPeriod > 0 {
+		reports = fmt.Sprintf("heartbeat_ms = %d\n", s.ReportPeriod)
+	}
 	if s.EvacuationBound > 0 {
-		evacuation = fmt.Sprintf("evacuate_ms = %d\n", s.EvacuationBound)
+		bounds = fmt.Sprintf("evacuate_ms = %d\n", s.EvacuationBound)
+	}
+	if s.WarmupExcess > 0 || s.WarmupSlack > 0 {
+		bounds += fmt.Sprintf("warmup_excess = %g\nwarmup_slack = %g\n", s.WarmupExcess, s.WarmupSlack)
 	}
 	return fmt.Sprintf(`node = %q
 zone = %q
 internal_ports = [%d, %d]
 seeds = [%s]
 routing_mode = "echo"
-[listen]
+%s[listen]
 datagram_addr = %s
 ready = %s
 control = %s
@@ -95,6 +117,6 @@
 grace_s = %d
 %s[platform]
 address = %q
-`, s.Name, s.Centre, firstInternalPort, lastInternalPort, strings.Join(seeds, ", "), quoted(s.Address, PacketPort), quoted(s.Address, ReadyPort),
-		quoted(s.Address, controlPort), s.DrainAndApplyBound, s.DrainAndApplyBound, s.GracePeriod/clock.Second, evacuation, s.StoreAddress)
+`, s.Name, s.Centre, firstInternalPort, lastInternalPort, strings.Join(seeds, ", "), reports, quoted(s.Address, PacketPort), quoted(s.Address, ReadyPort),
+		quoted(s.Address, controlPort), s.DrainAndApplyBound, s.DrainAndApplyBound, s.GracePeriod/clock.Second, bounds, s.StoreAddress)
 }
--- a/standin/flow_endpoint.go
+++ b/standin/flow_endpoint.go
@@ -27,6 +27,7 @@
 	Address string       // IP address and port, for packets (UDP) and health probes (TCP)
 	Slots   int          // maximum number of concurrent requests
 	RunTime clock.Millis // of each request, in ms
+	Warmup  clock.Millis // how long the endpoint is cold after its start, in ms
 }
 
 // FlowEndpoint is an endpoint of flows. A request is a line "ID LENGTH" and a body
@@ -90,12 +91,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := "ready"
+	warmupLeft := max(e.incarnation+e.settings.Warmup-clock.Now(), 0)
 	if e.draining {
 		state = "draining"
 	}
 	return map[string]any{
 		"service": e.settings.Service, "address": e.settings.Address, "zone": e.settings.Centre, "version": "v1",
-		"capacity": cap(e.slots), "lifecycle": state, "warmup_left_ms": 0, "seq": 1, "born": int64(e.incarnation),
+		"capacity": cap(e.slots), "lifecycle": state, "warmup_left_ms": int64(warmupLeft), "seq": 1, "born": int64(e.incarnation),
 	}
 }
 
