A watcher that the store doesn't answer leaves the watch to another one until it does

It stopped as another member's watch got answers, and began again as its records were old: it lacked a version and couldn't fetch it. Each turn starts a call to the store and cancels it.

Change: a member that stopped doesn't begin again while another one watches, until the store has answered it.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -38,6 +38,7 @@
 	DropMessages    []int        `yaml:"deaf"` // receive no messages until delivered again
 	DeliverMessages []int        `yaml:"hear"`
 	LoseChanges     bool         `yaml:"lose"`   // EndpointChanges messages of this step are lost
+	FailFetches     bool         `yaml:"alone"`  // members give each other no records in this step
 	Change          string       `yaml:"change"` // "true": the configuration and an endpoint change in the store; or "only endpoints"
 	ListMembers     bool         `yaml:"meet"`   // all members receive the store's list of members
 
@@ -48,6 +49,7 @@
 	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
 	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
 	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
+	MaxTurns          int          `yaml:"turns"`  // highest number of times that a member began to watch in the step; 0 for any
 	Outage            []int        `yaml:"outage"` // running members that know of an outage of the store that ended in the step; nil for any
 }
 
@@ -78,6 +80,7 @@
 	inbox        []MessageReceived
 	bytesSent    int // in this step
 	served       int // fetches by other members in this step
+	turns        int // times that it began to watch in this step
 }
 
 // simulation runs members on a simulated clock.
@@ -90,6 +93,7 @@
 	changeRevision        uint64 // revision of the latest change of endpoints
 	configurationRevision uint64
 	loseChanges           bool
+	failFetches           bool
 	calls                 int
 	maxWatchers           int
 	maxAge                clock.Millis
@@ -189,7 +193,11 @@
 			if sm.readStore(n); n.storeDenied {
 				sm.fetchFrom(n, v.Peer, 0)
 			}
-		case SetWatching, NotifySteering, RemoveMember:
+		case SetWatching:
+			if v.On {
+				n.turns++
+			}
+		case NotifySteering, RemoveMember:
 		}
 	}
 }
@@ -198,7 +206,7 @@
 // reach a revision, or all its records if the revision is 0. It reports whether it did.
 func (sm *simulation) fetchFrom(n *testMember, from Member, revision uint64) bool {
 	for _, p := range sm.members {
-		if p.Name != from.Name || !p.live || p.stalled || p.engine.state.EndpointsRevision < revision {
+		if sm.failFetches || p.Name != from.Name || !p.live || p.stalled || p.engine.state.EndpointsRevision < revision {
 			continue
 		}
 		p.served++
@@ -231,7 +239,7 @@
 	sm.t.Helper()
 	sm.calls, sm.maxWatchers, sm.maxAge = 0, 0, 0
 	for _, n := range sm.members {
-		n.bytesSent, n.served = 0, 0
+		n.bytesSent, n.served, n.turns = 0, 0, 0
 	}
 	sm.each(s.Kill, func(n *testMember) { n.live, n.inbox = false, nil })
 	sm.each(s.Stop, func(n *testMember) {
@@ -248,7 +256,7 @@
 	if s.ListMembers {
 		sm.listMembers()
 	}
-	sm.loseChanges = s.LoseChanges
+	sm.loseChanges, sm.failFetches = s.LoseChanges, s.FailFetches
 	if s.Change != "" {
 		sm.revision += 3
 		sm.changeRevision = sm.revision
@@ -345,6 +353,9 @@
 func (sm *simulation) expectTraffic(name string, s scenarioStep) {
 	sm.t.Helper()
 	for i, n := range sm.members {
+		if s.MaxTurns > 0 {
+			require.LessOrEqual(sm.t, n.turns, s.MaxTurns, "%s: times that member %d began to watch", name, i)
+		}
 		if s.MaxServed > 0 {
 			require.LessOrEqual(sm.t, n.served, s.MaxServed, "%s: fetches that member %d served", name, i)
 		}
--- a/fleet/watcher.go
+++ b/fleet/watcher.go
@@ -112,6 +112,10 @@
 		// If the store doesn't answer this member but another one, further calls are useless.
 		return !otherWatcher || !e.storeUnreachable(now)
 	}
+	if otherWatcher && e.readAt < e.watchingSince {
+		// This member stopped since the other one watches, and the store hasn't answered it since.
+		return false
+	}
 	if ahead == 0 && !otherWatcher {
 		return e.recordAge(now) > fractionOf(e.settings.RecordBound, firstFraction)
 	}
