--- a/soak/centre.go
+++ b/soak/centre.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// calmTime is the time for which an evacuation in calm stays in force after its bound, in ms.
+const calmTime = 1 * clock.Second
+
+// evacuateInCalm orders an evacuation while there are no faults. Among faults, the bounds of time
+// seldom apply for as long as an order is in force.
+func (d *deployment) evacuateInCalm(r *Result) {
+	if !d.settings.CheckTimings {
+		return
+	}
+	time.Sleep(recoveryTime.Duration())
+	description, lift := evacuate(d, 0)
+	r.Faults = append(r.Faults, "in calm: "+description)
+	time.Sleep((evacuateBound + calmTime).Duration())
+	lift()
+}
+
 // returnCold ends the endpoints of a data centre together. As many cold ones replace them.
 func returnCold(d *deployment, _ clock.Millis) (string, func()) {
 	centre := centreName(d.random.IntN(d.settings.Centres))
--- a/soak/run.go
+++ b/soak/run.go
@@ -49,6 +49,7 @@
 	close(stopWriter)
 	writer.Wait()
 	d.checkRecovery()
+	d.evacuateInCalm(r)
 	d.disturb(r)
 	close(stop)
 	users.Wait()
