--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -57,7 +57,7 @@
 	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
 	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
 	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
-	MaxTurns          int          `yaml:"turns"`  // highest number of times that a member began to watch in the step; 0 for any
+	MaxTurns          int          `yaml:"turns"`  // highest number of times that a member began or ended its watch in the step; 0 for any
 	Avoided           []string     `yaml:"avoids"` // data centres that all running members with orders avoid, unless they are cut off; nil for any
 	Outage            []int        `yaml:"outage"` // running members that know of an outage of the store that ended in the step; nil for any
 }
@@ -92,7 +92,7 @@
 	inbox        []MessageReceived
 	bytesSent    int // in this step
 	served       int // fetches by other members in this step
-	turns        int // times that it began to watch in this step
+	turns        int // times that it began or ended its watch in this step
 }
 
 // simulation runs members on a simulated clock.
@@ -218,9 +218,7 @@
 				sm.fetchFrom(n, v.Peer, 0)
 			}
 		case SetWatching:
-			if v.On {
-				n.turns++
-			}
+			n.turns++
 		case NotifySteering:
 			if r, isOrders := v.Event.(steering.EvacuationsRead); isOrders {
 				require.Greater(sm.t, r.Orders.Revision, n.orders.Revision, "orders of %s go back", n.Name)
@@ -437,7 +435,7 @@
 	sm.t.Helper()
 	for i, n := range sm.members {
 		if s.MaxTurns > 0 {
-			require.LessOrEqual(sm.t, n.turns, s.MaxTurns, "%s: times that member %d began to watch", name, i)
+			require.LessOrEqual(sm.t, n.turns, s.MaxTurns, "%s: turns of member %d's watch", name, i)
 		}
 		if s.MaxServed > 0 {
 			require.LessOrEqual(sm.t, n.served, s.MaxServed, "%s: fetches that member %d served", name, i)
