--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -34,5 +34,6 @@
 //	registration.go  when a member writes its object to the store
 //	broadcast.go     endpoint changes, tallies and probes of silent members
 //	evacuation.go    evacuation orders in messages and records
+//	owners.go        the members among which steering divides cold endpoints
 //	report.go        the report to operators
 package fleet
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -1,9 +1,6 @@
 package steering
 
 import (
-	"math"
-	"slices"
-
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -67,7 +64,7 @@
 			continue
 		}
 		local++
-		if s.congested(now) {
+		if s.congested(now) || e.cold(now, s) {
 			congested++
 		}
 	}
@@ -87,8 +84,8 @@
 }
 
 // place returns the endpoint of a service with the lowest cost for a new flow, or nil if
-// the service has none that is admitted. If tried isn't nil, the flow got no answer from that endpoint, and
-// it is returned only if there is no other.
+// the service has none that is admitted, or only cold ones that may not be used now. If tried isn't
+// nil, the flow got no answer from that endpoint, and it is returned only if there is no other.
 func (e *Engine) place(now clock.Millis, service string, tried *endpointState) *endpointState {
 	list := e.directory.byService[service]
 	if len(list) == 0 {
@@ -96,8 +93,7 @@
 	}
 	mean := meanLatency(list)
 	centreFactor := e.centreFactor(now, list)
-	var best *endpointState
-	minCost := math.Inf(1)
+	c := newChoice()
 	// Random start, so that instances that see equal costs don't all choose the same
 	// endpoint.
 	start := int(e.random.Uint64N(uint64(len(list))))
@@ -106,16 +102,16 @@
 		if s == tried || !e.admits(now, s) {
 			continue
 		}
-		if cost := e.cost(now, s, mean, centreFactor); cost < minCost {
-			best, minCost = s, cost
-		}
+		c.offer(now, e, s, e.cost(now, s, mean, centreFactor))
 	}
-	if best == nil && slices.Contains(list, tried) && e.admits(now, tried) {
-		best = tried
+	best := c.best()
+	if best == nil {
+		best = e.onlyTried(now, list, tried)
 	}
 	if best == nil {
 		return nil
 	}
+	e.recordOpening(now, best)
 	best.failures.nextProbationAt = now + probationInterval
 	return best
 }
--- a/steering/script_test.go
+++ b/steering/script_test.go
@@ -22,6 +22,7 @@
 	Name       string       `yaml:"name"`
 	TickPeriod clock.Millis `yaml:"period"` // 0 if ticks need not come in time
 	Evacuate   bool         `yaml:"evacuate"`
+	Warmup     []float64    `yaml:"warmup"` // excess and slack of the limit of cold endpoints, and the period of reports; nil for no limit
 	Steps      []step       `yaml:"steps"`
 }
 
@@ -36,6 +37,7 @@
 	List           []string           `yaml:"list"`
 	Change         []string           `yaml:"change"` // an endpoint, "removed ID revision=N" or "unreadable ID revision=N"
 	Revision       uint64             `yaml:"revision"`
+	Members        []string           `yaml:"members"`  // instances of the data centre; this one is called self
 	Orders         string             `yaml:"orders"`   // "REVISION [CENTRE=REVISION]... [partial]": all evacuation orders
 	Confirm        bool               `yaml:"confirm"`  // the store confirms all records now
 	StoreRecovered bool               `yaml:"returned"` // the same, after an outage of the store
@@ -67,7 +69,8 @@
 	Services   map[string]int            `yaml:"services"` // MaxFlows by service; nil if the services aren't known
 	From       uint64                    `yaml:"from"`     // if set, sent as changes since this revision
 	// Names of unreadable routes, "service NAME", or "all" for the whole configuration.
-	Faults []string `yaml:"faults"`
+	Faults []string           `yaml:"faults"`
+	Warm   map[string]float64 `yaml:"warm"` // services with a warm-up, and the rates that their cold endpoints bear
 }
 
 var routeAddresses = map[string]AddrPort{"desk": {1, 443}, "other": {1, 80}, "third": {2, 443}, "": {1, 443}}
@@ -82,7 +85,11 @@
 		require.NotEmpty(t, cases)
 		for _, c := range cases {
 			t.Run(strings.TrimSuffix(filepath.Base(file), ".yaml")+"/"+c.Name, func(t *testing.T) {
-				e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1, Evacuations: c.Evacuate})
+				settings := Settings{Centre: "here", Instance: "self", StaleAfter: 1650, TickPeriod: c.TickPeriod, Seed: 1, Evacuations: c.Evacuate}
+				if c.Warmup != nil {
+					settings.Warmup = &WarmupBounds{Excess: c.Warmup[0], Slack: c.Warmup[1], ReportPeriod: clock.Millis(c.Warmup[2])}
+				}
+				e := NewEngine(settings)
 				for i, s := range c.Steps {
 					runStep(t, e, fmt.Sprintf("step %d at %d", i+1, s.At), s)
 				}
@@ -156,6 +163,7 @@
 	})
 	add(s.List != nil, func() Event { return listEvent(t, *s) })
 	add(s.Change != nil, func() Event { return s.changes(t) })
+	add(s.Members != nil, func() Event { return MembersKnown{Names: s.Members} })
 	add(s.Orders != "", func() Event { return EvacuationsRead{Orders: parseOrders(t, s.Orders)} })
 	add(s.Confirm || s.StoreRecovered, func() Event {
 		v := RecordsConfirmed{ConfigurationAt: now, EndpointsAt: now}
@@ -227,6 +235,21 @@
 	}
 }
 
+// services returns the services of a configuration, or nil if it has none.
+func (c *configurationStep) services() map[string]Service {
+	if c.Services == nil && c.Warm == nil {
+		return nil
+	}
+	list := map[string]Service{}
+	for name, limit := range c.Services {
+		list[name] = Service{MaxFlows: limit}
+	}
+	for name, rate := range c.Warm {
+		list[name] = Service{MaxFlows: c.Services[name], Warmup: coldTime, WarmupRate: rate}
+	}
+	return list
+}
+
 func configurationEvent(t *testing.T, e *Engine, c *configurationStep) Event {
 	n := &Configuration{Version: c.Version, Revision: c.Revision, IdleTimeout: 15000, Routes: map[AddrPort]Route{}}
 	for name, weights := range c.Routes {
@@ -243,12 +266,7 @@
 		}
 		n.Routes[at] = r
 	}
-	if c.Services != nil {
-		n.Services = map[string]Service{}
-	}
-	for name, limit := range c.Services {
-		n.Services[name] = Service{MaxFlows: limit}
-	}
+	n.Services = c.services()
 	if c.From == 0 {
 		read := ConfigurationRead{Configuration: n}
 		for _, name := range c.Faults {
@@ -477,6 +495,11 @@
 		return "probe " + short(v.Endpoint)
 	case ConfigurationAccepted:
 		return fmt.Sprintf("configuration %d", v.Version)
+	case CentreWarmup:
+		if v.Cold {
+			return fmt.Sprintf("%s cold %d owned %d", v.Centre, v.Endpoints, v.Owned)
+		}
+		return v.Centre + " warm"
 	case EvacuationOrdered:
 		text := fmt.Sprintf("ordered %s=%d", v.Centre, v.Revision)
 		if !v.Known {
