--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -44,6 +44,7 @@
 	DropSent        []int        `yaml:"mute"` // their messages are lost until sent again
 	SendMessages    []int        `yaml:"speak"`
 	LoseChanges     bool         `yaml:"lose"`     // EndpointChanges messages of this step are lost
+	FailFetches     bool         `yaml:"alone"`    // members give each other no records in this step
 	Change          string       `yaml:"change"`   // "true": the configuration and an endpoint change in the store; or "only endpoints"
 	Evacuate        string       `yaml:"evacuate"` // an operator orders the evacuation of a data centre
 	Lift            string       `yaml:"lift"`     // an operator lifts it
@@ -56,6 +57,7 @@
 	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
 	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
 	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
+	MaxTurns          int          `yaml:"turns"`  // highest number of times that a member began or ended its watch in the step; 0 for any
 	Avoided           []string     `yaml:"avoids"` // data centres that all running members with orders avoid, unless they are cut off; nil for any
 	Outage            []int        `yaml:"outage"` // running members that know of an outage of the store that ended in the step; nil for any
 }
@@ -90,6 +92,7 @@
 	inbox        []MessageReceived
 	bytesSent    int      // in this step
 	served       int      // fetches by other members in this step
+	turns        int      // times that it began or ended its watch in this step
 	known        []string // members that steering was told
 }
 
@@ -105,6 +108,7 @@
 	hasOrders             bool
 	orders                evacuation.Orders // in the store
 	loseChanges           bool
+	failFetches           bool
 	calls                 int
 	maxWatchers           int
 	maxAge                clock.Millis
@@ -215,6 +219,8 @@
 			if sm.readStore(n); n.storeDenied {
 				sm.fetchFrom(n, v.Peer, 0)
 			}
+		case SetWatching:
+			n.turns++
 		case NotifySteering:
 			switch r := v.Event.(type) {
 			case steering.MembersKnown:
@@ -223,7 +229,7 @@
 				require.Greater(sm.t, r.Orders.Revision, n.orders.Revision, "orders of %s go back", n.Name)
 				n.orders = r.Orders
 			}
-		case SetWatching, RemoveMember:
+		case RemoveMember:
 		}
 	}
 }
@@ -232,7 +238,7 @@
 // reach a revision, or all its records if the revision is 0. It reports whether it did.
 func (sm *simulation) fetchFrom(n *testMember, from Member, revision uint64) bool {
 	for _, p := range sm.members {
-		if p.Name != from.Name || !p.live || p.stalled || p.engine.state.EndpointsRevision < revision {
+		if sm.failFetches || p.Name != from.Name || !p.live || p.stalled || p.engine.state.EndpointsRevision < revision {
 			continue
 		}
 		p.served++
@@ -291,7 +297,7 @@
 	sm.t.Helper()
 	sm.calls, sm.maxWatchers, sm.maxAge = 0, 0, 0
 	for _, n := range sm.members {
-		n.bytesSent, n.served = 0, 0
+		n.bytesSent, n.served, n.turns = 0, 0, 0
 	}
 	sm.each(s.Kill, func(n *testMember) { n.live, n.inbox = false, nil })
 	sm.each(s.Stop, func(n *testMember) {
@@ -317,7 +323,7 @@
 			sm.orders = sm.orders.Apply([]evacuation.Change{c}, sm.revision)
 		}
 	}
-	sm.loseChanges = s.LoseChanges
+	sm.loseChanges, sm.failFetches = s.LoseChanges, s.FailFetches
 	if s.Change != "" {
 		sm.revision += 3
 		sm.changeRevision = sm.revision
@@ -433,6 +439,9 @@
 func (sm *simulation) expectTraffic(name string, s scenarioStep) {
 	sm.t.Helper()
 	for i, n := range sm.members {
+		if s.MaxTurns > 0 {
+			require.LessOrEqual(sm.t, n.turns, s.MaxTurns, "%s: turns of member %d's watch", name, i)
+		}
 		if s.MaxServed > 0 {
 			require.LessOrEqual(sm.t, n.served, s.MaxServed, "%s: fetches that member %d served", name, i)
 		}
