--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -218,6 +218,9 @@
 
 // reportWarmups reports the data centres whose endpoints have become cold or warm together.
 func (e *Engine) reportWarmups(now clock.Millis, actions []Action) []Action {
+	if e.settings.Warmup == nil {
+		return actions
+	}
 	cold, owned := e.coldByCentre(now)
 	for centre := range e.warmups.coldCentres {
 		if cold[centre] == 0 {
