Package demand; new flows are placed by the sums of a data centre

An instance sees one in 38 of its data centre's requests, so flows pile up at some endpoints unseen. With sums that are 1 to 1.5 s old, instances fill the endpoints up to a level, each by its share of the new flows of several periods, so that the same old sums don't send all to one endpoint. Of some drawn so, the one with the fewest own flows is chosen. Without recent sums, decisions are those of before (TestUnusableSums). Endpoints at their limit of flows get none while another may be chosen.

--- a/steering/doc.go
+++ b/steering/doc.go
@@ -25,6 +25,7 @@
 //	opening.go        decisions on opening packets
 //	established.go    decisions on all other packets
 //	placement.go      choice of the endpoint for a new flow
+//	demand.go         choice by the sums of the data centre, and digests for them
 //	silence.go        detection of endpoints that don't answer, by packets and probes
 //	proof.go          proof that the process of an endpoint has ended, and resets of its flows
 //	outlier.go        detection of endpoints that fail requests
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -124,6 +124,7 @@
 	saidDraining    bool         // an entry of this incarnation was draining; a later one that isn't is another writer's
 
 	load     load
+	demand   endpointDemand
 	silence  silence
 	failures failures
 	resets   resetSeries
@@ -179,6 +180,7 @@
 		// A new process or address: nothing seen of the earlier one applies. The counts of
 		// the load go down as the engine detaches its flows.
 		s.load.latency, s.load.shedAt = 0, 0
+		s.demand = endpointDemand{}
 		s.silence, s.failures = silence{}, failures{}
 		s.resets, s.observed = resetSeries{}, observed{}
 		s.knownSince, s.saidDraining = now, false
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -36,8 +36,9 @@
 	flows                    flows
 	baselines                map[AddrPort]*baseline
 	latencies                map[string]*serviceLatency // by service
-	stalledUntil             clock.Millis               // end of stallRecovery; until then, missing answers are no evidence
-	tickedAt                 clock.Millis               // last Ticked event
+	demand                   dataCentreDemand
+	stalledUntil             clock.Millis // end of stallRecovery; until then, missing answers are no evidence
+	tickedAt                 clock.Millis // last Ticked event
 	recent                   [recentOpenings]recentOpening
 	recentIndex              int              // index of the oldest entry of recent
 	flowsToQuery             []FlowProgress   // flows for the next query
@@ -163,6 +164,8 @@
 		if v.Orders.Revision > e.evacuations.Revision {
 			e.evacuations = v.Orders
 		}
+	case DemandSummed:
+		e.applySums(now, &v.Summary)
 	case EndpointsPageRead:
 		e.applyPage(now, v)
 	case EndpointsListed:
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -31,6 +31,8 @@
 	WantResets          *int         `yaml:"resets"`  // exact number of flows that the instance resets; nil for any
 	MaxOtherCentreShare float64      `yaml:"foreign"` // maximum share of requests served in another data centre
 	MinServed           []int        `yaml:"served"`  // minimum number of requests served per endpoint; nil for any
+
+	CentreLoad `yaml:",inline"`
 }
 
 // loadEndpoint is an endpoint and its fault.
@@ -100,7 +102,8 @@
 type loadSimulation struct {
 	t           *testing.T
 	c           loadCase
-	engine      *Engine
+	engines     []*Engine // by the consumers' addresses and ports
+	centre      centreSimulation
 	now         clock.Millis
 	queue       loadQueue
 	order       int
@@ -124,6 +127,7 @@
 	ack      uint32
 	ended    bool
 	request  *userRequest
+	requests int
 }
 
 // userRequest is a request with all its tries.
@@ -139,13 +143,13 @@
 
 func newLoadSimulation(t *testing.T, c loadCase) *loadSimulation {
 	l := &loadSimulation{
-		t: t, c: c, engine: NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: 1}), now: startTime,
+		t: t, c: c, now: startTime,
 		random: rand.New(rand.NewPCG(1, 1)), byID: map[string]*loadEndpoint{}, flows: map[AddrPort]*userFlow{}, port: 1000,
 	}
 	route := Route{Name: "desk", Shares: []Share{{Service: "desk", Weight: 1}}, Idempotent: !c.NotIdempotent}
-	l.engine.Handle(l.now, ConfigurationRead{Configuration: &Configuration{
-		Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route},
-	}})
+	configuration := &Configuration{
+		Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route}, Services: c.services(),
+	}
 	list := EndpointsListed{Revision: 2}
 	for i := range c.Endpoints {
 		e := &c.Endpoints[i]
@@ -161,7 +165,12 @@
 		list.Endpoints = append(list.Endpoints, p)
 		l.byID[p.ID] = e
 	}
-	l.engine.Handle(l.now, list)
+	for i := range max(c.Instances, 1) {
+		e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: uint64(i + 1)})
+		e.Handle(l.now, ConfigurationRead{Configuration: configuration})
+		e.Handle(l.now, list)
+		l.engines = append(l.engines, e)
+	}
 	return l
 }
 
@@ -175,6 +184,7 @@
 		l.schedule(clock.Millis(l.random.Int64N(int64(l.c.Think))), func() { l.startRequest(u, nil) })
 	}
 	l.schedule(tickInterval, l.tick)
+	l.startCentre()
 	for l.queue.Len() > 0 {
 		v := heap.Pop(&l.queue).(loadEvent)
 		if v.at > startTime+l.c.Span {
@@ -182,7 +192,9 @@
 		}
 		l.now = v.at
 		v.call()
-		l.perform(l.engine.TakeActions())
+		for _, e := range l.engines {
+			l.perform(e, e.TakeActions())
+		}
 	}
 }
 
@@ -190,9 +202,11 @@
 const tickInterval = 100
 
 func (l *loadSimulation) tick() {
-	l.perform(l.engine.Handle(l.now, RecordsConfirmed{ConfigurationAt: l.now, EndpointsAt: l.now}))
-	l.perform(l.engine.Handle(l.now, Ticked{}))
-	l.engine.TakeTallies(l.now)
+	for _, e := range l.engines {
+		l.perform(e, e.Handle(l.now, RecordsConfirmed{ConfigurationAt: l.now, EndpointsAt: l.now}))
+		l.perform(e, e.Handle(l.now, Ticked{}))
+		e.TakeTallies(l.now)
+	}
 	l.schedule(tickInterval, l.tick)
 }
 
@@ -200,7 +214,12 @@
 	return l.now >= startTime+e.From && (e.Until == 0 || l.now < startTime+e.Until)
 }
 
-func (l *loadSimulation) perform(actions []Action) {
+// engineOf returns the engine of the instance that gets the packets of a consumer.
+func (l *loadSimulation) engineOf(consumer AddrPort) *Engine {
+	return l.engines[key{consumer, routeAddresses[""]}.hash()%uint64(len(l.engines))]
+}
+
+func (l *loadSimulation) perform(engine *Engine, actions []Action) {
 	for _, a := range actions {
 		switch v := a.(type) {
 		case Probe:
@@ -213,11 +232,13 @@
 				result = ProbeRefused
 			}
 			l.schedule(delay, func() {
-				l.perform(l.engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
+				l.perform(engine, engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
 			})
 		case ResetFlow:
 			l.resets++
 			l.schedule(loadDelay/2, func() { l.reset(v.Consumer) })
+		case ReportFault:
+			l.reportFault(engine, v)
 		}
 	}
 }
@@ -253,6 +274,9 @@
 			l.failRequest(r, r.flow)
 		}
 	})
+	if f != nil && !f.ended && l.c.endsFlow(f) {
+		l.abortFlow(f)
+	}
 	if f != nil && !f.ended && !l.c.FlowPerRequest {
 		l.sendRequest(f, r)
 		return
@@ -277,11 +301,12 @@
 		return
 	}
 	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Open, Sequence: 99, Ack: earlierCopies}
-	d := l.engine.Steer(l.now, &p)
+	d := l.engineOf(f.consumer).Steer(l.now, &p)
 	if d.Verdict != Forward {
 		l.schedule(loadDelay, func() { l.reset(f.consumer) })
 		return
 	}
+	l.centre.placed = append(l.centre.placed, d.Endpoint.ID)
 	e := l.byID[d.Endpoint.ID]
 	if l.faulty(e) && e.Unreachable {
 		return
@@ -304,7 +329,7 @@
 	p := Packet{
 		Consumer: f.consumer, Destination: routeAddresses[""], Flags: Acknowledge, Sequence: f.sequence, Ack: f.ack, Length: length, Token: f.token,
 	}
-	d := l.engine.Steer(l.now, &p)
+	d := l.engineOf(f.consumer).Steer(l.now, &p)
 	if d.Verdict == Reset {
 		l.schedule(loadDelay/2, func() { l.reset(f.consumer) })
 	}
@@ -314,6 +339,7 @@
 // sendRequest sends a request on a flow, and retransmits it if it doesn't reach the endpoint.
 func (l *loadSimulation) sendRequest(f *userFlow, r *userRequest) {
 	f.request, r.flow = r, f
+	f.requests++
 	if r.tries == 0 {
 		r.tries = 1
 	}
@@ -343,6 +369,7 @@
 // endpoint rejects the request.
 func (l *loadSimulation) process(e *loadEndpoint, f *userFlow, r *userRequest) {
 	if e.QueueLimit > 0 && len(e.queue) >= e.QueueLimit && e.busy >= e.Slots {
+		l.centre.rejected++
 		l.schedule(loadDelay, func() { l.receiveRejection(f, r) })
 		return
 	}
@@ -422,7 +449,7 @@
 }
 
 func (l *loadSimulation) think() clock.Millis {
-	return 1 + clock.Millis(l.random.ExpFloat64()*float64(l.c.Think))
+	return 1 + clock.Millis(l.random.ExpFloat64()*float64(l.c.Think)*l.wave())
 }
 
 // failRequest ends a request without an answer. Its user aborts the flow.
@@ -441,7 +468,7 @@
 func (l *loadSimulation) abortFlow(f *userFlow) {
 	f.ended = true
 	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Abort, Sequence: f.sequence, Ack: f.ack, Token: f.token}
-	l.engine.Steer(l.now, &p)
+	l.engineOf(f.consumer).Steer(l.now, &p)
 }
 
 func (l *loadSimulation) check() {
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -74,6 +74,7 @@
 		w.openedAt, w.lastPacketAt = now, now
 		w.openingCopies = p.Ack
 		w.attach(s)
+		e.recordPlaced(service)
 		e.recent[e.recentIndex] = recentOpening{k, now}
 		e.recentIndex = (e.recentIndex + 1) % recentOpenings
 	}
@@ -118,6 +119,7 @@
 	}
 	w.service = service
 	w.attach(s)
+	e.recordPlaced(service)
 	return e.forwardTo(reason, s, service)
 }
 
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -101,6 +101,7 @@
 		return true
 	}
 	s.load.shedAt = now
+	e.recordShed(now, s)
 	if w.streakNumber != s.failures.streakNumber {
 		w.streakNumber, w.smallAnswers = s.failures.streakNumber, 0
 	}
@@ -241,6 +242,7 @@
 // its service.
 func (e *Engine) recordLatency(s *endpointState, latency clock.Millis) {
 	s.load.update(latency)
+	s.recordSumLatency(latency)
 	m := e.latencies[s.Service]
 	if m == nil {
 		m = &serviceLatency{}
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -93,6 +93,10 @@
 	if len(list) == 0 {
 		return nil
 	}
+	if s := e.placeBySums(now, service, list, tried); s != nil {
+		s.failures.nextProbationAt = now + probationInterval
+		return s
+	}
 	mean := meanLatency(list)
 	centreFactor := e.centreFactor(now, list)
 	var best *endpointState
@@ -133,7 +137,7 @@
 	if s.silence.avoided(now) || s.failures.excluded(now) {
 		cost *= avoidedFactor
 	}
-	return cost
+	return cost * e.limitCost(now, s)
 }
 
 // slowness returns the latency of an endpoint relative to the mean of its service, within
