Members report their load to the watcher, and its heartbeats carry the sums

A member sends its digest each 500 ms to the watcher that it follows, if that one's heartbeats carry sums: earlier versions drop the message as malformed. A relay of an earlier version passes no sums on, so those behind it go on as before.

--- a/demand/summary.go
+++ b/demand/summary.go
@@ -16,9 +16,12 @@
 	Services []Service    `cbor:"6,keyasint,omitempty"` // in all parts
 }
 
+// MaxSummaryAge is the greatest age of a summary in a message.
+const MaxSummaryAge = 1 * clock.Hour
+
 // Check returns an error for the first field that exceeds its limits.
 func (s *Summary) Check() error {
-	if s.Members < 0 || s.Members > MaxCount || s.Age < 0 || s.Age > clock.Hour {
+	if s.Members < 0 || s.Members > MaxCount || s.Age < 0 || s.Age > MaxSummaryAge {
 		return errors.Wrapf(ErrDemand, "%d members or the age of %d ms exceed their limits", s.Members, s.Age)
 	}
 	if err := checkServices(s.Services); err != nil {
--- /dev/null
+++ b/fleet/demand_test.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/demand"
+	"github.com/tanagerdock/tanagerdock/internal/script"
+	"github.com/tanagerdock/tanagerdock/steering"
+)
+
+// memberSums is what a member of a simulation knows of the load of its data centre.
+type memberSums struct {
+	old      bool // of an earlier version
+	number   uint64
+	takenAt  clock.Millis
+	parts    map[int]demand.Summary
+	partAt   map[int]clock.Millis // when the digests in the part were taken
+	partsNow int
+}
+
+func (m *memberSums) recordSums(sm *simulation, v NotifySteering) {
+	s, found := v.Event.(steering.DemandSummed)
+	if !found {
+		return
+	}
+	if s.Summary.Parts != m.partsNow {
+		m.parts, m.partAt, m.partsNow = map[int]demand.Summary{}, map[int]clock.Millis{}, s.Summary.Parts
+	}
+	m.parts[s.Summary.Part], m.partAt[s.Summary.Part] = s.Summary, sm.now-s.Summary.Age
+}
+
+// asUnderstood returns a message as its receiver reads it. An earlier version mustn't get a
+// message that it doesn't know.
+func (sm *simulation) asUnderstood(to netip.AddrPort, m Message) Message {
+	for _, n := range sm.members {
+		if n.Address != to || !n.old {
+			continue
+		}
+		switch v := m.(type) {
+		case DemandReport:
+			require.Fail(sm.t, "an earlier version gets a report of load")
+		case Heartbeat:
+			v.Demand = nil
+			return v
+		case RelayedHeartbeat:
+			v.Demand = nil
+			return v
+		}
+	}
+	return m
+}
+
+// takeDemand lets a member report one flow at each endpoint, each period.
+func (sm *simulation) takeDemand(n *testMember) {
+	if sm.endpoints == 0 || n.old || sm.now-n.takenAt < demand.Period {
+		return
+	}
+	n.takenAt = sm.now
+	n.number++
+	loads := make([]demand.Load, sm.endpoints)
+	for i := range loads {
+		loads[i] = demand.Load{Token: uint32(i+1) * 2654435761, Flows: 1, Pending: 1, Latency: 150, Answers: 12}
+	}
+	services := []demand.Service{{Name: "hub-exchange", Placed: 3}, {Name: "pod-archive", Placed: 1}}
+	sm.perform(n, n.engine.Handle(sm.now, DemandTaken{Digests: demand.NewDigest(n.number, loads, services)}))
+}
+
+func (sm *simulation) expectSums(name string, s scenarioStep) {
+	if s.Summed == 0 {
+		return
+	}
+	for i, n := range sm.members {
+		if !n.live || n.stalled || n.old {
+			continue
+		}
+		require.Len(sm.t, n.parts, n.partsNow, "%s: member %d", name, i)
+		endpoints := 0
+		for part, sum := range n.parts {
+			require.Equal(sm.t, s.Summed, sum.Members, "%s: member %d", name, i)
+			require.LessOrEqual(sm.t, sm.now-n.partAt[part], s.MaxSumAge, "%s: member %d: age of the sums", name, i)
+			for _, l := range sum.Loads {
+				require.Equal(sm.t, s.Summed, l.Flows, "%s: member %d", name, i)
+				endpoints++
+			}
+		}
+		require.Equal(sm.t, sm.endpoints, endpoints, "%s: member %d", name, i)
+	}
+}
+
+// TestDemand plays members that report their load, and checks the sums that they get.
+func TestDemand(t *testing.T) {
+	var cases []scenario
+	script.Read(t, "testdata/demand.yaml", &cases)
+	require.NotEmpty(t, cases)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			sm := newSimulation(t, c)
+			for i, s := range c.Steps {
+				sm.step(fmt.Sprintf("step %d", i+1), s)
+				sm.logTraffic(i, s)
+			}
+		})
+	}
+}
+
+// logTraffic logs what members sent in a step.
+func (sm *simulation) logTraffic(i int, s scenarioStep) {
+	total, most, live := 0, 0, 0
+	for _, n := range sm.members {
+		if n.live {
+			total, most, live = total+n.bytesSent, max(most, n.bytesSent), live+1
+		}
+	}
+	seconds := float64(s.Duration) / float64(clock.Second)
+	sm.t.Logf("step %d: %d members sent %.0f bytes a second each on average, %.0f at most", i+1, live, float64(total)/float64(live)/seconds, float64(most)/seconds)
+}
--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -33,5 +33,6 @@
 //	start.go         who reads the store when all members start at once
 //	registration.go  when a member writes its object to the store
 //	broadcast.go     endpoint changes, tallies and probes of silent members
+//	demand.go        load of the members, and its sum
 //	report.go        the report to operators
 package fleet
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -62,6 +62,7 @@
 	fetchedAt     clock.Millis // when this member requested its latest fetch
 	lastHeard     *Member      // sender of the latest message, from any data centre; nil before the first one
 	reports       reportPacer
+	demand        demandSums
 	probedAt      clock.Millis // when this member last probed silent members
 }
 
@@ -122,6 +123,8 @@
 		return e.broadcast(EndpointFault{v.Fault})
 	case EndpointTalliesTaken:
 		return e.shareTallies(v.Tallies)
+	case DemandTaken:
+		return e.handleDemandTaken(now, v)
 	case FlowQueryRequested:
 		return e.broadcast(FlowQuery(v))
 	case FlowReplyRequested:
@@ -236,6 +239,8 @@
 		return e.handleEndpointChanges(now, p, m)
 	case ConfigurationChange:
 		return e.handleConfigurationChange(now, p, m)
+	case DemandReport:
+		e.handleDemandReport(now, p, m)
 	case EndpointTallies:
 		return []Action{NotifySteering{Event: steering.TalliesReported{Tallies: m.Tallies}}}
 	case EndpointFault:
@@ -307,9 +312,9 @@
 	if p == nil {
 		return nil
 	}
-	actions := e.handleWatcherState(now, p, p.Member, m.State, m.Leaving)
+	actions := append(e.handleWatcherState(now, p, p.Member, m.State, m.Leaving), e.handleSums(now, p, m.Demand)...)
 	if m.Relay {
-		actions = append(actions, e.relayHeartbeat(now, p, m.State)...)
+		actions = append(actions, e.relayHeartbeat(now, p, m.State, m.Demand)...)
 	}
 	return actions
 }
@@ -320,7 +325,7 @@
 		return nil
 	}
 	p, _ := e.peers.put(m.Watcher)
-	return e.handleWatcherState(now, p, relay, m.State, false)
+	return append(e.handleWatcherState(now, p, relay, m.State, false), e.handleSums(now, p, m.Demand)...)
 }
 
 func (e *Engine) handleEndpointChanges(now clock.Millis, p *peer, m EndpointChanges) []Action {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,11 +17,13 @@
 // scenario is one case of testdata/fleet.yaml: members of one data centre that exchange
 // messages, and a store that some of them can read.
 type scenario struct {
-	Name     string         `yaml:"name"`
-	Members  int            `yaml:"members"`
-	Bound    clock.Millis   `yaml:"bound"` // record bound; 0 for 3000
-	Unlisted bool           `yaml:"apart"` // members don't know each other at first
-	Steps    []scenarioStep `yaml:"steps"`
+	Name      string         `yaml:"name"`
+	Members   int            `yaml:"members"`
+	Bound     clock.Millis   `yaml:"bound"`     // record bound; 0 for 3000
+	Endpoints int            `yaml:"endpoints"` // at which each member has some load to report; 0 if members report none
+	Old       []int          `yaml:"old"`       // members of an earlier version, which don't know of reports of load
+	Unlisted  bool           `yaml:"apart"`     // members don't know each other at first
+	Steps     []scenarioStep `yaml:"steps"`
 }
 
 // scenarioStep has actions on members, given by their rank from 0, and conditions that are
@@ -48,6 +50,8 @@
 	ChangesKnown      bool         `yaml:"known"`  // all running members know the latest change
 	MaxBytesPerSecond int          `yaml:"bytes"`  // highest average that a member sent in the step; 0 for any
 	MaxServed         int          `yaml:"served"` // highest number of fetches that a member served in the step; 0 for any
+	Summed            int          `yaml:"summed"` // members whose load the sums have that each running member of this version knows; 0 for any
+	MaxSumAge         clock.Millis `yaml:"sumAge"` // highest age of these sums
 	Outage            []int        `yaml:"outage"` // running members that know of an outage of the store that ended in the step; nil for any
 }
 
@@ -78,6 +82,7 @@
 	inbox        []MessageReceived
 	bytesSent    int // in this step
 	served       int // fetches by other members in this step
+	memberSums
 }
 
 // simulation runs members on a simulated clock.
@@ -93,6 +98,7 @@
 	calls                 int
 	maxWatchers           int
 	maxAge                clock.Millis
+	endpoints             int
 }
 
 // Times of the simulation, in ms. readPause is the forwarder's pause between watch calls.
@@ -102,7 +108,7 @@
 )
 
 func newSimulation(t *testing.T, c scenario) *simulation {
-	sm := &simulation{t: t, now: 1_000_000, bound: c.Bound, revision: 10, changeRevision: 10, configurationRevision: 10}
+	sm := &simulation{t: t, now: 1_000_000, bound: c.Bound, revision: 10, changeRevision: 10, configurationRevision: 10, endpoints: c.Endpoints}
 	if sm.bound == 0 {
 		sm.bound = 3000
 	}
@@ -114,6 +120,9 @@
 	slices.SortFunc(sm.members, func(a, b *testMember) int {
 		return compareRank(&peer{Member: a.Member, rank: rank(a.Name)}, &peer{Member: b.Member, rank: rank(b.Name)})
 	})
+	for _, i := range c.Old {
+		sm.members[i].old = true
+	}
 	for _, n := range sm.members {
 		sm.start(n)
 	}
@@ -189,7 +198,9 @@
 			if sm.readStore(n); n.storeDenied {
 				sm.fetchFrom(n, v.Peer, 0)
 			}
-		case SetWatching, NotifySteering, RemoveMember:
+		case NotifySteering:
+			n.recordSums(sm, v)
+		case SetWatching, RemoveMember:
 		}
 	}
 }
@@ -211,6 +222,7 @@
 func (sm *simulation) deliver(to netip.AddrPort, data []byte) {
 	from, m, err := Decode(data)
 	require.NoError(sm.t, err)
+	m = sm.asUnderstood(to, m)
 	if _, isChanges := m.(EndpointChanges); isChanges && sm.loseChanges {
 		return
 	}
@@ -276,6 +288,7 @@
 		for _, r := range inbox {
 			sm.perform(n, n.engine.Handle(sm.now, r))
 		}
+		sm.takeDemand(n)
 		sm.perform(n, n.engine.Handle(sm.now, Ticked{}))
 		if !n.engine.Watching() {
 			continue
@@ -307,6 +320,7 @@
 		}
 		require.Equal(sm.t, s.Watchers, watching, name)
 	}
+	sm.expectSums(name, s)
 	if s.Outage != nil {
 		require.Equal(sm.t, s.Outage, sm.knowOutage(s.Duration), name)
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -55,6 +55,7 @@
 	probedSince  clock.Millis // since when it hasn't answered probes; 0 if none is unanswered
 	leaving      bool         // it has stopped watching
 	directUntil  clock.Millis // until when this member, as watcher, sends it heartbeats without a relay
+	summedAt     clock.Millis // when its latest heartbeat with sums arrived; 0 for none
 	missedSentAt clock.Millis // when it was last sent a HeartbeatMissed
 }
 
@@ -82,7 +83,7 @@
 func (s *peerList) put(m Member) (*peer, bool) {
 	if p := s.find(m.Name); p != nil {
 		if m.StartedAt > p.StartedAt {
-			p.leaving, p.heartbeatAt, p.probedSince = false, 0, 0
+			p.leaving, p.heartbeatAt, p.probedSince, p.summedAt = false, 0, 0, 0
 		}
 		if m.StartedAt >= p.StartedAt {
 			p.Member = m
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -5,6 +5,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/demand"
 	"github.com/tanagerdock/tanagerdock/steering"
 )
 
@@ -46,13 +47,16 @@
 	State   RecordState `cbor:"state"`
 	Leaving bool        `cbor:"leaving,omitempty"` // the sender stops watching
 	Relay   bool        `cbor:"relay,omitempty"`   // the receiver has to relay it
+	// Sum of the load of the data centre, or a part of it; nil if the sender adds up none.
+	Demand *demand.Summary `cbor:"load,omitempty"`
 }
 
 // RelayedHeartbeat is a watcher's heartbeat relayed by another member, in a large data
 // centre. The receiver handles it like the watcher's own.
 type RelayedHeartbeat struct {
-	Watcher Member      `cbor:"watcher"`
-	State   RecordState `cbor:"state"`
+	Watcher Member          `cbor:"watcher"`
+	State   RecordState     `cbor:"state"`
+	Demand  *demand.Summary `cbor:"load,omitempty"`
 }
 
 // HeartbeatMissed tells a watcher that its heartbeats don't reach the sender. The watcher
@@ -120,6 +124,7 @@
 	EndpointTallies     *EndpointTallies     `cbor:"seen,omitempty"`
 	FlowQuery           *FlowQuery           `cbor:"doubted,omitempty"`
 	FlowReply           *FlowReply           `cbor:"found,omitempty"`
+	DemandReport        *DemandReport        `cbor:"load,omitempty"`
 }
 
 // Encode returns a message as a datagram, or ErrMessage if it is larger than
@@ -147,6 +152,8 @@
 		e.FlowQuery = &v
 	case FlowReply:
 		e.FlowReply = &v
+	case DemandReport:
+		e.DemandReport = &v
 	}
 	data, err := cbor.Marshal(e)
 	if err != nil {
@@ -188,6 +195,9 @@
 			return err
 		}
 	}
+	if err := e.checkDemand(); err != nil {
+		return err
+	}
 	switch {
 	case e.RelayedHeartbeat != nil:
 		return e.RelayedHeartbeat.Watcher.Check()
@@ -211,6 +221,19 @@
 	return nil
 }
 
+// checkDemand returns an error if a report of load or a sum exceeds its limits.
+func (e *envelope) checkDemand() error {
+	switch {
+	case e.Heartbeat != nil && e.Heartbeat.Demand != nil:
+		return e.Heartbeat.Demand.Check()
+	case e.RelayedHeartbeat != nil && e.RelayedHeartbeat.Demand != nil:
+		return e.RelayedHeartbeat.Demand.Check()
+	case e.DemandReport != nil:
+		return e.DemandReport.Check()
+	}
+	return nil
+}
+
 // recordStates returns the record states of the message.
 func (e *envelope) recordStates() (list []*RecordState) {
 	if e.Heartbeat != nil {
@@ -261,6 +284,8 @@
 		return e.From, *e.FlowQuery, nil
 	case e.FlowReply != nil:
 		return e.From, *e.FlowReply, nil
+	case e.DemandReport != nil:
+		return e.From, *e.DemandReport, nil
 	}
 	return Member{}, nil, errors.Wrapf(ErrMessage, "datagram from %q contains no known message", e.From.Name)
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/demand"
 )
 
 // In a large data centre, some members relay the watcher's heartbeats. With a record bound
@@ -25,9 +26,10 @@
 
 // sendHeartbeat sends a heartbeat to all members, in a large data centre through relays.
 func (e *Engine) sendHeartbeat(now clock.Millis) []Action {
-	heartbeat := Heartbeat{State: e.RecordState(now)}
+	sums, actions := e.takeSums(now)
+	heartbeat := Heartbeat{State: e.RecordState(now), Demand: sums}
 	if len(e.peers.list) <= maxDirect {
-		return e.broadcast(heartbeat)
+		return append(actions, e.broadcast(heartbeat)...)
 	}
 	order := e.peers.orderAfter(e.settings.Self.Name)
 	var direct []netip.AddrPort
@@ -36,7 +38,7 @@
 			direct = append(direct, p.Address)
 		}
 	}
-	actions := []Action{Send{To: addresses(order[:relayCount]), Message: Heartbeat{State: heartbeat.State, Relay: true}}}
+	actions = append(actions, Send{To: addresses(order[:relayCount]), Message: Heartbeat{State: heartbeat.State, Relay: true, Demand: sums}})
 	if len(direct) > 0 {
 		actions = append(actions, Send{To: direct, Message: heartbeat})
 	}
@@ -46,7 +48,7 @@
 // relayHeartbeat relays a watcher's heartbeat to the members that this one serves. If
 // members know different lists of members, a heartbeat may reach a member twice or not at
 // all; a member that misses heartbeats asks the watcher to send them directly.
-func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, s RecordState) []Action {
+func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, s RecordState, sums *demand.Summary) []Action {
 	order := e.peers.orderAfter(watcher.Name)
 	// The list lacks this member itself. Find its position in the watcher's list.
 	self := &peer{Member: e.settings.Self, rank: rank(e.settings.Self.Name)}
@@ -70,7 +72,11 @@
 	if s.RecoveredAge != 0 {
 		s.RecoveredAge = min(s.RecoveredAge+delay, maxRecordAge)
 	}
-	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s}}}
+	if sums != nil {
+		delayed := e.delaySums(now, *sums)
+		sums = &delayed
+	}
+	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s, Demand: sums}}}
 }
 
 // reportMissedHeartbeats asks watchers whose heartbeats don't arrive to send them
--- a/forwarder/daemon.go
+++ b/forwarder/daemon.go
@@ -61,6 +61,7 @@
 	fleet           *fleet.Engine
 	queue           packetQueue // packets that arrived before the first records
 	peerRecordsRead bool        // records were fetched from a peer, so the store need not be listed
+	sumsInUse       bool        // new flows were placed by sums when this was last checked
 
 	self           fleet.Member
 	store          atomic.Pointer[platform.Store]
@@ -323,6 +324,7 @@
 		if now >= nextTallies {
 			nextTallies = now + tallyPeriod
 			d.guard("tallies", d.sendTallies)
+			d.guard("demand", d.sendDemand)
 		}
 		d.guard("report", func() { d.writeReport(ctx) })
 		if now >= nextStoreCalls {
