--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -83,13 +83,17 @@
 	if e.followed(now) != p {
 		return nil
 	}
-	return []Action{NotifySteering{Event: steering.DemandSummed{Summary: e.delaySums(now, *sums)}}}
+	return []Action{NotifySteering{Event: steering.DemandSummed{Summary: *e.delaySums(now, sums)}}}
 }
 
 // delaySums makes sums older by the time that they may have waited here.
-func (e *Engine) delaySums(now clock.Millis, sums demand.Summary) demand.Summary {
-	sums.Age = min(sums.Age+now-e.sentAt(now), demand.MaxSummaryAge)
-	return sums
+func (e *Engine) delaySums(now clock.Millis, sums *demand.Summary) *demand.Summary {
+	if sums == nil {
+		return nil
+	}
+	delayed := *sums
+	delayed.Age = min(sums.Age+now-e.sentAt(now), demand.MaxSummaryAge)
+	return &delayed
 }
 
 // takeSums returns the part of the sums for the next heartbeat, or nil if there are none, and
@@ -105,7 +109,7 @@
 	}
 	part := parts[e.demand.nextPart%len(parts)]
 	e.demand.nextPart++
-	if _, err := Encode(e.settings.Self, RelayedHeartbeat{Watcher: e.settings.Self, State: e.RecordState(now), Demand: &part}); err != nil {
+	if _, err := Encode(e.settings.Self, RelayedHeartbeat{Watcher: e.settings.Self, State: e.RecordState(now), Evacuations: e.EvacuationState(now), Demand: &part}); err != nil {
 		return nil, actions // long names leave no room; the records come first
 	}
 	return &part, actions
--- a/fleet/demand_test.go
+++ b/fleet/demand_test.go
@@ -10,12 +10,10 @@
 	"github.com/tanagerdock/tanagerdock/clock"
 	"github.com/tanagerdock/tanagerdock/demand"
 	"github.com/tanagerdock/tanagerdock/internal/script"
-	"github.com/tanagerdock/tanagerdock/steering"
 )
 
 // memberSums is what a member of a simulation knows of the load of its data centre.
 type memberSums struct {
-	old      bool // of an earlier version
 	number   uint64
 	takenAt  clock.Millis
 	parts    map[int]demand.Summary
@@ -23,22 +21,18 @@
 	partsNow int
 }
 
-func (m *memberSums) recordSums(sm *simulation, v NotifySteering) {
-	s, found := v.Event.(steering.DemandSummed)
-	if !found {
-		return
-	}
-	if s.Summary.Parts != m.partsNow {
-		m.parts, m.partAt, m.partsNow = map[int]demand.Summary{}, map[int]clock.Millis{}, s.Summary.Parts
+func (m *memberSums) recordSums(sm *simulation, s demand.Summary) {
+	if s.Parts != m.partsNow {
+		m.parts, m.partAt, m.partsNow = map[int]demand.Summary{}, map[int]clock.Millis{}, s.Parts
 	}
-	m.parts[s.Summary.Part], m.partAt[s.Summary.Part] = s.Summary, sm.now-s.Summary.Age
+	m.parts[s.Part], m.partAt[s.Part] = s, sm.now-s.Age
 }
 
 // asUnderstood returns a message as its receiver reads it. An earlier version mustn't get a
 // message that it doesn't know.
 func (sm *simulation) asUnderstood(to netip.AddrPort, m Message) Message {
 	for _, n := range sm.members {
-		if n.Address != to || !n.old {
+		if n.Address != to || !n.isOld {
 			continue
 		}
 		switch v := m.(type) {
@@ -57,7 +51,7 @@
 
 // takeDemand lets a member report one flow at each endpoint, each period.
 func (sm *simulation) takeDemand(n *testMember) {
-	if sm.endpoints == 0 || n.old || sm.now-n.takenAt < demand.Period {
+	if sm.endpoints == 0 || n.isOld || sm.now-n.takenAt < demand.Period {
 		return
 	}
 	n.takenAt = sm.now
@@ -75,7 +69,7 @@
 		return
 	}
 	for i, n := range sm.members {
-		if !n.live || n.stalled || n.old {
+		if !n.live || n.stalled || n.isOld {
 			continue
 		}
 		require.Len(sm.t, n.parts, n.partsNow, "%s: member %d", name, i)
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -11,6 +11,9 @@
 type Settings struct {
 	Self        Member
 	RecordBound clock.Millis // time within which every instance has to apply a change of records
+	Evacuations bool         // operators order evacuations, which are then watched like the other records
+	// Steering is told the members of the data centre.
+	NotifyMembers bool
 }
 
 const (
@@ -46,12 +49,14 @@
 	peers    peerList
 
 	startedAt                clock.Millis
+	listedAt                 clock.Millis // when the members were first listed; 0 before
 	tickedAt                 clock.Millis // last Ticked event; 0 before the first
 	stalledAt                clock.Millis // last Ticked event before the latest stall
 	stalledUntil             clock.Millis // end of stallRecovery
 	state                    RecordState
 	configurationConfirmedAt clock.Millis // when the store last confirmed the configuration; 0 if it hasn't
 	endpointsConfirmedAt     clock.Millis // when the store last confirmed the endpoints; 0 if it hasn't
+	evacuations              evacuations
 	readAt                   clock.Millis // when this member last read the store itself
 	outages                  outages
 
@@ -68,7 +73,7 @@
 
 // NewEngine returns an engine that knows no other members and has no records.
 func NewEngine(s Settings, now clock.Millis) *Engine {
-	return &Engine{settings: s, startedAt: now, readAt: now, probedAt: now}
+	return &Engine{settings: s, peers: peerList{changed: true}, startedAt: now, readAt: now, probedAt: now}
 }
 
 // Watching reports whether this member watches the store.
@@ -117,8 +122,10 @@
 		e.recordStoreFailure(now)
 	case RecordsRead:
 		return e.handleRecordsRead(now, v)
+	case EvacuationsRead:
+		return e.handleEvacuationsRead(now, v)
 	case RecordsFetched:
-		e.handleRecordsFetched(now, v)
+		return e.handleRecordsFetched(now, v)
 	case EndpointFaultFound:
 		return e.broadcast(EndpointFault{v.Fault})
 	case EndpointTalliesTaken:
@@ -137,7 +144,7 @@
 		e.handleSuspended(now, v.Duration)
 	case Ticked:
 		e.tickedAt = now
-		return e.handleTick(now)
+		return append(e.handleTick(now), e.notifyMembers(now)...)
 	}
 	return nil
 }
@@ -164,6 +171,9 @@
 	if e.endpointsConfirmedAt != 0 {
 		e.endpointsConfirmedAt -= duration
 	}
+	if e.evacuations.confirmedAt != 0 {
+		e.evacuations.confirmedAt -= duration
+	}
 	e.stalledAt, e.stalledUntil = e.tickedAt-duration, now+stallRecovery
 	e.peers.forgetProbes()
 	e.outages.suspend(duration)
@@ -200,6 +210,9 @@
 }
 
 func (e *Engine) handleMembersListed(now clock.Millis, v MembersListed) []Action {
+	if e.listedAt == 0 {
+		e.listedAt = now
+	}
 	var added []netip.AddrPort
 	for _, m := range v.Members {
 		if !e.isPeer(&m) {
@@ -312,9 +325,11 @@
 	if p == nil {
 		return nil
 	}
-	actions := append(e.handleWatcherState(now, p, p.Member, m.State, m.Leaving), e.handleSums(now, p, m.Demand)...)
+	actions := e.handleWatcherEvacuations(now, p, m.Evacuations)
+	actions = append(actions, e.handleWatcherState(now, p, p.Member, m.State, m.Leaving)...)
+	actions = append(actions, e.handleSums(now, p, m.Demand)...)
 	if m.Relay {
-		actions = append(actions, e.relayHeartbeat(now, p, m.State, m.Demand)...)
+		actions = append(actions, e.relayHeartbeat(now, p, m)...)
 	}
 	return actions
 }
@@ -325,7 +340,9 @@
 		return nil
 	}
 	p, _ := e.peers.put(m.Watcher)
-	return append(e.handleWatcherState(now, p, relay, m.State, false), e.handleSums(now, p, m.Demand)...)
+	actions := e.handleWatcherEvacuations(now, p, m.Evacuations)
+	actions = append(actions, e.handleWatcherState(now, p, relay, m.State, false)...)
+	return append(actions, e.handleSums(now, p, m.Demand)...)
 }
 
 func (e *Engine) handleEndpointChanges(now clock.Millis, p *peer, m EndpointChanges) []Action {
@@ -382,7 +399,7 @@
 	return actions
 }
 
-func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) {
+func (e *Engine) handleRecordsFetched(now clock.Millis, v RecordsFetched) (actions []Action) {
 	if !v.EndpointsOnly && v.State.ConfigurationRevision >= e.state.ConfigurationRevision {
 		e.state.ConfigurationRevision = v.State.ConfigurationRevision
 		e.configurationConfirmedAt = max(e.configurationConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.ConfigurationAge)
@@ -391,8 +408,12 @@
 		e.state.EndpointsRevision, e.state.ChangeRevision = v.State.EndpointsRevision, max(v.State.ChangeRevision, e.state.ChangeRevision)
 		e.endpointsConfirmedAt = max(e.endpointsConfirmedAt, e.readSince(now, v.RequestedAt)-v.State.EndpointsAge)
 	}
+	if s := v.Evacuations; s != nil {
+		actions = e.applyEvacuations(s.Orders, e.readSince(now, v.RequestedAt)-s.Age)
+	}
 	e.recordAnswers()
 	e.recordReport(e.readSince(now, v.RequestedAt), v.State.RecoveredAge)
+	return actions
 }
 
 func (e *Engine) handleStopping(now clock.Millis) []Action {
@@ -400,7 +421,7 @@
 	wasWatching := e.watching
 	actions := e.updateWatching(now)
 	if wasWatching {
-		actions = append(actions, e.broadcast(Heartbeat{State: e.RecordState(now), Leaving: true})...)
+		actions = append(actions, e.broadcast(Heartbeat{State: e.RecordState(now), Evacuations: e.EvacuationState(now), Leaving: true})...)
 	}
 	return actions
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -48,15 +48,17 @@
 // arrived.
 type peer struct {
 	Member
-	rank         uint64
-	heardAt      clock.Millis // when its latest message arrived; 0 for none
-	heartbeatAt  clock.Millis // when its latest record state arrived, in a heartbeat or with changes; 0 for none
-	state        RecordState  // received at that time
-	probedSince  clock.Millis // since when it hasn't answered probes; 0 if none is unanswered
-	leaving      bool         // it has stopped watching
-	directUntil  clock.Millis // until when this member, as watcher, sends it heartbeats without a relay
-	summedAt     clock.Millis // when its latest heartbeat with sums arrived; 0 for none
-	missedSentAt clock.Millis // when it was last sent a HeartbeatMissed
+	rank        uint64
+	heardAt     clock.Millis // when its latest message arrived; 0 for none
+	heartbeatAt clock.Millis // when its latest record state arrived, in a heartbeat or with changes; 0 for none
+	state       RecordState  // received at that time
+	// When the store last confirmed its evacuation orders, by its latest heartbeat.
+	evacuationsConfirmedAt clock.Millis
+	probedSince            clock.Millis // since when it hasn't answered probes; 0 if none is unanswered
+	leaving                bool         // it has stopped watching
+	directUntil            clock.Millis // until when this member, as watcher, sends it heartbeats without a relay
+	summedAt               clock.Millis // when its latest heartbeat with sums arrived; 0 for none
+	missedSentAt           clock.Millis // when it was last sent a HeartbeatMissed
 }
 
 // rank returns the hash that orders the members of a data centre. The smallest hash has
@@ -65,7 +67,8 @@
 
 // peerList has the other members of the data centre, sorted by rank.
 type peerList struct {
-	list []*peer
+	list    []*peer
+	changed bool // since steering was told the members
 }
 
 func (s *peerList) find(name string) *peer {
@@ -92,7 +95,7 @@
 	}
 	p := &peer{Member: m, rank: rank(m.Name)}
 	at, _ := slices.BinarySearchFunc(s.list, p, compareRank)
-	s.list = slices.Insert(s.list, at, p)
+	s.list, s.changed = slices.Insert(s.list, at, p), true
 	return p, true
 }
 
@@ -105,7 +108,7 @@
 }
 
 func (s *peerList) remove(name string) {
-	s.list = slices.DeleteFunc(s.list, func(p *peer) bool { return p.Name == name })
+	s.list, s.changed = slices.DeleteFunc(s.list, func(p *peer) bool { return p.Name == name }), true
 }
 
 func compareRank(a, b *peer) int {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/tanagerdock/tanagerdock/clock"
-	"github.com/tanagerdock/tanagerdock/demand"
 )
 
 // In a large data centre, some members relay the watcher's heartbeats. With a record bound
@@ -27,7 +26,7 @@
 // sendHeartbeat sends a heartbeat to all members, in a large data centre through relays.
 func (e *Engine) sendHeartbeat(now clock.Millis) []Action {
 	sums, actions := e.takeSums(now)
-	heartbeat := Heartbeat{State: e.RecordState(now), Demand: sums}
+	heartbeat := Heartbeat{State: e.RecordState(now), Evacuations: e.EvacuationState(now), Demand: sums}
 	if len(e.peers.list) <= maxDirect {
 		return append(actions, e.broadcast(heartbeat)...)
 	}
@@ -38,7 +37,9 @@
 			direct = append(direct, p.Address)
 		}
 	}
-	actions = append(actions, Send{To: addresses(order[:relayCount]), Message: Heartbeat{State: heartbeat.State, Relay: true, Demand: sums}})
+	relayed := heartbeat
+	relayed.Relay = true
+	actions = append(actions, Send{To: addresses(order[:relayCount]), Message: relayed})
 	if len(direct) > 0 {
 		actions = append(actions, Send{To: direct, Message: heartbeat})
 	}
@@ -48,7 +49,7 @@
 // relayHeartbeat relays a watcher's heartbeat to the members that this one serves. If
 // members know different lists of members, a heartbeat may reach a member twice or not at
 // all; a member that misses heartbeats asks the watcher to send them directly.
-func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, s RecordState, sums *demand.Summary) []Action {
+func (e *Engine) relayHeartbeat(now clock.Millis, watcher *peer, m Heartbeat) []Action {
 	order := e.peers.orderAfter(watcher.Name)
 	// The list lacks this member itself. Find its position in the watcher's list.
 	self := &peer{Member: e.settings.Self, rank: rank(e.settings.Self.Name)}
@@ -67,16 +68,14 @@
 	if len(to) == 0 {
 		return nil
 	}
-	delay := now - e.sentAt(now)
+	s, delay := m.State, now-e.sentAt(now)
 	s.ConfigurationAge, s.EndpointsAge = min(s.ConfigurationAge+delay, maxRecordAge), min(s.EndpointsAge+delay, maxRecordAge)
 	if s.RecoveredAge != 0 {
 		s.RecoveredAge = min(s.RecoveredAge+delay, maxRecordAge)
 	}
-	if sums != nil {
-		delayed := e.delaySums(now, *sums)
-		sums = &delayed
-	}
-	return []Action{Send{To: to, Message: RelayedHeartbeat{Watcher: watcher.Member, State: s, Demand: sums}}}
+	return []Action{Send{To: to, Message: RelayedHeartbeat{
+		Watcher: watcher.Member, State: s, Evacuations: m.Evacuations.delayed(delay), Demand: e.delaySums(now, m.Demand),
+	}}}
 }
 
 // reportMissedHeartbeats asks watchers whose heartbeats don't arrive to send them
--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -20,8 +20,8 @@
 }
 
 // readSettings reads the settings file and applies it. If the file is invalid, the current
-// settings stay. The data centre and the addresses to listen on change only with a restart.
-// why is the reason that is logged.
+// settings stay. The data centre, the addresses to listen on, whether operators order
+// evacuations, and the bounds for cold endpoints, change only with a restart. why is the reason that is logged.
 func (d *Daemon) readSettings(why string) {
 	if d.settingsFile == "" {
 		return
@@ -32,10 +32,17 @@
 		return
 	}
 	old := d.settings.Load()
-	if s.PacketAddress != old.PacketAddress || s.ReadyAddress != old.ReadyAddress || s.Centre != old.Centre || !slices.Equal(s.InternalPorts, old.InternalPorts) {
-		d.log.info("settings need a restart", "packets", s.PacketAddress, "ready", s.ReadyAddress, "centre", s.Centre, "inner", s.InternalPorts)
+	switched := (s.EvacuationBound > 0) != (old.EvacuationBound > 0)
+	warmup := s.WarmupLimited != old.WarmupLimited || s.WarmupExcess != old.WarmupExcess || s.WarmupSlack != old.WarmupSlack
+	if s.PacketAddress != old.PacketAddress || s.ReadyAddress != old.ReadyAddress || s.Centre != old.Centre || !slices.Equal(s.InternalPorts, old.InternalPorts) || switched || warmup {
+		d.log.info("settings need a restart", "packets", s.PacketAddress, "ready", s.ReadyAddress, "centre", s.Centre, "inner", s.InternalPorts, "evacuation_ms", s.EvacuationBound,
+			"warmup_excess", s.WarmupExcess, "warmup_slack", s.WarmupSlack)
 	}
 	s.PacketAddress, s.ReadyAddress, s.ControlAddress, s.InternalPorts, s.Centre = old.PacketAddress, old.ReadyAddress, old.ControlAddress, old.InternalPorts, old.Centre
+	if switched {
+		s.EvacuationBound = old.EvacuationBound
+	}
+	s.WarmupLimited, s.WarmupExcess, s.WarmupSlack = old.WarmupLimited, old.WarmupExcess, old.WarmupSlack
 	d.applySettings(s)
 	d.log.info("reload", "why", why, "store", s.StoreURL, "changed", s.StoreURL != old.StoreURL)
 }
--- a/steering/demand_test.go
+++ b/steering/demand_test.go
@@ -16,13 +16,13 @@
 // CentreLoad has the fields of a loadCase for a data centre of many instances, of which each
 // gets the flows of some consumers.
 type CentreLoad struct {
-	Instances       int          `yaml:"instances"`
-	MaxFlows        int          `yaml:"limit"`     // of an endpoint, by the configuration
+	Members         int          `yaml:"members"`   // instances
+	MaxFlows        int          `yaml:"maxFlows"`  // of an endpoint, by the configuration
 	RequestsPerFlow int          `yaml:"life"`      // after which a user opens another flow; 0 for no limit
 	Wave            float64      `yaml:"wave"`      // swing of the load, in waves of 13 s
 	ReconnectAt     clock.Millis `yaml:"reconnect"` // when all flows end and all users open another; 0 for never
 	SumDelay        clock.Millis `yaml:"delay"`     // from the watcher to the instances
-	From            clock.Millis `yaml:"from"`      // start of the time that counts
+	From            clock.Millis `yaml:"since"`     // start of the time that counts
 	MaxShare        float64      `yaml:"share"`     // of the excess of the busiest endpoint with sums over that without
 	MostFlows       int          `yaml:"most"`      // at the busiest endpoint with sums
 }
@@ -38,11 +38,15 @@
 	rejected int      // requests that met a full endpoint
 }
 
-func (c *CentreLoad) services() map[string]Service {
-	if c.Instances == 0 {
-		return nil
+// addMembers adds the instances of the data centre.
+func (l *loadSimulation) addMembers() {
+	if l.c.Members == 0 {
+		return
+	}
+	l.configuration.Services = map[string]Service{"desk": {MaxFlows: l.c.MaxFlows}}
+	for range l.c.Members {
+		l.instances = append(l.instances, &loadInstance{Centre: "here"})
 	}
-	return map[string]Service{"desk": {MaxFlows: c.MaxFlows}}
 }
 
 // endsFlow reports whether a flow has had all its requests. Flows differ in their length.
@@ -59,12 +63,12 @@
 
 // startCentre starts what many instances do among themselves.
 func (l *loadSimulation) startCentre() {
-	if l.c.Instances == 0 {
+	if l.c.Members == 0 {
 		return
 	}
-	for i, e := range l.engines {
+	for i, n := range l.instances {
 		if l.centre.sums {
-			l.schedule(clock.Millis(i)*demand.Period/clock.Millis(len(l.engines)), func() { l.sendDigest(i, e) })
+			l.schedule(clock.Millis(i)*demand.Period/clock.Millis(len(l.instances)), func() { l.sendDigest(i, n.engine) })
 		}
 	}
 	l.schedule(demand.Period, l.sendSums)
@@ -85,8 +89,8 @@
 	for _, s := range l.centre.ledger.Summaries(l.now) {
 		s.Age += l.c.SumDelay
 		l.schedule(l.c.SumDelay, func() {
-			for _, e := range l.engines {
-				e.Handle(l.now, DemandSummed{Summary: s})
+			for _, n := range l.instances {
+				n.engine.Handle(l.now, DemandSummed{Summary: s})
 			}
 		})
 	}
@@ -103,10 +107,10 @@
 }
 
 // reportFault passes what an instance found to the others.
-func (l *loadSimulation) reportFault(engine *Engine, v ReportFault) {
-	for _, o := range l.engines {
-		if o != engine {
-			l.perform(o, o.Handle(l.now, FaultReported{Sender: "another", EndpointFault: v.EndpointFault}))
+func (l *loadSimulation) reportFault(n *loadInstance, v ReportFault) {
+	for _, o := range l.instances {
+		if o != n && l.c.Members > 0 {
+			l.perform(o, o.engine.Handle(l.now, FaultReported{Sender: "another", EndpointFault: v.EndpointFault}))
 		}
 	}
 }
@@ -150,12 +154,13 @@
 					t.Logf("sums %t: %d requests, excess %.3f, most flows %d, %d rejected, %d failed, %d late", sums, l.requests,
 						l.centre.excess/float64(l.centre.samples), l.centre.most, l.centre.rejected, l.failed, l.late)
 					if sums {
-						state := l.engines[0].DemandState(l.now)
+						state := l.instances[0].engine.DemandState(l.now)
 						require.True(t, state.InUse)
-						require.Equal(t, c.Instances, state.Members)
+						require.Equal(t, c.Members, state.Members)
 						require.Positive(t, state.Placed)
 						require.LessOrEqual(t, l.centre.most, c.MostFlows, "flows at the busiest endpoint")
 					}
+					require.Zero(t, l.misplaced, "flows opened in the evacuated data centre")
 				}
 			}
 			t.Logf("excess of the busiest endpoint: %.3f with sums, %.3f without", excess[1]/3, excess[0]/3)
@@ -166,7 +171,7 @@
 
 func playCentre(t *testing.T, c loadCase, sums bool, seed uint64) *loadSimulation {
 	c.Endpoints = slices.Clone(c.Endpoints)
-	l := newLoadSimulation(t, c)
+	l := newLoadSimulation(t, c, false)
 	l.random = rand.New(rand.NewPCG(seed, 1))
 	l.centre.sums = sums
 	l.run()
@@ -179,7 +184,7 @@
 	var cases []loadCase
 	script.Read(t, "testdata/load/demand.yaml", &cases)
 	for name, change := range map[string]func(*loadCase){
-		"few members": func(c *loadCase) { c.Instances = MinDemandMembers - 1 },
+		"few members": func(c *loadCase) { c.Members = MinDemandMembers - 1 },
 		"old":         func(c *loadCase) { c.SumDelay = maxSumAge },
 		"no limits":   func(c *loadCase) { c.MaxFlows = 0 },
 	} {
@@ -189,7 +194,7 @@
 			without, with := playCentre(t, c, false, 1), playCentre(t, c, true, 1)
 			require.Equal(t, without.centre.placed, with.centre.placed)
 			require.NotEmpty(t, with.centre.placed)
-			require.Zero(t, with.engines[0].DemandState(with.now).Placed)
+			require.Zero(t, with.instances[0].engine.DemandState(with.now).Placed)
 		})
 	}
 }
--- a/steering/doc.go
+++ b/steering/doc.go
@@ -26,11 +26,13 @@
 //	established.go    decisions on all other packets
 //	placement.go      choice of the endpoint for a new flow
 //	demand.go         choice by the sums of the data centre, and digests for them
+//	evacuation.go     evacuated data centres, which get no new flows
 //	silence.go        detection of endpoints that don't answer, by packets and probes
 //	proof.go          proof that the process of an endpoint has ended, and resets of its flows
 //	outlier.go        detection of endpoints that fail requests
 //	query.go          queries to other instances about unanswered requests
 //	ejection.go       ejection of failing endpoints, and probation
+//	warmup.go         limit of the new flows of cold endpoints
 //	contradiction.go  resets that turned out wrong
 //	evidence.go       what was known of an endpoint when its flows were reset
 //	tally.go          counts of answers, exchanged between instances
--- a/steering/endpoint.go
+++ b/steering/endpoint.go
@@ -128,6 +128,7 @@
 	silence  silence
 	failures failures
 	resets   resetSeries
+	warmup   endpointWarmup
 	observed observed
 }
 
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -13,13 +13,15 @@
 
 // Settings are the settings of an engine.
 type Settings struct {
-	Centre string // name of the data centre
+	Centre   string // name of the data centre
+	Instance string // name of this instance
 	// Age of the last confirmation from which on the store counts as unreachable.
 	StaleAfter clock.Millis
 	TickPeriod clock.Millis // time between two Ticked events; 0 if they need not come in time
 	Seed       uint64       // of random choices
 	// Operators may order evacuations. The engine is ready only when it knows the orders.
 	Evacuations bool
+	Warmup      *WarmupBounds // nil if the new flows of cold endpoints aren't limited
 }
 
 // Engine makes the decisions of one instance. It is not safe for concurrent use.
@@ -32,6 +34,9 @@
 	configurationConfirmedAt clock.Millis      // when the store last confirmed the configuration
 	removedRoutes            map[AddrPort]bool // routes of earlier configurations that aren't in the present one
 	evacuations              evacuation.Orders
+	warmups                  warmups
+	awaitsOrdersSince        clock.Millis // when all records but the evacuation orders were known; 0 before
+	ordersOverdue            bool         // the orders didn't come within ordersTimeout
 	directory                directory
 	flows                    flows
 	baselines                map[AddrPort]*baseline
@@ -74,6 +79,7 @@
 		flows:         newFlows(),
 		baselines:     map[AddrPort]*baseline{},
 		latencies:     map[string]*serviceLatency{},
+		warmups:       warmups{coldCentres: map[string]bool{}},
 	}
 }
 
@@ -110,14 +116,22 @@
 	return d
 }
 
-// Ready reports whether the engine has a configuration and some endpoints, so that it can
-// place flows. Packets for unknown endpoints get ReasonNoRecords until it is complete.
-func (e *Engine) Ready() bool {
+// Ready reports whether the engine has a configuration, some endpoints and the evacuation
+// orders, so that it can place flows. Packets for unknown endpoints get ReasonNoRecords until
+// it is complete.
+func (e *Engine) Ready() bool { return e.hasRecords() && e.hasOrders() }
+
+// Complete reports whether the engine has a configuration, all endpoints and the evacuation
+// orders.
+func (e *Engine) Complete() bool { return e.hasAllRecords() && e.hasOrders() }
+
+// hasRecords reports whether the engine has a configuration and some endpoints, which suffices
+// for open flows.
+func (e *Engine) hasRecords() bool {
 	return e.configuration != nil && (e.directory.listed || e.directory.partlyListed)
 }
 
-// Complete reports whether the engine has a configuration and all endpoints.
-func (e *Engine) Complete() bool { return e.configuration != nil && e.directory.listed }
+func (e *Engine) hasAllRecords() bool { return e.configuration != nil && e.directory.listed }
 
 // FlowCount returns the number of flows in the flow table.
 func (e *Engine) FlowCount() int { return len(e.flows.byKey) }
@@ -161,9 +175,9 @@
 	case FaultReported:
 		return e.handleFault(now, v)
 	case EvacuationsRead:
-		if v.Orders.Revision > e.evacuations.Revision {
-			e.evacuations = v.Orders
-		}
+		return e.readEvacuations(now, v.Orders)
+	case MembersKnown:
+		e.applyMembers(now, v)
 	case DemandSummed:
 		e.applySums(now, &v.Summary)
 	case EndpointsPageRead:
@@ -211,14 +225,16 @@
 	ConditionLapsed  = "EndpointLapsed"
 	ConditionRefused = "EndpointRefused"
 	ConditionFailing = "EndpointFailing"
+	// An operator ordered the evacuation of a data centre.
+	ConditionEvacuated = "Evacuated"
 	// An entry of an endpoint, the configuration or one of its routes can't be decoded.
 	ConditionUnreadable = "Unreadable"
 )
 
-// Conditions returns the problems of all endpoints and of the configuration, sorted by
-// subject.
+// Conditions returns the problems of all endpoints and of the configuration and the evacuation
+// orders in force, sorted by subject.
 func (e *Engine) Conditions(now clock.Millis) []Condition {
-	list := e.unreadableConditions()
+	list := append(e.unreadableConditions(), e.evacuationConditions()...)
 	for id, s := range e.directory.byID {
 		c := Condition{Subject: "endpoint/" + id, Action: "it gets no new flows"}
 		switch {
@@ -353,6 +369,7 @@
 	if old != nil && !sameProcess {
 		e.flows.detachAll(old)
 	}
+	e.updateWarmup(now, e.directory.byID[p.ID], old != nil)
 	e.directory.unreadable.remove(p.ID)
 	e.compareEntry(now, e.directory.byID[p.ID])
 	if unchanged {
@@ -398,6 +415,7 @@
 
 func (e *Engine) tick(now clock.Millis) (actions []Action) {
 	e.wasIsolated = e.isolated(now)
+	e.awaitOrders(now)
 	e.flows.expire(now, func(k key, w *flow) { e.checkWaiting(now, k, w) })
 	for _, s := range e.directory.byID {
 		e.confirmRefusal(now, s)
@@ -411,6 +429,7 @@
 	e.reprobe(now)
 	actions = append(actions, e.TakeActions()...)
 	actions = e.reportContradictions(actions)
+	actions = e.reportWarmups(now, actions)
 	if e.sendTallies {
 		e.sendTallies = false
 		actions = append(actions, SendTallies{})
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/tanagerdock/tanagerdock/clock"
+	"github.com/tanagerdock/tanagerdock/evacuation"
 	"github.com/tanagerdock/tanagerdock/internal/script"
 )
 
@@ -22,6 +23,9 @@
 	NotIdempotent  bool           `yaml:"once"`  // requests aren't idempotent, so users don't retry them
 	FlowPerRequest bool           `yaml:"fresh"` // users open a flow for each request
 	Endpoints      []loadEndpoint `yaml:"endpoints"`
+	Evacuated      string         `yaml:"evacuated"` // data centre that is evacuated; none if empty
+	EvacuatedFrom  clock.Millis   `yaml:"from"`
+	EvacuatedUntil clock.Millis   `yaml:"until"`
 
 	MaxFailed           int          `yaml:"failed"`  // maximum number of failed requests
 	LateAfter           clock.Millis `yaml:"late"`    // a request with a longer latency is late
@@ -32,6 +36,10 @@
 	MaxOtherCentreShare float64      `yaml:"foreign"` // maximum share of requests served in another data centre
 	MinServed           []int        `yaml:"served"`  // minimum number of requests served per endpoint; nil for any
 
+	Instances []*loadInstance `yaml:"instances"` // one in data centre "here" by default
+	ColdLimit int             `yaml:"limit"`     // of the openings that reach a cold endpoint within any second; 0 if the part is off
+	ColdUse   []int           `yaml:"use"`       // minimum and maximum number of openings that reach cold endpoints
+
 	CentreLoad `yaml:",inline"`
 }
 
@@ -50,6 +58,10 @@
 	QueueLimit      int          `yaml:"room"` // pending requests beyond which requests are rejected; 0 for no limit
 	SlowFactor      float64      `yaml:"slow"` // factor of the processing time
 
+	ColdFrom   clock.Millis   `yaml:"cold"`  // when its process started again; 0 if it didn't
+	EntryDelay clock.Millis   `yaml:"delay"` // until instances know its entry after that
+	openings   []clock.Millis // when opening packets arrived while it was cold
+
 	busy     int
 	queue    []func()
 	busyTime clock.Millis
@@ -62,7 +74,7 @@
 	require.NotEmpty(t, cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			l := newLoadSimulation(t, c)
+			l := newLoadSimulation(t, c, false)
 			l.run()
 			l.check()
 		})
@@ -102,7 +114,7 @@
 type loadSimulation struct {
 	t           *testing.T
 	c           loadCase
-	engines     []*Engine // by the consumers' addresses and ports
+	instances   []*loadInstance
 	centre      centreSimulation
 	now         clock.Millis
 	queue       loadQueue
@@ -116,6 +128,12 @@
 	late        int
 	resets      int
 	otherCentre int
+	misplaced   int // flows opened at endpoints of an evacuated data centre
+
+	configuration *Configuration
+	entries       []Endpoint // as the store has them
+	heldBack      int        // openings refused for warm-up
+	unlimited     bool       // the part is off although the case has a limit
 }
 
 // userFlow is a flow of a user and the present request on it.
@@ -141,16 +159,16 @@
 	gotError bool
 }
 
-func newLoadSimulation(t *testing.T, c loadCase) *loadSimulation {
+func newLoadSimulation(t *testing.T, c loadCase, unlimited bool) *loadSimulation {
 	l := &loadSimulation{
-		t: t, c: c, now: startTime,
+		t: t, c: c, instances: c.Instances, now: startTime, unlimited: unlimited,
 		random: rand.New(rand.NewPCG(1, 1)), byID: map[string]*loadEndpoint{}, flows: map[AddrPort]*userFlow{}, port: 1000,
 	}
 	route := Route{Name: "desk", Shares: []Share{{Service: "desk", Weight: 1}}, Idempotent: !c.NotIdempotent}
-	configuration := &Configuration{
-		Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route}, Services: c.services(),
+	l.configuration = &Configuration{Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route}}
+	if c.ColdLimit > 0 {
+		l.configuration.Services = map[string]Service{"desk": {Warmup: coldTime}}
 	}
-	list := EndpointsListed{Revision: 2}
 	for i := range c.Endpoints {
 		e := &c.Endpoints[i]
 		if e.Centre == "" {
@@ -162,15 +180,17 @@
 		e.Slots = max(e.Slots, 1)
 		p := parseEndpoint(t, []string{e.ID, "desk", e.Centre})
 		p.Slots = e.Slots
-		list.Endpoints = append(list.Endpoints, p)
+		l.entries = append(l.entries, p)
 		l.byID[p.ID] = e
 	}
-	for i := range max(c.Instances, 1) {
-		e := NewEngine(Settings{Centre: "here", StaleAfter: 1650, Seed: uint64(i + 1)})
-		e.Handle(l.now, ConfigurationRead{Configuration: configuration})
-		e.Handle(l.now, list)
-		l.engines = append(l.engines, e)
+	l.addMembers()
+	if len(l.instances) == 0 {
+		l.instances = []*loadInstance{{Centre: "here"}}
 	}
+	for i, n := range l.instances {
+		l.startInstance(n, uint64(i+1))
+	}
+	l.scheduleColdStarts()
 	return l
 }
 
@@ -185,6 +205,11 @@
 	}
 	l.schedule(tickInterval, l.tick)
 	l.startCentre()
+	if l.c.Evacuated != "" {
+		order := evacuation.Order{Centre: l.c.Evacuated, Revision: 3}
+		l.tell(l.c.EvacuatedFrom, EvacuationsRead{Orders: evacuation.Orders{Revision: 3, List: []evacuation.Order{order}}})
+		l.tell(l.c.EvacuatedUntil, EvacuationsRead{Orders: evacuation.Orders{Revision: 4}})
+	}
 	for l.queue.Len() > 0 {
 		v := heap.Pop(&l.queue).(loadEvent)
 		if v.at > startTime+l.c.Span {
@@ -192,8 +217,8 @@
 		}
 		l.now = v.at
 		v.call()
-		for _, e := range l.engines {
-			l.perform(e, e.TakeActions())
+		for _, n := range l.instances {
+			l.perform(n, n.engine.TakeActions())
 		}
 	}
 }
@@ -202,10 +227,12 @@
 const tickInterval = 100
 
 func (l *loadSimulation) tick() {
-	for _, e := range l.engines {
-		l.perform(e, e.Handle(l.now, RecordsConfirmed{ConfigurationAt: l.now, EndpointsAt: l.now}))
-		l.perform(e, e.Handle(l.now, Ticked{}))
-		e.TakeTallies(l.now)
+	for _, n := range l.instances {
+		if n.runs(l.now) {
+			l.perform(n, n.engine.Handle(l.now, RecordsConfirmed{ConfigurationAt: l.now, EndpointsAt: l.now}))
+			l.perform(n, n.engine.Handle(l.now, Ticked{}))
+			n.engine.TakeTallies(l.now)
+		}
 	}
 	l.schedule(tickInterval, l.tick)
 }
@@ -214,12 +241,7 @@
 	return l.now >= startTime+e.From && (e.Until == 0 || l.now < startTime+e.Until)
 }
 
-// engineOf returns the engine of the instance that gets the packets of a consumer.
-func (l *loadSimulation) engineOf(consumer AddrPort) *Engine {
-	return l.engines[key{consumer, routeAddresses[""]}.hash()%uint64(len(l.engines))]
-}
-
-func (l *loadSimulation) perform(engine *Engine, actions []Action) {
+func (l *loadSimulation) perform(n *loadInstance, actions []Action) {
 	for _, a := range actions {
 		switch v := a.(type) {
 		case Probe:
@@ -232,13 +254,13 @@
 				result = ProbeRefused
 			}
 			l.schedule(delay, func() {
-				l.perform(engine, engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
+				l.perform(n, n.engine.Handle(l.now, ProbeEnded{Endpoint: v.Endpoint, Number: v.Number, Incarnation: v.Incarnation, Result: result}))
 			})
 		case ResetFlow:
 			l.resets++
 			l.schedule(loadDelay/2, func() { l.reset(v.Consumer) })
 		case ReportFault:
-			l.reportFault(engine, v)
+			l.reportFault(n, v)
 		}
 	}
 }
@@ -301,13 +323,31 @@
 		return
 	}
 	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Open, Sequence: 99, Ack: earlierCopies}
-	d := l.engineOf(f.consumer).Steer(l.now, &p)
+	n := l.instanceFor(f.consumer)
+	if n == nil {
+		return
+	}
+	if wait := n.thaw(l.now); wait > 0 {
+		l.schedule(wait, func() { l.sendOpening(f, r, earlierCopies) })
+		return
+	}
+	d := n.engine.Steer(l.now, &p)
+	if d.Reason == ReasonWarmingUp {
+		l.heldBack++
+	}
+	if d.Verdict == Drop && d.Reason == ReasonWarmingUp {
+		return
+	}
 	if d.Verdict != Forward {
 		l.schedule(loadDelay, func() { l.reset(f.consumer) })
 		return
 	}
 	l.centre.placed = append(l.centre.placed, d.Endpoint.ID)
 	e := l.byID[d.Endpoint.ID]
+	if e.Centre == l.c.Evacuated && l.now >= startTime+l.c.EvacuatedFrom && l.now < startTime+l.c.EvacuatedUntil {
+		l.misplaced++
+	}
+	l.recordOpening(e)
 	if l.faulty(e) && e.Unreachable {
 		return
 	}
@@ -329,7 +369,11 @@
 	p := Packet{
 		Consumer: f.consumer, Destination: routeAddresses[""], Flags: Acknowledge, Sequence: f.sequence, Ack: f.ack, Length: length, Token: f.token,
 	}
-	d := l.engineOf(f.consumer).Steer(l.now, &p)
+	n := l.instanceFor(f.consumer)
+	if n == nil || n.thaw(l.now) > 0 {
+		return false
+	}
+	d := n.engine.Steer(l.now, &p)
 	if d.Verdict == Reset {
 		l.schedule(loadDelay/2, func() { l.reset(f.consumer) })
 	}
@@ -380,6 +424,9 @@
 	e.busy++
 	e.served++
 	workTime := clock.Millis(float64(l.c.Work) * (0.5 + l.random.Float64()) / e.Speed)
+	if l.isCold(e, l.now) {
+		workTime = clock.Millis(coldSlow * float64(workTime))
+	}
 	size := normalSize/2 + l.random.IntN(normalSize)
 	if l.faulty(e) && e.Errors {
 		workTime, size = 1, errorSize
@@ -468,7 +515,9 @@
 func (l *loadSimulation) abortFlow(f *userFlow) {
 	f.ended = true
 	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Abort, Sequence: f.sequence, Ack: f.ack, Token: f.token}
-	l.engineOf(f.consumer).Steer(l.now, &p)
+	if n := l.instanceFor(f.consumer); n != nil && n.thaw(l.now) == 0 {
+		n.engine.Steer(l.now, &p)
+	}
 }
 
 func (l *loadSimulation) check() {
@@ -476,6 +525,7 @@
 	require.Positive(l.t, l.requests)
 	l.t.Logf("%d requests, %d failed, %d late, %d flows reset, %d in other data centres, %d served by %s", l.requests, l.failed, l.late, l.resets, l.otherCentre, c.Endpoints[0].served, c.Endpoints[0].ID)
 	require.LessOrEqual(l.t, l.failed, c.MaxFailed, "failed requests")
+	require.Zero(l.t, l.misplaced, "flows opened in the evacuated data centre")
 	require.LessOrEqual(l.t, float64(l.late)/float64(l.requests), c.MaxLateShare, "share of late requests")
 	require.LessOrEqual(l.t, float64(l.otherCentre)/float64(l.requests), c.MaxOtherCentreShare, "share of requests in other data centres")
 	if c.WantResets != nil {
--- a/steering/placement.go
+++ b/steering/placement.go
@@ -1,8 +1,6 @@
 package steering
 
 import (
-	"math"
-
 	"github.com/tanagerdock/tanagerdock/clock"
 )
 
@@ -62,11 +60,11 @@
 func (e *Engine) centreFactor(now clock.Millis, list []*endpointState) float64 {
 	local, congested := 0, 0
 	for _, s := range list {
-		if s.Centre != e.settings.Centre || s.silence.avoided(now) {
+		if s.Centre != e.settings.Centre || s.silence.avoided(now) || !e.admits(now, s) {
 			continue
 		}
 		local++
-		if s.congested(now) {
+		if s.congested(now) || e.cold(now, s) {
 			congested++
 		}
 	}
@@ -86,36 +84,39 @@
 }
 
 // place returns the endpoint of a service with the lowest cost for a new flow, or nil if
-// the service has none. If tried isn't nil, the flow got no answer from that endpoint, and
-// it is returned only if there is no other.
+// the service has none that is admitted, or only cold ones that may not be used now. If tried isn't
+// nil, the flow got no answer from that endpoint, and it is returned only if there is no other.
 func (e *Engine) place(now clock.Millis, service string, tried *endpointState) *endpointState {
 	list := e.directory.byService[service]
 	if len(list) == 0 {
 		return nil
 	}
 	if s := e.placeBySums(now, service, list, tried); s != nil {
+		e.recordOpening(now, s)
 		s.failures.nextProbationAt = now + probationInterval
 		return s
 	}
 	mean := meanLatency(list)
 	centreFactor := e.centreFactor(now, list)
-	var best *endpointState
-	minCost := math.Inf(1)
+	c := newChoice()
 	// Random start, so that instances that see equal costs don't all choose the same
 	// endpoint.
 	start := int(e.random.Uint64N(uint64(len(list))))
 	for i := range list {
 		s := list[(start+i)%len(list)]
-		if s == tried {
+		if s == tried || !e.admits(now, s) {
 			continue
 		}
-		if cost := e.cost(now, s, mean, centreFactor); cost < minCost {
-			best, minCost = s, cost
-		}
+		c.offer(now, e, s, e.cost(now, s, mean, centreFactor))
 	}
+	best := c.best()
 	if best == nil {
-		best = list[0] // the only endpoint, which is tried
+		best = e.onlyTried(now, list, tried)
+	}
+	if best == nil {
+		return nil
 	}
+	e.recordOpening(now, best)
 	best.failures.nextProbationAt = now + probationInterval
 	return best
 }
