--- a/fleet/demand_test.go
+++ b/fleet/demand_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -113,3 +114,42 @@
 	seconds := float64(s.Duration) / float64(clock.Second)
 	sm.t.Logf("step %d: %d members sent %.0f bytes a second each on average, %.0f at most", i+1, live, float64(total)/float64(live)/seconds, float64(most)/seconds)
 }
+
+// TestDemandMessages checks that reports and sums pass as they are, that those beyond their limits
+// are rejected, and that a heartbeat goes without sums rather than not at all if they don't fit.
+func TestDemandMessages(t *testing.T) {
+	from := Member{Name: "edge-1", Centre: "here", Address: netip.MustParseAddrPort("127.0.0.1:7720"), StartedAt: 5}
+	sums := demand.Summary{Parts: 1, Members: 20, Age: 250, Loads: demand.Loads{{Token: 7, Flows: 3, Pending: 2, Latency: 40, Answers: 9}}}
+	for _, m := range []Message{
+		DemandReport{demand.Digest{Number: 4, Parts: 1, Loads: sums.Loads, Services: []demand.Service{{Name: "s", Placed: 1, Sheds: 2}}}},
+		Heartbeat{Demand: &sums},
+		RelayedHeartbeat{Watcher: from, Demand: &sums},
+	} {
+		data, err := Encode(from, m)
+		require.NoError(t, err)
+		_, got, err := Decode(data)
+		require.NoError(t, err)
+		require.Equal(t, m, got)
+	}
+	for _, m := range []Message{
+		DemandReport{demand.Digest{Parts: 0}}, Heartbeat{Demand: &demand.Summary{Parts: 1, Age: -1}}, RelayedHeartbeat{Watcher: from, Demand: &demand.Summary{Parts: 2, Part: 2}},
+	} {
+		data, err := Encode(from, m)
+		require.NoError(t, err)
+		_, _, err = Decode(data)
+		require.ErrorIs(t, err, ErrMessage)
+	}
+	for _, c := range []struct {
+		nameSize int
+		fits     bool
+	}{{10, true}, {maxNameBytes, false}} {
+		sm := newSimulation(t, scenario{Members: 17, Endpoints: 80})
+		sm.step("", scenarioStep{Duration: 3 * clock.Second, Watchers: []int{0}, Summed: 17, MaxSumAge: 1300})
+		n := sm.members[0].engine
+		n.settings.Self.Name += strings.Repeat("x", c.nameSize-len(n.settings.Self.Name))
+		n.settings.Self.Centre += strings.Repeat("x", c.nameSize-len(n.settings.Self.Centre))
+		require.True(t, n.demandOn(sm.now))
+		sums, _ := n.takeSums(sm.now)
+		require.Equal(t, c.fits, sums != nil)
+	}
+}
