--- a/steering/demand.go
+++ b/steering/demand.go
@@ -366,7 +366,8 @@
 
 // maySum reports whether placeBySums may choose an endpoint.
 func (e *Engine) maySum(now clock.Millis, s *endpointState, d *serviceDemand) bool {
-	return s.Centre == e.settings.Centre && e.admits(now, s) && !e.cold(now, s) && !s.silence.avoided(now) && !s.failures.excluded(now) && !e.atLimit(s, d)
+	return s.Centre == e.settings.Centre && e.admits(now, s) && !e.cold(now, s) && !s.congested(now) &&
+		!s.silence.avoided(now) && !s.failures.excluded(now) && !e.atLimit(s, d)
 }
 
 // sumCost is the cost of a new flow by the sums and what this instance has open now.
