--- a/steering/demand.go
+++ b/steering/demand.go
@@ -26,11 +26,14 @@
 	// Cost of a pending request of another instance relative to that of an open flow. It has mostly
 	// been answered when the sums arrive.
 	sumPendingWeight = 0.5
+	// Additional cost of one that waits for a slot. Queues last, and show an endpoint that has
+	// turned slow before its answers do.
+	sumQueueWeight = 4.0
 	// Endpoints drawn for a new flow, the same one maybe several times. Of these, the one with the fewest flows of this instance is
 	// chosen, so that an instance spreads its own flows evenly when the sums tell it little.
 	sumDraws = 16
 	// Answers at which an endpoint's own latency counts as much as the mean of its service.
-	priorAnswers = 60.0
+	priorAnswers = 10.0
 	// Periods in which flows may have been placed that the sums don't count yet.
 	limitPeriods = 4.0
 	// For endpoints that hold as many flows as they may. Any other is better, but not a silent one.
@@ -372,7 +375,8 @@
 
 // sumCost is the cost of a new flow by the sums and what this instance has open now.
 func (e *Engine) sumCost(now clock.Millis, s *endpointState, d *serviceDemand) float64 {
-	others := float64(s.demand.otherFlows) + sumPendingWeight*float64(s.demand.otherPending)
+	pending := s.demand.otherPending
+	others := float64(s.demand.otherFlows) + sumPendingWeight*float64(pending) + sumQueueWeight*float64(max(pending-s.Slots, 0))
 	own := float64(s.load.flows) + pendingWeight*float64(s.load.pendingRequests)
 	cost := (1 + d.kept*others + own) / float64(s.Slots) * s.sumSlowness(d)
 	if now < s.warmedUpAt {
--- a/steering/demand_test.go
+++ b/steering/demand_test.go
@@ -25,6 +25,7 @@
 	From            clock.Millis `yaml:"since"`     // start of the time that counts
 	MaxShare        float64      `yaml:"share"`     // of the excess of the busiest endpoint with sums over that without
 	MostFlows       int          `yaml:"most"`      // at the busiest endpoint with sums
+	Refused         float64      `yaml:"refused"`   // maximum of the requests that met a full endpoint with sums over those without; 0 for any
 }
 
 // centreSimulation is the part of a loadSimulation that passes sums between instances.
@@ -146,11 +147,12 @@
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
-			var excess [2]float64
+			var excess, rejected [2]float64
 			for seed := range uint64(3) {
 				for i, sums := range []bool{false, true} {
 					l := playCentre(t, c, sums, seed+1)
 					excess[i] += l.centre.excess / float64(l.centre.samples)
+					rejected[i] += float64(l.centre.rejected)
 					t.Logf("sums %t: %d requests, excess %.3f, most flows %d, %d rejected, %d failed, %d late", sums, l.requests,
 						l.centre.excess/float64(l.centre.samples), l.centre.most, l.centre.rejected, l.failed, l.late)
 					if sums {
@@ -164,6 +166,9 @@
 				}
 			}
 			t.Logf("excess of the busiest endpoint: %.3f with sums, %.3f without", excess[1]/3, excess[0]/3)
+			if c.Refused > 0 {
+				require.Less(t, rejected[1], c.Refused*rejected[0], "requests that met a full endpoint")
+			}
 			require.Less(t, excess[1], c.MaxShare*excess[0], "excess of the busiest endpoint")
 		})
 	}
