Sums serve on when more flows come than they let expect; those of a new watcher wait

With real daemons, 4 of 20 flows were placed without sums: the level was reached. A new watcher's first sums have no members, and ended the use of those in force.

--- a/steering/demand.go
+++ b/steering/demand.go
@@ -179,6 +179,9 @@
 // applySums takes a part of the sums of the data centre.
 func (e *Engine) applySums(now clock.Millis, sum *demand.Summary) {
 	v := &e.demand
+	if sum.Members < MinDemandMembers && e.sumsRecent(now) {
+		return // of a new watcher, which hasn't heard from the members yet
+	}
 	if len(v.parts) != sum.Parts {
 		v.parts = make([]sumPart, sum.Parts)
 	}
@@ -286,13 +289,27 @@
 	if !e.sumsRecent(now) || e.centreFactor(now, list) == spilloverFactor {
 		return nil
 	}
-	v, d := &e.demand, e.demandOf(service)
-	v.weights = v.weights[:0]
+	d := e.demandOf(service)
 	d.kept = min(float64(e.countOwn(service)+1)/float64(d.ownThen+1), 1)
-	if d.levelOf != v.sums {
-		d.levelOf, d.level = v.sums, e.fillLevel(now, list, d)
-	}
 	total := 0.0
+	if d.levelOf == e.demand.sums {
+		total = e.weigh(now, list, tried, d)
+	}
+	if total == 0 { // new sums, or more new flows than they let expect
+		d.levelOf, d.level = e.demand.sums, e.fillLevel(now, list, d)
+		total = e.weigh(now, list, tried, d)
+	}
+	if total == 0 {
+		return nil
+	}
+	e.demand.placed++
+	return e.draw(list, total, d)
+}
+
+// weigh computes the weights of endpoints for a new flow, and returns their sum.
+func (e *Engine) weigh(now clock.Millis, list []*endpointState, tried *endpointState, d *serviceDemand) (total float64) {
+	v := &e.demand
+	v.weights = v.weights[:0]
 	for _, s := range list {
 		weight := 0.0
 		if s != tried && e.maySum(now, s, d) {
@@ -301,11 +318,7 @@
 		total += weight
 		v.weights = append(v.weights, weight)
 	}
-	if total == 0 {
-		return nil
-	}
-	v.placed++
-	return e.draw(list, total, d)
+	return total
 }
 
 // draw draws some endpoints by the weights, and returns the one with the fewest flows of this
