Relay a heartbeat without the sums if they don't fit

The watcher checks the size of a relayed heartbeat with its own name. A relay with a longer one failed to encode it, so the members behind it got no heartbeat at all. TestLongNameOfRelay failed before.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -96,6 +96,20 @@
 	return &delayed
 }
 
+// withSums returns a heartbeat to relay with the sums, or without them if they don't fit beside the
+// name of this member, which the watcher doesn't count.
+func (e *Engine) withSums(now clock.Millis, m RelayedHeartbeat, sums *demand.Summary) RelayedHeartbeat {
+	if sums == nil {
+		return m
+	}
+	full := m
+	full.Demand = e.delaySums(now, sums)
+	if _, err := Encode(e.settings.Self, full); err != nil {
+		return m
+	}
+	return full
+}
+
 // takeSums returns the part of the sums for the next heartbeat, or nil if there are none, and
 // passes all parts to steering.
 func (e *Engine) takeSums(now clock.Millis) (*demand.Summary, []Action) {
--- a/fleet/demand_test.go
+++ b/fleet/demand_test.go
@@ -153,3 +153,34 @@
 		require.Equal(t, c.fits, sums != nil)
 	}
 }
+
+// TestLongNameOfRelay checks that a relay whose name is longer than the watcher's passes on a heartbeat
+// without the sums rather than not at all if both don't fit.
+func TestLongNameOfRelay(t *testing.T) {
+	sm := newSimulation(t, scenario{Members: 38, Endpoints: 80})
+	sm.step("", scenarioStep{Duration: 3 * clock.Second, Watchers: []int{0}, Summed: 38, MaxSumAge: 1300})
+	watcher := sm.members[0].engine
+	sums, _ := watcher.takeSums(sm.now)
+	require.NotNil(t, sums)
+	sums.Services = nil
+	for i := range demand.MaxServices {
+		sums.Services = append(sums.Services, demand.Service{Name: fmt.Sprintf("service-%03d", i), Placed: 300})
+	}
+	sent := map[bool]int{} // relayed heartbeats, by whether they have sums
+	for _, n := range sm.members[1:] {
+		p := *n.engine.peers.find(sm.members[0].Name)
+		p.Centre = strings.Repeat("x", maxNameBytes)
+		self := &n.engine.settings.Self
+		self.Centre = p.Centre
+		for _, size := range []int{len(self.Name), maxNameBytes} {
+			self.Name += strings.Repeat("x", size-len(self.Name))
+			for _, a := range n.engine.relayHeartbeat(sm.now, &p, Heartbeat{State: watcher.RecordState(sm.now), Demand: sums, Relay: true}) {
+				_, err := Encode(*self, a.(Send).Message)
+				require.NoError(t, err)
+				sent[a.(Send).Message.(RelayedHeartbeat).Demand != nil]++
+			}
+		}
+	}
+	require.Positive(t, sent[true])
+	require.Positive(t, sent[false])
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -76,9 +76,9 @@
 	if s.RecoveredAge != 0 {
 		s.RecoveredAge = min(s.RecoveredAge+delay, maxRecordAge)
 	}
-	return []Action{Send{To: to, Message: RelayedHeartbeat{
-		Watcher: watcher.Member, State: s, Evacuations: m.Evacuations.delayed(delay), Demand: e.delaySums(now, m.Demand),
-	}}}
+	return []Action{Send{To: to, Message: e.withSums(now, RelayedHeartbeat{
+		Watcher: watcher.Member, State: s, Evacuations: m.Evacuations.delayed(delay),
+	}, m.Demand)}}
 }
 
 // reportMissedHeartbeats asks watchers whose heartbeats don't arrive to send them
