Compute no level while no endpoint may be chosen by sums

While all endpoints are at their limit, each opening packet computed the level anew: 1.69 ms with 600 endpoints (BenchmarkSumsWithoutRoom), 0.18 to 0.25 ms now on the shared machine.

--- a/steering/demand.go
+++ b/steering/demand.go
@@ -355,6 +355,9 @@
 func (e *Engine) fillLevel(now clock.Millis, list []*endpointState, d *serviceDemand) float64 {
 	flows := max(sumHorizon*float64(d.placed), 1)
 	low, high := 0.0, 1.0
+	if e.countBelow(now, list, d, demand.MaxCount) == 0 {
+		return 0 // none may be chosen, which is so for each opening packet while room is short
+	}
 	for e.countBelow(now, list, d, high) < flows && high < demand.MaxCount {
 		low, high = high, 2*high
 	}
--- a/steering/demand_test.go
+++ b/steering/demand_test.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -203,3 +204,21 @@
 		})
 	}
 }
+
+// BenchmarkSumsWithoutRoom measures openings while all of 600 endpoints are at their limit of flows.
+func BenchmarkSumsWithoutRoom(b *testing.B) {
+	c := loadCase{CentreLoad: CentreLoad{Members: 1, MaxFlows: 1}}
+	for i := range 600 {
+		c.Endpoints = append(c.Endpoints, loadEndpoint{ID: fmt.Sprintf("%x", i+1)})
+	}
+	l := newLoadSimulation(&testing.T{}, c, false)
+	e, sum := l.instances[0].engine, demand.Summary{Parts: 1, Members: 38}
+	for t := range e.directory.byToken {
+		sum.Loads = append(sum.Loads, demand.Load{Token: uint32(t), Flows: 1})
+	}
+	e.Handle(l.now, DemandSummed{Summary: sum})
+	require.True(b, e.sumsRecent(l.now))
+	for b.Loop() {
+		e.place(l.now, "desk", nil)
+	}
+}
