Take only endpoints near their limit of flows for full

The flows that may be placed before the next sums were counted as if none ended, and evenly over the endpoints. With a flow for each request, endpoints with 8 of 24 flows counted as full, and all went to another data centre or were spread without sums; the new case failed before.

--- a/steering/demand.go
+++ b/steering/demand.go
@@ -71,14 +71,15 @@
 
 // serviceDemand is what is known of a service's endpoints together.
 type serviceDemand struct {
-	level     float64 // of fillLevel, by the sums with the number levelOf
-	levelOf   uint64
-	latency   float64     // mean over the endpoints of the data centre by the sums, in ms; 0 if it isn't known
-	endpoints int         // of the data centre
-	placed    int         // new flows of all instances in a period
-	history   [4]ownFlows // of this instance at its latest digests, the latest first
-	ownThen   int         // flows of this instance when the digests in the sums were taken
-	kept      float64     // share of the flows in the sums that are still open, by this instance's own
+	level   float64 // of fillLevel, by the sums with the number levelOf
+	levelOf uint64
+	latency float64     // mean over the endpoints of the data centre by the sums, in ms; 0 if it isn't known
+	slots   int         // of the endpoints of the data centre
+	flows   int         // at these, when the latest sums came
+	placed  int         // new flows of all instances in a period
+	history [4]ownFlows // of this instance at its latest digests, the latest first
+	ownThen int         // flows of this instance when the digests in the sums were taken
+	kept    float64     // share of the flows in the sums that are still open, by this instance's own
 	// Since this instance's latest digest.
 	ownPlaced, ownSheds int
 }
@@ -221,22 +222,24 @@
 	}
 }
 
-// updateMeans computes the mean latency of each service over its endpoints in the data centre.
+// updateMeans computes the flows and the mean latency of each service over its endpoints in the data
+// centre.
 func (e *Engine) updateMeans() {
 	for name, list := range e.directory.byService {
-		sum, n, endpoints := 0.0, 0, 0
+		sum, n, slots, flows := 0.0, 0, 0, 0
 		for _, s := range list {
 			if s.Centre != e.settings.Centre {
 				continue
 			}
-			endpoints++
+			slots += s.Slots
+			flows += s.demand.otherFlows + s.load.flows
 			if s.demand.latency > 0 {
 				sum += s.demand.latency
 				n++
 			}
 		}
 		d := e.demandOf(name)
-		d.endpoints, d.latency = endpoints, sum/float64(max(n, 1))
+		d.slots, d.flows, d.latency = slots, flows, sum/float64(max(n, 1))
 	}
 }
 
@@ -422,7 +425,9 @@
 	if limit == 0 {
 		return false
 	}
-	expected := limitPeriods * float64(d.placed) / float64(max(d.endpoints, 1))
+	// Short flows have mostly ended before the next sums: no more are open of them than there are.
+	open := min(limitPeriods*float64(d.placed), float64(d.flows))
+	expected := open * float64(s.Slots) / float64(max(d.slots, 1))
 	return float64(s.demand.otherFlows+s.load.flows)+expected+2*math.Sqrt(expected) >= float64(limit)
 }
 
--- a/steering/demand_test.go
+++ b/steering/demand_test.go
@@ -27,6 +27,7 @@
 	MaxShare        float64      `yaml:"share"`     // of the excess of the busiest endpoint with sums over that without
 	MostFlows       int          `yaml:"most"`      // at the busiest endpoint with sums
 	Refused         float64      `yaml:"refused"`   // maximum of the requests that met a full endpoint with sums over those without; 0 for any
+	Local           bool         `yaml:"local"`     // no flow is placed in another data centre with sums
 }
 
 // centreSimulation is the part of a loadSimulation that passes sums between instances.
@@ -157,6 +158,7 @@
 					t.Logf("sums %t: %d requests, excess %.3f, most flows %d, %d rejected, %d failed, %d late", sums, l.requests,
 						l.centre.excess/float64(l.centre.samples), l.centre.most, l.centre.rejected, l.failed, l.late)
 					if sums {
+						require.False(t, c.Local && slices.ContainsFunc(l.centre.placed, func(id string) bool { return l.byID[id].Centre != "here" }), "a flow went to another data centre")
 						state := l.instances[0].engine.DemandState(l.now)
 						require.True(t, state.InUse)
 						require.Equal(t, c.Members, state.Members)
