Leave small answers out of the latencies in sums

Once over 5% of a route's answers are small, as when room is short, they counted as normal ones: endpoints that refuse at once seemed fast, and got more.

--- a/steering/established.go
+++ b/steering/established.go
@@ -200,6 +200,9 @@
 	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
 	// Small answers are excluded from the latency: errors are fast, and would make the
 	// failing endpoint the preferred one.
+	if !e.baselines[destination].isSmall(size) {
+		s.recordSumLatency(latency)
+	}
 	if e.classifyAnswer(now, destination, w, s, size) {
 		e.recordLatency(s, latency)
 	}
--- a/steering/outlier.go
+++ b/steering/outlier.go
@@ -83,7 +83,7 @@
 		b = &baseline{size: float64(size)}
 		e.baselines[destination] = b
 	}
-	small := b.answers >= minBaselineAnswers && float64(size) < smallAnswerRatio*b.size
+	small := b.isSmall(size)
 	// The answers of an endpoint that may be failing must not shift the baseline.
 	if s.failures.streak < maxSmallAnswersPerFlow {
 		b.update(size, small)
@@ -114,6 +114,11 @@
 	return false
 }
 
+// isSmall reports whether an answer is small compared with the others of its route.
+func (b *baseline) isSmall(size int) bool {
+	return b != nil && b.answers >= minBaselineAnswers && float64(min(size, maxAnswerSize)) < smallAnswerRatio*b.size
+}
+
 func (b *baseline) update(size int, small bool) {
 	b.answers++
 	weight := max(sizeWeight, 1/float64(b.answers))
@@ -242,7 +247,6 @@
 // its service.
 func (e *Engine) recordLatency(s *endpointState, latency clock.Millis) {
 	s.load.update(latency)
-	s.recordSumLatency(latency)
 	m := e.latencies[s.Service]
 	if m == nil {
 		m = &serviceLatency{}
