Fill the other endpoints when one gave no answer to the opening packet

The level counted the room of the endpoint that was tried, so with much room there no other was below the level and the choice was the one without sums. TestSumsSpare failed so before; it also fails without each check of maySum for cold, silent and ejected endpoints, and without the count for cold ones, which no test did before.

--- a/steering/demand.go
+++ b/steering/demand.go
@@ -299,7 +299,7 @@
 		total = e.weigh(now, list, tried, d)
 	}
 	if total == 0 { // new sums, or more new flows than they let expect
-		d.levelOf, d.level = e.demand.sums, e.fillLevel(now, list, d)
+		d.levelOf, d.level = e.demand.sums, e.fillLevel(now, list, tried, d)
 		total = e.weigh(now, list, tried, d)
 	}
 	if total == 0 {
@@ -355,18 +355,18 @@
 
 // fillLevel returns the cost that all endpoints have when they got the new flows that are
 // expected until the instances see the effect of these sums.
-func (e *Engine) fillLevel(now clock.Millis, list []*endpointState, d *serviceDemand) float64 {
+func (e *Engine) fillLevel(now clock.Millis, list []*endpointState, tried *endpointState, d *serviceDemand) float64 {
 	flows := max(sumHorizon*float64(d.placed), 1)
 	low, high := 0.0, 1.0
-	if e.countBelow(now, list, d, demand.MaxCount) == 0 {
+	if e.countBelow(now, list, tried, d, demand.MaxCount) == 0 {
 		return 0 // none may be chosen, which is so for each opening packet while room is short
 	}
-	for e.countBelow(now, list, d, high) < flows && high < demand.MaxCount {
+	for e.countBelow(now, list, tried, d, high) < flows && high < demand.MaxCount {
 		low, high = high, 2*high
 	}
 	for high-low > 0.01 {
 		mid := (low + high) / 2
-		if e.countBelow(now, list, d, mid) < flows {
+		if e.countBelow(now, list, tried, d, mid) < flows {
 			low = mid
 		} else {
 			high = mid
@@ -376,10 +376,10 @@
 }
 
 // countBelow returns the number of flows that bring the endpoints up to a cost.
-func (e *Engine) countBelow(now clock.Millis, list []*endpointState, d *serviceDemand, level float64) float64 {
+func (e *Engine) countBelow(now clock.Millis, list []*endpointState, tried *endpointState, d *serviceDemand, level float64) float64 {
 	n := 0.0
 	for _, s := range list {
-		if e.maySum(now, s, d) {
+		if s != tried && e.maySum(now, s, d) {
 			n += max(level-e.sumCost(now, s, d), 0) * s.capacity(d)
 		}
 	}
--- a/steering/demand_test.go
+++ b/steering/demand_test.go
@@ -224,3 +224,42 @@
 		e.place(l.now, "desk", nil)
 	}
 }
+
+// TestSumsSpare checks which endpoints aren't chosen by sums, though they have the most room, and that
+// openings are counted for the limits of cold ones.
+func TestSumsSpare(t *testing.T) {
+	for name, spare := range map[string]func(now clock.Millis, s *endpointState){
+		"cold":    func(now clock.Millis, s *endpointState) { s.warmedUpAt = now + clock.Minute },
+		"silent":  func(_ clock.Millis, s *endpointState) { s.silence.suspected = true },
+		"ejected": func(now clock.Millis, s *endpointState) { s.failures.ejectedUntil = now + clock.Minute },
+		"on probation": func(now clock.Millis, s *endpointState) {
+			s.failures.answersNeeded, s.failures.nextProbationAt = 1, now+1
+		},
+		"tried": func(clock.Millis, *endpointState) {},
+	} {
+		c := loadCase{ColdLimit: 10, Endpoints: []loadEndpoint{{ID: "a1"}, {ID: "a2"}, {ID: "a3"}}}
+		l := newLoadSimulation(t, c, false)
+		l.configuration.Services = map[string]Service{"desk": {MaxFlows: 1000, Warmup: coldTime, WarmupRate: coldRate}}
+		e, sum := l.instances[0].engine, demand.Summary{Parts: 1, Members: MinDemandMembers}
+		spared, counted := e.directory.byID["i-a1"], 0
+		for _, s := range e.directory.byID {
+			if s != spared {
+				sum.Loads = append(sum.Loads, demand.Load{Token: uint32(s.token), Flows: 3})
+			}
+		}
+		e.Handle(l.now, DemandSummed{Summary: sum})
+		spare(l.now, spared)
+		tried := spared
+		if name != "tried" {
+			tried = nil
+		}
+		for range 100 {
+			require.NotSame(t, spared, e.place(l.now, "desk", tried), name)
+		}
+		require.Equal(t, int64(100), e.DemandState(l.now).Placed, name)
+		for _, s := range e.directory.byID {
+			counted += s.warmup.window.Count(l.now)
+		}
+		require.Equal(t, 100, counted, name)
+	}
+}
