Package admission; while room is short, new flows of lower priority are refused

Endpoints at capacity refuse requests of all priorities alike. Where routes of different priorities with goals and timeouts go to the same service, as large a share of the openings as endpoints refused is refused, the lowest priority first.

--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -88,6 +88,9 @@
 	for name, value := range recordGauges {
 		metrics.NewRegisteredFunctionalGauge("records."+name, m.registry, func() int64 { return value(d) })
 	}
+	for name, value := range admissionGauges {
+		metrics.NewRegisteredFunctionalGauge("admission."+name, m.registry, func() int64 { return value(d.admissionState()) })
+	}
 	metrics.NewRegisteredFunctionalGauge("flows", m.registry, func() int64 { return int64(d.flowCount()) })
 	metrics.NewRegisteredFunctionalGauge("log.dropped", m.registry, d.log.droppedTotal.Load)
 	return m
--- a/forwarder/metrics_test.go
+++ b/forwarder/metrics_test.go
@@ -33,6 +33,7 @@
 	for _, want := range []string{
 		"packets.forward.placed=1", "packets.reset.no_endpoint=1", "flows.placed_away=1", "answers.desk.scans.max=20",
 		"answers.gallery.others.count=6", "records.configuration_revision=7", "records.endpoints_revision=9", "records.watching=1",
+		"admission.refused_wrongly=0", "admission.admitted_wrongly=0", "packets.reset.refused=0",
 	} {
 		require.Contains(t, lines, want)
 	}
--- a/steering/demand.go
+++ b/steering/demand.go
@@ -73,6 +73,7 @@
 	latency   float64     // mean over the endpoints of the data centre by the sums, in ms; 0 if it isn't known
 	endpoints int         // of the data centre
 	placed    int         // new flows of all instances in a period
+	sheds     int         // refused requests that all instances saw in a period
 	history   [4]ownFlows // of this instance at its latest digests, the latest first
 	ownThen   int         // flows of this instance when the digests in the sums were taken
 	kept      float64     // share of the flows in the sums that are still open, by this instance's own
@@ -183,11 +184,12 @@
 	v.members = sum.Members
 	v.sums++
 	for _, s := range v.services {
-		s.placed, s.ownThen = 0, s.flowsAt(now-sum.Age)
+		s.placed, s.sheds, s.ownThen = 0, 0, s.flowsAt(now-sum.Age)
 	}
 	for _, s := range sum.Services {
 		if len(e.directory.byService[s.Name]) > 0 {
-			e.demandOf(s.Name).placed = s.Placed
+			d := e.demandOf(s.Name)
+			d.placed, d.sheds = s.Placed, s.Sheds
 		}
 	}
 	for t, same := range e.directory.byToken {
@@ -418,7 +420,9 @@
 
 // recordShed counts a small answer. An endpoint with a free slot by the sums should give none.
 func (e *Engine) recordShed(now clock.Millis, s *endpointState) {
-	e.demandOf(s.Service).ownSheds++
+	if e.admissionOf(s.Service) == nil {
+		e.demandOf(s.Service).ownSheds++ // otherwise, recordAdmission counts it
+	}
 	if e.sumsRecent(now) && s.demand.otherPending+s.load.pendingRequests < s.Slots {
 		e.demand.wrong++
 	}
--- a/steering/engine.go
+++ b/steering/engine.go
@@ -37,6 +37,7 @@
 	baselines                map[AddrPort]*baseline
 	latencies                map[string]*serviceLatency // by service
 	demand                   dataCentreDemand
+	admissions               admissions
 	stalledUntil             clock.Millis // end of stallRecovery; until then, missing answers are no evidence
 	tickedAt                 clock.Millis // last Ticked event
 	recent                   [recentOpenings]recentOpening
--- a/steering/established.go
+++ b/steering/established.go
@@ -198,6 +198,7 @@
 func (e *Engine) recordAnswer(now clock.Millis, destination AddrPort, w *flow, s *endpointState, requestAt clock.Millis, size int) {
 	latency := now - requestAt
 	e.answers = append(e.answers, Answered{Service: s.Service, Route: e.configuration.Routes[destination].Name, Latency: latency})
+	e.recordAdmission(now, destination, w, size, latency)
 	// Small answers are excluded from the latency: errors are fast, and would make the
 	// failing endpoint the preferred one.
 	if e.classifyAnswer(now, destination, w, s, size) {
--- a/steering/flow.go
+++ b/steering/flow.go
@@ -25,6 +25,7 @@
 	established   bool
 	consumerDone  bool // finished or aborted by the consumer
 	counted       bool // counted in the load of its endpoint
+	placedShort   bool // placed while room was short; until its first answer
 }
 
 // flows is the table of the flows that an instance tracks.
--- a/steering/load_test.go
+++ b/steering/load_test.go
@@ -32,7 +32,8 @@
 	MaxOtherCentreShare float64      `yaml:"foreign"` // maximum share of requests served in another data centre
 	MinServed           []int        `yaml:"served"`  // minimum number of requests served per endpoint; nil for any
 
-	CentreLoad `yaml:",inline"`
+	CentreLoad    `yaml:",inline"`
+	AdmissionLoad `yaml:",inline"`
 }
 
 // loadEndpoint is an endpoint and its fault.
@@ -104,6 +105,7 @@
 	c           loadCase
 	engines     []*Engine // by the consumers' addresses and ports
 	centre      centreSimulation
+	admission   admissionSimulation
 	now         clock.Millis
 	queue       loadQueue
 	order       int
@@ -141,15 +143,19 @@
 	gotError bool
 }
 
-func newLoadSimulation(t *testing.T, c loadCase) *loadSimulation {
+func newLoadSimulation(t *testing.T, c loadCase, options ...func(*loadSimulation)) *loadSimulation {
 	l := &loadSimulation{
 		t: t, c: c, now: startTime,
 		random: rand.New(rand.NewPCG(1, 1)), byID: map[string]*loadEndpoint{}, flows: map[AddrPort]*userFlow{}, port: 1000,
 	}
+	for _, set := range options {
+		set(l)
+	}
 	route := Route{Name: "desk", Shares: []Share{{Service: "desk", Weight: 1}}, Idempotent: !c.NotIdempotent}
 	configuration := &Configuration{
 		Version: 1, Revision: 1, IdleTimeout: 15000, Routes: map[AddrPort]Route{routeAddresses[""]: route}, Services: c.services(),
 	}
+	l.addRoutes(configuration.Routes)
 	list := EndpointsListed{Revision: 2}
 	for i := range c.Endpoints {
 		e := &c.Endpoints[i]
@@ -216,7 +222,7 @@
 
 // engineOf returns the engine of the instance that gets the packets of a consumer.
 func (l *loadSimulation) engineOf(consumer AddrPort) *Engine {
-	return l.engines[key{consumer, routeAddresses[""]}.hash()%uint64(len(l.engines))]
+	return l.engines[key{consumer, l.c.destination(consumer)}.hash()%uint64(len(l.engines))]
 }
 
 func (l *loadSimulation) perform(engine *Engine, actions []Action) {
@@ -269,6 +275,7 @@
 func (l *loadSimulation) startRequest(user int, f *userFlow) {
 	r := &userRequest{user: user, since: l.now}
 	l.requests++
+	l.countStarted(r)
 	l.schedule(loadDeadline, func() {
 		if !r.done {
 			l.failRequest(r, r.flow)
@@ -288,7 +295,7 @@
 func (l *loadSimulation) openFlow(r *userRequest) {
 	r.tries++
 	l.port++
-	f := &userFlow{consumer: AddrPort{uint32(r.user + 1), l.port}, sequence: 100, ack: 50, request: r}
+	f := &userFlow{consumer: l.c.consumer(r.user, l.port), sequence: 100, ack: 50, request: r}
 	l.flows[f.consumer], r.flow = f, f
 	for n, at := range []clock.Millis{0, 200, 600} {
 		l.schedule(at, func() { l.sendOpening(f, r, uint32(n)) })
@@ -300,8 +307,9 @@
 	if f.endpoint != nil || f.ended || r.done {
 		return
 	}
-	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Open, Sequence: 99, Ack: earlierCopies}
+	p := Packet{Consumer: f.consumer, Destination: l.c.destination(f.consumer), Flags: Open, Sequence: 99, Ack: earlierCopies}
 	d := l.engineOf(f.consumer).Steer(l.now, &p)
+	l.countRefusal(&d)
 	if d.Verdict != Forward {
 		l.schedule(loadDelay, func() { l.reset(f.consumer) })
 		return
@@ -327,7 +335,7 @@
 // sendPacket sends a packet of a flow, and reports whether it was forwarded.
 func (l *loadSimulation) sendPacket(f *userFlow, length int) bool {
 	p := Packet{
-		Consumer: f.consumer, Destination: routeAddresses[""], Flags: Acknowledge, Sequence: f.sequence, Ack: f.ack, Length: length, Token: f.token,
+		Consumer: f.consumer, Destination: l.c.destination(f.consumer), Flags: Acknowledge, Sequence: f.sequence, Ack: f.ack, Length: length, Token: f.token,
 	}
 	d := l.engineOf(f.consumer).Steer(l.now, &p)
 	if d.Verdict == Reset {
@@ -428,6 +436,7 @@
 	f.ack += uint32(size)
 	l.sendPacket(f, 0)
 	r.done = true
+	l.countAnswered(r)
 	if isError {
 		if !r.gotError {
 			r.gotError = true
@@ -445,11 +454,11 @@
 	if l.c.FlowPerRequest {
 		l.abortFlow(f)
 	}
-	l.schedule(l.think(), func() { l.startRequest(r.user, f) })
+	l.schedule(l.think(r.user), func() { l.startRequest(r.user, f) })
 }
 
-func (l *loadSimulation) think() clock.Millis {
-	return 1 + clock.Millis(l.random.ExpFloat64()*float64(l.c.Think)*l.wave())
+func (l *loadSimulation) think(user int) clock.Millis {
+	return 1 + clock.Millis(l.random.ExpFloat64()*float64(l.c.Think)*l.wave()*l.burst(user))
 }
 
 // failRequest ends a request without an answer. Its user aborts the flow.
@@ -461,13 +470,13 @@
 	if f != nil && !f.ended {
 		l.abortFlow(f)
 	}
-	l.schedule(l.think(), func() { l.startRequest(r.user, nil) })
+	l.schedule(l.think(r.user), func() { l.startRequest(r.user, nil) })
 }
 
 // abortFlow makes the user of a flow abort it.
 func (l *loadSimulation) abortFlow(f *userFlow) {
 	f.ended = true
-	p := Packet{Consumer: f.consumer, Destination: routeAddresses[""], Flags: Abort, Sequence: f.sequence, Ack: f.ack, Token: f.token}
+	p := Packet{Consumer: f.consumer, Destination: l.c.destination(f.consumer), Flags: Abort, Sequence: f.sequence, Ack: f.ack, Token: f.token}
 	l.engineOf(f.consumer).Steer(l.now, &p)
 }
 
--- a/steering/opening.go
+++ b/steering/opening.go
@@ -69,10 +69,14 @@
 	if s == nil {
 		return p.reject(ReasonNoEndpoint, service)
 	}
+	if !e.admit(now, p, route, s) {
+		return p.reject(ReasonRefused, service)
+	}
 	if w := e.flows.add(k); w != nil {
 		w.service = service
 		w.openedAt, w.lastPacketAt = now, now
 		w.openingCopies = p.Ack
+		w.placedShort = e.isShort(s.Service)
 		w.attach(s)
 		e.recordPlaced(service)
 		e.recent[e.recentIndex] = recentOpening{k, now}
--- a/steering/packet.go
+++ b/steering/packet.go
@@ -114,12 +114,13 @@
 	ReasonAmbiguous                     // several endpoints have the token
 	ReasonNoToken                       // not an opening packet, but without a token
 	ReasonForged                        // flags that only endpoints send
+	ReasonRefused                       // an opening packet that finds too little room
 	reasonCount                         // number of reasons
 )
 
 var reasonNames = [reasonCount]string{
 	"token", "placed", "repeated", "moved", "late_copy", "no_records", "no_route", "stale_route", "no_endpoint",
-	"route_removed", "endpoint_gone", "endpoint_refused", "unknown_token", "ambiguous_token", "no_token", "forged",
+	"route_removed", "endpoint_gone", "endpoint_refused", "unknown_token", "ambiguous_token", "no_token", "forged", "refused",
 }
 
 // String returns the reason's name in logs and metrics.
