Admission: openings that can't be served in time are refused only while room is short

Requests of another route to the same service may just take longer, so the mean latency alone would refuse a route with a short timeout while there is room.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -124,10 +124,10 @@
 
 func (g *Gate) admits(o *Opening, opened float64) bool {
 	switch {
-	case o.Timeout > 0 && o.Wait > o.Timeout:
-		return false
 	case !g.Short():
 		return true
+	case o.Timeout > 0 && o.Wait > o.Timeout:
+		return false
 	case opened >= minAddressOpenings && opened > maxAddressShare*float64(g.sketch.total):
 		return false
 	}
