TestRecordsOfMemberBringOrders: a subnet that no seed of the soak uses

Cause: the test took the subnet of the soak's recorded seed 750, which runs at the same time. It now has one of its own.

--- a/forwarder/deployment_test.go
+++ b/forwarder/deployment_test.go
@@ -161,6 +161,8 @@
 
 var _ io.Writer = (*logBuffer)(nil)
 
+// newDeployment returns a deployment in subnet 127.100+n. Package soak runs beside this one: its
+// seeds 736 and 750 use 127.166 and 127.180, so 66 and 80 aren't free.
 func newDeployment(t *testing.T, n byte) *deployment {
 	s := &deployment{
 		t: t, subnet: 100 + n, store: standin.NewMetastore(1), routers: standin.StartFlowRouters(),
--- a/forwarder/evacuation_test.go
+++ b/forwarder/evacuation_test.go
@@ -216,7 +216,7 @@
 
 // The records of another instance bring the orders with them.
 func TestRecordsOfMemberBringOrders(t *testing.T) {
-	s := newDeployment(t, 80)
+	s := newDeployment(t, 77)
 	s.orders = true
 	s.route([]string{"desk", "desk"})
 	s.publish(nil)
