--- a/forwarder/settings.go
+++ b/forwarder/settings.go
@@ -21,7 +21,8 @@
 
 // readSettings reads the settings file and applies it. If the file is invalid, the current
 // settings stay. The data centre, the addresses to listen on, whether operators order
-// evacuations, and the bounds for cold endpoints, change only with a restart. why is the reason that is logged.
+// evacuations, and the bounds for cold endpoints change only with a restart. why is the reason
+// that is logged.
 func (d *Daemon) readSettings(why string) {
 	if d.settingsFile == "" {
 		return
@@ -35,8 +36,8 @@
 	switched := (s.EvacuationBound > 0) != (old.EvacuationBound > 0)
 	warmup := s.WarmupLimited != old.WarmupLimited || s.WarmupExcess != old.WarmupExcess || s.WarmupSlack != old.WarmupSlack
 	if s.PacketAddress != old.PacketAddress || s.ReadyAddress != old.ReadyAddress || s.Centre != old.Centre || !slices.Equal(s.InternalPorts, old.InternalPorts) || switched || warmup {
-		d.log.info("settings need a restart", "packets", s.PacketAddress, "ready", s.ReadyAddress, "centre", s.Centre, "inner", s.InternalPorts, "evacuation_ms", s.EvacuationBound,
-			"warmup_excess", s.WarmupExcess, "warmup_slack", s.WarmupSlack)
+		d.log.info("settings need a restart", "packets", s.PacketAddress, "ready", s.ReadyAddress, "centre", s.Centre, "inner", s.InternalPorts, "evacuation", s.EvacuationBound,
+			"excess", s.WarmupExcess, "slack", s.WarmupSlack)
 	}
 	s.PacketAddress, s.ReadyAddress, s.ControlAddress, s.InternalPorts, s.Centre = old.PacketAddress, old.ReadyAddress, old.ControlAddress, old.InternalPorts, old.Centre
 	if switched {
--- a/steering/configuration.go
+++ b/steering/configuration.go
@@ -21,7 +21,9 @@
 
 // Service is what the configuration says of the endpoints of a service.
 type Service struct {
-	MaxFlows int          `cbor:"flows,omitempty"`  // open flows that an endpoint holds; 0 if it isn't limited
+	// Open flows that an endpoint holds; 0 if it isn't limited. No decision uses it yet, see
+	// docs/design/demand.md.
+	MaxFlows int          `cbor:"flows,omitempty"`
 	Warmup   clock.Millis `cbor:"warmup,omitempty"` // how long an endpoint is cold after its start; 0 if it never is
 	// New requests per second that a cold endpoint bears.
 	WarmupRate float64 `cbor:"rate,omitempty"`
--- a/steering/warmup.go
+++ b/steering/warmup.go
@@ -131,8 +131,8 @@
 }
 
 // limitIsSoft reports whether a cold endpoint may get more flows than its limit while the service
-// has no warm one that may answer. Without a rate in the configuration, the limit says only how much it should be
-// spared, and a late answer is better for the consumer than a refusal.
+// has no warm one that may answer. Without a rate in the configuration, the limit says only how much
+// it should be spared, and a late answer is better for the consumer than a refusal.
 func (e *Engine) limitIsSoft(s *endpointState) bool {
 	return e.configuration.Services[s.Service].WarmupRate == 0
 }
--- a/warmup/window.go
+++ b/warmup/window.go
@@ -5,8 +5,8 @@
 )
 
 // Span is how long a placed flow counts. Beyond the second of the limit it covers the time that
-// opening packets take to arrive, so that those of any longer time don't arrive within one second. An instance
-// with a small part of a core may pause between the decision on a packet and its sending.
+// opening packets take to arrive, so that those of any longer time don't arrive within one second.
+// An instance with a small part of a core may pause between the decision on a packet and its sending.
 const Span = 1*clock.Second + 250*clock.Millisecond
 
 // Window counts the flows that an instance placed at an endpoint within the last Span. It
