--- /dev/null
+++ b/review/_kit2/odd.go
@@ -0,0 +1,107 @@
+package main
+
+import "time"
+
+// startTraffic starts the users of all zones, and waits until every machine is in touch. With a
+// greater factor there are more users, who send as many requests together.
+func startTraffic(w *world, factor int) {
+	pause := time.Duration(factor) * time.Millisecond
+	for _, z := range zones {
+		w.startUsers(z.name, approvalWatch, 12*factor, 40*pause)
+		w.startUsers(z.name, scanSubmit, 4*factor, 60*pause)
+		w.startUsers(z.name, previewFetch, 3, 80*time.Millisecond)
+	}
+	time.Sleep((stableTime + 2000).Duration())
+}
+
+// stopTraffic ends the users and waits for them.
+func stopTraffic(w *world) {
+	close(w.done)
+	w.users.Wait()
+}
+
+// oddService lets another writer leave an entry with fields missing under the id of an endpoint
+// of one service, which says that it is of the other service.
+func oddService(w *world, trouble bool) bool {
+	startTraffic(w, 1)
+	e := w.pick("riga-a", charmGallery)
+	if trouble {
+		w.record.line("another writer replaces entry %s of %s by one of %s without version, warmup_left_ms, seq and born", e.ID(), charmGallery, orderDesk)
+		e.overwrite(w.store, map[string]any{
+			"service": orderDesk, "address": e.Registration()["address"], "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
+		})
+	}
+	time.Sleep(6 * time.Second)
+	stopTraffic(w)
+	foreign := 0
+	for _, o := range w.endpoints {
+		for id := range o.RunCounts() {
+			if k := requestKinds[kindOf(id)]; k.service != o.service {
+				foreign++
+				w.record.line("request %s, whose route allows %s only, was run by %s of %s", id, k.service, o.ID(), o.service)
+			}
+		}
+	}
+	w.record.line("requests run by a service that no manifest allows: %d", foreign)
+	return foreign > 0
+}
+
+// oddAddress lets another writer leave an entry with fields missing under the id of an endpoint,
+// with an address at which nobody listens.
+func oddAddress(w *world, trouble bool) bool {
+	startTraffic(w, 5)
+	e := w.pick("riga-a", orderDesk)
+	from := time.Now()
+	if trouble {
+		<-e.reported
+		<-e.reported // right after a report, so that the next one comes in heartbeat_ms
+		from = time.Now()
+		w.record.line("another writer replaces entry %s by one without version, warmup_left_ms and seq, with another address", e.ID())
+		e.overwrite(w.store, map[string]any{
+			"service": orderDesk, "address": w.address(0, 1, 200).String() + ":8080", "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
+			"born": time.Now().UnixMilli(),
+		})
+	}
+	time.Sleep(6 * time.Second)
+	stopTraffic(w)
+	reset := 0
+	for _, f := range w.flows {
+		o := w.endpointByNumber(f.endpoint)
+		if o == nil || f.resetAt.IsZero() {
+			continue
+		}
+		reset++
+		w.record.line("flow of %s, opened %.3f s before the entry, at %s, which runs and has no impairment: reset by the system %.3f s after it",
+			f.kind, from.Sub(f.openedAt).Seconds(), o.ID(), f.resetAt.Sub(from).Seconds())
+	}
+	w.record.line("open flows of running endpoints that the system reset: %d", reset)
+	return reset > 0
+}
+
+// oddLifecycle lets another writer leave an entry with fields missing under the id of an endpoint
+// that has been draining for longer than the bound, which says that it is ready.
+func oddLifecycle(w *world, trouble bool) bool {
+	startTraffic(w, 1)
+	e := w.pick("riga-a", orderDesk)
+	e.drain(w.store)
+	acked := time.Now()
+	w.record.line("the store acknowledges that %s is draining", e.ID())
+	time.Sleep((recordBound + 2000).Duration())
+	if trouble {
+		w.record.line("another writer replaces entry %s by one without version, warmup_left_ms, seq and born, with lifecycle ready", e.ID())
+		e.overwrite(w.store, map[string]any{
+			"service": orderDesk, "address": e.Registration()["address"], "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
+		})
+	}
+	time.Sleep(4 * time.Second)
+	stopTraffic(w)
+	late := 0
+	for _, f := range w.flows {
+		if f.endpoint == e.number && f.openedAt.Sub(acked) > recordBound.Duration() {
+			late++
+			w.record.line("flow of %s opened at %s %.3f s after the ack", f.kind, e.ID(), f.openedAt.Sub(acked).Seconds())
+		}
+	}
+	w.record.line("flows opened at the draining endpoint later than drain_ms after the ack: %d", late)
+	return late > 0
+}
