--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -31,6 +31,7 @@
 	"route": oddService,
 	"flow":  oddAddress,
 	"drain": oddLifecycle,
+	"leave": leavingForwarders,
 }
 
 // record is the file that a case writes.
--- a/review/_kit2/odd.go
+++ b/review/_kit2/odd.go
@@ -28,7 +28,7 @@
 	if trouble {
 		w.record.line("another writer replaces entry %s of %s by one of %s without version, warmup_left_ms, seq and born", e.ID(), charmGallery, orderDesk)
 		e.overwrite(w.store, map[string]any{
-			"service": orderDesk, "address": e.Registration()["address"], "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
+			"service": orderDesk, "address": e.entry()["address"], "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
 		})
 	}
 	time.Sleep(6 * time.Second)
@@ -90,7 +90,7 @@
 	if trouble {
 		w.record.line("another writer replaces entry %s by one without version, warmup_left_ms, seq and born, with lifecycle ready", e.ID())
 		e.overwrite(w.store, map[string]any{
-			"service": orderDesk, "address": e.Registration()["address"], "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
+			"service": orderDesk, "address": e.entry()["address"], "zone": e.zone, "capacity": endpointSlots, "lifecycle": "ready",
 		})
 	}
 	time.Sleep(4 * time.Second)
--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -95,6 +95,7 @@
 	*standin.FlowEndpoint
 	zone, service string
 	number        uint64
+	tap           *tap // at the address in the entry
 
 	mu         sync.Mutex
 	reportedAt time.Time
@@ -116,6 +117,7 @@
 	address    netip.Addr
 	settings   string
 	log        string
+	link       *storeLink
 
 	mu        sync.Mutex
 	command   *exec.Cmd
@@ -158,8 +160,11 @@
 		}
 	}
 	for _, f := range w.forwarders {
+		if f.link, err = startStoreLink(strings.TrimPrefix(w.server.URL, "http://")); err != nil {
+			return w, errors.WithStack(err)
+		}
 		settings := standin.InstanceSettings{
-			Name: f.name, Centre: f.zone, Address: f.address, StoreAddress: strings.TrimPrefix(w.server.URL, "http://"), Seeds: seeds,
+			Name: f.name, Centre: f.zone, Address: f.address, StoreAddress: f.link.listener.Addr().String(), Seeds: seeds,
 			GracePeriod: gracePeriod, DrainAndApplyBound: recordBound, ReportPeriod: reportPeriod,
 		}
 		f.settings, f.log = filepath.Join(w.folder, f.name+".toml"), filepath.Join(w.folder, f.name+".log")
@@ -174,7 +179,7 @@
 }
 
 // address returns a loopback address: group 0 has the forwarders of a zone, 1 its endpoints
-// and 2 its consumers.
+// as the store knows them, 2 its consumers, and 3 the endpoints themselves.
 func (w *world) address(zone, group, n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, w.network, byte(zone*10 + group), byte(n + 1)})
 }
@@ -190,14 +195,20 @@
 
 func (w *world) addEndpoint(zone, n int, service string, runTime clock.Millis) error {
 	number := uint64(zone+1)<<28 | uint64(w.network)<<16 | uint64(n+1)
+	address := netip.AddrPortFrom(w.address(zone, 1, n), 8080)
+	behind := netip.AddrPortFrom(w.address(zone, 3, n), 8080)
 	f, err := standin.StartFlowEndpoint(standin.FlowEndpointSettings{
-		Number: number, Service: service, Centre: zones[zone].name, Slots: endpointSlots, RunTime: runTime,
-		Address: netip.AddrPortFrom(w.address(zone, 1, n), 8080).String(),
+		Number: number, Service: service, Centre: zones[zone].name, Slots: endpointSlots, RunTime: runTime, Address: behind.String(),
 	})
 	if err != nil {
 		return err
 	}
-	e := &endpoint{FlowEndpoint: f, zone: zones[zone].name, service: service, number: number, foreign: true, reported: make(chan struct{}, 1)}
+	t, err := startTap(address, behind)
+	if err != nil {
+		f.Close()
+		return errors.WithStack(err)
+	}
+	e := &endpoint{FlowEndpoint: f, tap: t, zone: zones[zone].name, service: service, number: number, foreign: true, reported: make(chan struct{}, 1)}
 	w.endpoints = append(w.endpoints, e)
 	e.report(w.store)
 	go func() {
@@ -220,7 +231,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.foreign {
-		store.RegisterEndpoint(e.FlowEndpoint)
+		store.Put("servers", e.ID(), e.entry())
 		e.foreign = false
 	}
 	e.reportedAt = time.Now()
@@ -230,6 +241,13 @@
 	}
 }
 
+// entry returns what the endpoint reports of itself.
+func (e *endpoint) entry() map[string]any {
+	m := e.Registration()
+	m["address"] = e.tap.packets.LocalAddr().String()
+	return m
+}
+
 // overwrite replaces the entry of the endpoint, as another writer does. The next report of the
 // endpoint writes its own again.
 func (e *endpoint) overwrite(store *standin.Metastore, entry map[string]any) {
@@ -414,6 +432,7 @@
 	w.killForwarders()
 	for _, e := range w.endpoints {
 		e.Close()
+		e.tap.close()
 	}
 	for _, c := range w.consumers {
 		if c != nil {
@@ -423,6 +442,11 @@
 	for _, r := range w.routers {
 		r.Close()
 	}
+	for _, f := range w.forwarders {
+		if f.link != nil {
+			_ = f.link.Close()
+		}
+	}
 	if w.server != nil {
 		w.server.CloseClientConnections()
 		w.server.Close()
