--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # leaves the disruption out. Needs the build of deploy/system.toml and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/tanagerdock-forwarder ] && [ -x bin/review-kit-2 ] || exit 2
-exec bin/review-kit-2 drain review/8/record.txt
+exec bin/review-kit-2 bytes review/8/record.txt
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -32,6 +32,7 @@
 	"flow":  oddAddress,
 	"drain": oddLifecycle,
 	"leave": leavingForwarders,
+	"bytes": oddBytes,
 }
 
 // record is the file that a case writes.
--- a/review/_kit2/odd.go
+++ b/review/_kit2/odd.go
@@ -95,6 +95,11 @@
 	}
 	time.Sleep(4 * time.Second)
 	stopTraffic(w)
+	return w.lateFlows(e, acked) > 0
+}
+
+// lateFlows counts the flows that opened at a draining endpoint later than the bound after the ack.
+func (w *world) lateFlows(e *endpoint, acked time.Time) int {
 	late := 0
 	for _, f := range w.flows {
 		if f.endpoint == e.number && f.openedAt.Sub(acked) > recordBound.Duration() {
@@ -103,5 +108,26 @@
 		}
 	}
 	w.record.line("flows opened at the draining endpoint later than drain_ms after the ack: %d", late)
-	return late > 0
+	return late
+}
+
+// oddBytes lets another writer leave an entry that ends in the middle, under an id of its own. The
+// store keeps what was written, and removes the entry when it was silent for three intervals. An
+// endpoint drains meanwhile.
+func oddBytes(w *world, trouble bool) bool {
+	startTraffic(w, 1)
+	if trouble {
+		const id = "i-7f3a91c2"
+		w.record.line("another writer leaves entry %s, which ends in the middle", id)
+		w.store.PutRaw("servers", id, `{"meta":{"name":"`+id+`","revision":REVISION},"spec":{"service":"order-desk","address":"127.,"status":null}`)
+		time.AfterFunc(3*reportPeriod.Duration(), func() { w.store.Remove("servers", id) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	e := w.pick("riga-a", orderDesk)
+	e.drain(w.store)
+	acked := time.Now()
+	w.record.line("the store acknowledges that %s is draining", e.ID())
+	time.Sleep(12 * time.Second)
+	stopTraffic(w)
+	return w.lateFlows(e, acked) > 0
 }
