--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -33,6 +33,7 @@
 	"drain": oddLifecycle,
 	"leave": leavingForwarders,
 	"bytes": oddBytes,
+	"stay":  oddBytesStay,
 }
 
 // record is the file that a case writes.
--- a/review/_kit2/odd.go
+++ b/review/_kit2/odd.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"syscall"
+	"time"
+)
 
 // startTraffic starts the users of all zones, and waits until every machine is in touch. With a
 // greater factor there are more users, who send as many requests together.
@@ -131,3 +134,50 @@
 	stopTraffic(w)
 	return w.lateFlows(e, acked) > 0
 }
+
+// oddBytesStay is oddBytes with a writer that writes its entry again and again, and with the end of
+// all forwarders meanwhile, as in a final fault. It isn't a case of its own.
+func oddBytesStay(w *world, trouble bool) bool {
+	startTraffic(w, 1)
+	ended := make(chan struct{})
+	if trouble {
+		go func() {
+			for {
+				const id = "i-7f3a91c2"
+				w.store.PutRaw("servers", id, `{"meta":{"name":"`+id+`","revision":REVISION},"spec":{"service":"order-desk","address":"127.,"status":null}`)
+				select {
+				case <-ended:
+					return
+				case <-time.After(reportPeriod.Duration()):
+				}
+			}
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	for _, f := range w.forwarders {
+		f.signal(syscall.SIGKILL, true)
+		<-f.exited
+	}
+	time.Sleep(time.Second)
+	for _, f := range w.forwarders {
+		if err := f.start(); err != nil {
+			w.record.line("%v", err)
+		}
+	}
+	time.Sleep(recoveryTime.Duration())
+	requests, answered := w.counts()
+	time.Sleep(10 * time.Second)
+	requestsLater, answeredLater := w.counts()
+	close(ended)
+	stopTraffic(w)
+	requests, answered = requestsLater-requests, answeredLater-answered
+	w.record.line("in 10 s, later than recovery_s after the machines are back: %d requests, %d answered", requests, answered)
+	return 4*answered < requests
+}
+
+// counts returns the numbers of requests and of answers so far.
+func (w *world) counts() (requests, answered int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.requests, w.answered
+}
--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -22,9 +22,10 @@
 
 // Figures of the deployment pz-balance.
 const (
-	recordBound   = 3 * clock.Second // drain_ms and config_apply_ms
-	gracePeriod   = 6 * clock.Second // grace_s
-	stableTime    = 4 * clock.Second // stable_ms
+	recordBound   = 3 * clock.Second  // drain_ms and config_apply_ms
+	gracePeriod   = 6 * clock.Second  // grace_s
+	stableTime    = 4 * clock.Second  // stable_ms
+	recoveryTime  = 12 * clock.Second // recovery_s
 	reportPeriod  = 1200 * clock.Millisecond
 	endpointSlots = 2
 )
